--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -2,7 +2,7 @@
 //! Instances share nothing but the numbered lists that the wire itself shares.
 
 use crate::wire::{self, Millis, Output};
-use lynxspur::{
+use notchdoor::{
     key_hash, Action, Brain, Class, Discovery, Effect, Event, Member, Micros, Outcome, Request, RequestId,
     Scope, ServerState, Settings, Tenant,
 };
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -39,7 +39,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("lynxspur-adapter: {message}");
+            eprintln!("notchdoor-simhost: {message}");
             ExitCode::FAILURE
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! What the tests share: settings, a server list, and short ways to drive a brain.
 #![allow(dead_code)]
 
-use lynxspur::*;
+use notchdoor::*;
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use lynxspur::*;
+use notchdoor::*;
 
 /// Feeds reads of one key, each answered after `took`, and returns the last server asked.
 fn answered_reads(brain: &mut Brain, ids: std::ops::Range<u64>, key: Key, now: &mut Micros, took: Micros) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use lynxspur::*;
+use notchdoor::*;
 use std::collections::BTreeMap;
 
 struct Rng(u64);
