--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -1,21 +1,16 @@
 //! Keeps one decision instance for each balancer and translates between the wire and the library.
 //! Instances share nothing but the numbered lists that the wire itself shares.
 
-use crate::wire::{self, Millis, Output};
-use notchdoor::{
-    key_hash, Action, Brain, Class, Discovery, Effect, Event, Member, Micros, Outcome, Request, RequestId,
-    Scope, ServerState, Settings, Tenant,
-};
+use crate::wire::{self, Output};
+use notchdoor::{key_hash, Action, Brain, Event, Member, Micros, Outcome, Request, RequestId};
+use notchdoor_settings::{micros, position, BootInfo, Millis, Names};
 use serde::Deserialize;
 use std::collections::HashMap;
 
 /// One balancer: its decisions, and the names that the library knows as numbers.
 struct Instance {
     brain: Brain,
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
+    names: Names,
     numbers: HashMap<String, RequestId>,
     tickets: HashMap<RequestId, Ticket>,
     next: RequestId,
@@ -38,18 +33,10 @@
     actions: Vec<Action>,
 }
 
-fn micros(t: Millis) -> Micros {
-    (t * 1000.0).round().max(0.0) as Micros
-}
-
 fn millis(t: Micros) -> Millis {
     t as f64 / 1000.0
 }
 
-fn position(names: &[String], name: &str) -> Option<u32> {
-    names.iter().position(|n| n == name).map(|i| i as u32)
-}
-
 fn parse<'a, T: Deserialize<'a>>(line: &'a [u8], m: &str, batch: Option<u64>) -> Result<T, String> {
     serde_json::from_slice(line).map_err(|e| match batch {
         Some(batch) => format!("batch {batch}, message '{m}': {e}"),
@@ -72,56 +59,11 @@
     })
 }
 
-fn settings(boot: &wire::BootInfo) -> Settings {
-    let class = |g: &wire::Grade| Class {
-        aim: micros(g.aim),
-        worth: g.points,
-        late_share: g.late_share,
-        effect: match g.effect {
-            wire::Effect::Idempotent => Effect::Idempotent,
-            wire::Effect::AtMostOnce => Effect::AtMostOnce,
-            wire::Effect::Deduplicated => Effect::Deduplicated {
-                window: micros(g.dedup_window),
-                scope: match g.dedup_scope {
-                    wire::DedupScope::All => Scope::All,
-                    wire::DedupScope::Zone => Scope::Zone,
-                    wire::DedupScope::Cell => Scope::Cell,
-                },
-            },
-        },
-    };
-    let (limits, rules) = (&boot.limits, &boot.obligations);
-    Settings {
-        balancers: boot.balancers,
-        classes: boot.grades.iter().map(class).collect(),
-        tenants: boot.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
-        over_share_worth: boot.over_share_worth,
-        origin_kind: boot.family_info.origin_kind.and_then(|k| u32::try_from(k).ok()),
-        discovery: match boot.discovery {
-            wire::Discovery::Pushed => Discovery::Pushed,
-            wire::Discovery::OnRequest => Discovery::OnRequest { ask_every: micros(rules.ask_every) },
-        },
-        sizes_are_live: boot.weight_kind == "live",
-        max_attempts: limits.max_attempts,
-        second_copies: limits.second_copies,
-        may_cancel: limits.may_cancel,
-        max_retry_after: if limits.retry_after { micros(limits.max_retry_after) } else { 0 },
-        most_held: limits.most_held,
-        cold_from: rules.cold_from,
-        cold: micros(rules.cold),
-        fall_multiple: rules.fall_multiple,
-        fall_time: micros(rules.tip_after),
-    }
-}
-
 impl Instance {
-    fn new(boot: wire::BootInfo, seed: u64, now: Micros) -> Self {
+    fn new(boot: &BootInfo, seed: u64, now: Micros) -> Self {
         Instance {
-            brain: Brain::new(settings(&boot), seed, now),
-            classes: boot.grades.into_iter().map(|g| g.name).collect(),
-            tenants: boot.tenants.into_iter().map(|t| t.name).collect(),
-            zones: boot.dcs,
-            kinds: boot.skus,
+            brain: Brain::new(boot.settings(), seed, now),
+            names: boot.names(),
             numbers: HashMap::new(),
             tickets: HashMap::new(),
             next: 1,
@@ -131,16 +73,12 @@
     fn members(&self, entries: &[wire::Entry]) -> Vec<Member> {
         let member = |e: &wire::Entry| Member {
             server: e.node,
-            kind: position(&self.kinds, &e.flavor).unwrap_or(u32::MAX),
-            zone: position(&self.zones, &e.campus).unwrap_or(u32::MAX),
+            kind: position(&self.names.kinds, &e.flavor).unwrap_or(u32::MAX),
+            zone: position(&self.names.zones, &e.campus).unwrap_or(u32::MAX),
             cell: e.cohort,
             size: e.size,
             up_since: micros(e.up_since),
-            state: match e.readiness {
-                wire::Readiness::InService => ServerState::Serving,
-                wire::Readiness::Terminating => ServerState::Draining,
-                wire::Readiness::Terminated => ServerState::Gone,
-            },
+            state: e.readiness.into(),
         };
         entries.iter().map(member).collect()
     }
@@ -151,12 +89,12 @@
         self.numbers.insert(r.ticket.to_string(), id);
         self.tickets.insert(id, Ticket { name: r.ticket.to_string(), out: 0, over: false });
         let tenant = match &r.customer {
-            Some(wire::Customer::Name(name)) => position(&self.tenants, name),
+            Some(wire::Customer::Name(name)) => position(&self.names.tenants, name),
             _ => None,
         };
         Event::Arrived(Request {
             id,
-            class: position(&self.classes, &r.band),
+            class: position(&self.names.classes, &r.band),
             tenant,
             key: r.item.as_ref().map(|k| key_hash(k.as_bytes())),
             write: r.state_bits & 4 != 0,
@@ -254,7 +192,8 @@
         match m {
             "enlist" => {
                 let e: wire::Enlist = parse(line, m, batch)?;
-                self.instances.insert(e.who.into_owned(), Instance::new(e.boot_info, e.init_seed, self.now));
+                let instance = Instance::new(&e.boot_info, e.init_seed, self.now);
+                self.instances.insert(e.who.into_owned(), instance);
             }
             "down" => {
                 let e: wire::Addressed = parse(line, m, batch)?;
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -1,11 +1,9 @@
 //! The messages of the wire. Fields that are not named here are skipped.
 
+use notchdoor_settings::{BootInfo, Millis, Readiness};
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
-/// A time in milliseconds, with fractions.
-pub type Millis = f64;
-
 /// The part that every message has.
 #[derive(Deserialize)]
 pub struct Head<'a> {
@@ -28,106 +26,6 @@
     pub boot_info: BootInfo,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct BootInfo {
-    pub balancers: u32,
-    pub grades: Vec<Grade>,
-    #[serde(default)]
-    pub tenants: Vec<Tenant>,
-    #[serde(default)]
-    pub dcs: Vec<String>,
-    #[serde(default)]
-    pub skus: Vec<String>,
-    pub discovery: Discovery,
-    #[serde(default)]
-    pub family_info: FamilyInfo,
-    #[serde(default)]
-    pub weight_kind: String,
-    #[serde(default)]
-    pub over_share_worth: f64,
-    pub limits: Limits,
-    pub obligations: Obligations,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Discovery {
-    Pushed,
-    OnRequest,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase")]
-pub struct FamilyInfo {
-    pub origin_kind: Option<i64>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Effect {
-    Idempotent,
-    Deduplicated,
-    AtMostOnce,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "snake_case")]
-pub enum DedupScope {
-    #[default]
-    All,
-    Zone,
-    Cell,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Grade {
-    pub name: String,
-    pub aim: Millis,
-    pub points: f64,
-    #[serde(default)]
-    pub late_share: f64,
-    pub effect: Effect,
-    #[serde(default)]
-    pub dedup_scope: DedupScope,
-    #[serde(default)]
-    pub dedup_window: Millis,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Tenant {
-    pub name: String,
-    pub quota_per_s: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Limits {
-    pub max_attempts: u32,
-    #[serde(default)]
-    pub second_copies: bool,
-    #[serde(default)]
-    pub may_cancel: bool,
-    #[serde(default)]
-    pub retry_after: bool,
-    #[serde(default)]
-    pub max_retry_after: Millis,
-    pub most_held: u32,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Obligations {
-    #[serde(default)]
-    pub ask_every: Millis,
-    pub cold: Millis,
-    pub cold_from: f64,
-    pub fall_multiple: f64,
-    pub tip_after: Millis,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Sheet {
@@ -135,14 +33,6 @@
     pub members_list: Vec<Entry>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Readiness {
-    InService,
-    Terminating,
-    Terminated,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Entry {
--- /dev/null
+++ b/proxy/src/ending.rs
@@ -0,0 +1,124 @@
+//! Every way in which a delegation or a connection can end, and what each one means to the module.
+
+use notchdoor::Outcome;
+
+/// How a delegation (one attempt at a worker or the origin) or a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Ending {
+    /// The worker or the origin answered with a value or a receipt.
+    Served,
+    /// The worker holds nothing under the key.
+    Missed,
+    /// It answered with an error.
+    Errored,
+    /// It turned the command away unseen.
+    TurnedAway,
+    /// The connection was refused or reset before it was up.
+    ConnectRefused,
+    /// The connection was not up in time.
+    ConnectTimedOut,
+    /// The connection broke before the command's last byte was written.
+    BrokenUnsent,
+    /// The connection broke after the command's last byte was written.
+    BrokenSent,
+    /// What came back after the command was written is no answer.
+    Garbled,
+    /// No answer by the time set, and the command was written whole.
+    TimedOutSent,
+    /// The time set ran out before the command was written whole.
+    TimedOutUnsent,
+    /// The module called the delegation off.
+    Cancelled,
+    /// There was no socket or no endpoint to send on.
+    NotSent,
+    /// The client closed its connection or broke it.
+    ClientLeft,
+    /// The client took nothing off its connection for too long.
+    ClientStalled,
+    /// The client sent what is no command; its connection was closed after the answers it was owed.
+    ClientMalformed,
+    /// An idle connection was closed to make room or to stop.
+    ClosedIdle,
+    /// The registry's call failed or its answer made no sense.
+    RegistryBroken,
+    /// The registry's watch was silent well past its beat.
+    RegistrySilent,
+}
+
+impl Ending {
+    /// All of them, in the order of the counters.
+    pub const ALL: [Ending; 19] = [
+        Ending::Served,
+        Ending::Missed,
+        Ending::Errored,
+        Ending::TurnedAway,
+        Ending::ConnectRefused,
+        Ending::ConnectTimedOut,
+        Ending::BrokenUnsent,
+        Ending::BrokenSent,
+        Ending::Garbled,
+        Ending::TimedOutSent,
+        Ending::TimedOutUnsent,
+        Ending::Cancelled,
+        Ending::NotSent,
+        Ending::ClientLeft,
+        Ending::ClientStalled,
+        Ending::ClientMalformed,
+        Ending::ClosedIdle,
+        Ending::RegistryBroken,
+        Ending::RegistrySilent,
+    ];
+
+    /// What the module is told when a delegation ends so; `None` for what only connections of clients and
+    /// of the registry do.
+    ///
+    /// Guards the rule on repeats: nothing counts as never run once the command's last byte was written,
+    /// unless the other side says so.
+    pub fn outcome(self) -> Option<Outcome> {
+        Some(match self {
+            Ending::Served => Outcome::Ok,
+            Ending::Missed => Outcome::Miss,
+            Ending::Errored => Outcome::Error,
+            Ending::TurnedAway => Outcome::Full,
+            Ending::ConnectRefused
+            | Ending::ConnectTimedOut
+            | Ending::BrokenUnsent
+            | Ending::TimedOutUnsent => Outcome::ConnectFailed,
+            Ending::BrokenSent | Ending::Garbled => Outcome::Reset,
+            Ending::TimedOutSent => Outcome::Timeout,
+            Ending::Cancelled => Outcome::Cancelled,
+            Ending::NotSent => Outcome::Moot,
+            Ending::ClientLeft
+            | Ending::ClientStalled
+            | Ending::ClientMalformed
+            | Ending::ClosedIdle
+            | Ending::RegistryBroken
+            | Ending::RegistrySilent => return None,
+        })
+    }
+
+    /// Its name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Ending::Served => "served",
+            Ending::Missed => "missed",
+            Ending::Errored => "errored",
+            Ending::TurnedAway => "turned_away",
+            Ending::ConnectRefused => "connect_refused",
+            Ending::ConnectTimedOut => "connect_timed_out",
+            Ending::BrokenUnsent => "broken_unsent",
+            Ending::BrokenSent => "broken_sent",
+            Ending::Garbled => "garbled",
+            Ending::TimedOutSent => "timed_out_sent",
+            Ending::TimedOutUnsent => "timed_out_unsent",
+            Ending::Cancelled => "cancelled",
+            Ending::NotSent => "not_sent",
+            Ending::ClientLeft => "client_left",
+            Ending::ClientStalled => "client_stalled",
+            Ending::ClientMalformed => "client_malformed",
+            Ending::ClosedIdle => "closed_idle",
+            Ending::RegistryBroken => "registry_broken",
+            Ending::RegistrySilent => "registry_silent",
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/lib.rs
@@ -0,0 +1,16 @@
+//! The notchdoor proxy: real sockets round the decision module.
+//!
+//! - [`wire`] holds what is spoken: state machines that are fed bytes, and the thin driver with the sockets.
+//! - [`state`] holds what is kept: the registry's list, connection pools, timers and counters.
+//! - [`lifecycle`] holds start and stop: configuration, logger, clock, signals.
+//! - [`ending`] names every way in which a connection or a delegation can end.
+//! - [`proxy`] takes events to the module and its actions back, and knows no protocol and no socket.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+pub mod ending;
+pub mod lifecycle;
+pub mod proxy;
+pub mod state;
+pub mod wire;
--- /dev/null
+++ b/proxy/src/lifecycle/mod.rs
@@ -0,0 +1,6 @@
+//! Start and stop.
+
+pub mod clock;
+pub mod config;
+pub mod logger;
+pub mod signals;
--- /dev/null
+++ b/proxy/src/main.rs
@@ -0,0 +1,36 @@
+//! The proxy's program.
+
+#![forbid(unsafe_code)]
+
+use async_executor::LocalExecutor;
+use async_signal::{Signal, Signals};
+use notchdoor_proxy::lifecycle::{config::Config, logger, signals};
+use notchdoor_proxy::wire::driver::Shell;
+use std::net::TcpListener;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+fn run() -> Result<(), String> {
+    let config = Config::load()?;
+    logger::start(&config.name);
+    let signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Usr1]).map_err(|e| format!("signals: {e}"))?;
+    let listener = TcpListener::bind(config.listen)
+        .map_err(|e| format!("EDGE_LISTEN: cannot listen on {}: {e}", config.listen))?;
+    log::info!("started, listening on {}, registry at {}", config.listen, config.registry);
+    let executor = Rc::new(LocalExecutor::new());
+    let shell = Shell::start(config, listener, Rc::clone(&executor));
+    async_io::block_on(executor.run(signals::until_stopped(&shell, signals)));
+    shell.report("counters at exit");
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("notchdoor: {message}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/proxy.rs
@@ -0,0 +1,320 @@
+//! Events in, the module's decisions, commands out. No protocol and no socket is known here: a request is
+//! what it is about and how long its client waits, and whatever else was said travels along unread.
+
+use crate::ending::Ending;
+use crate::state::counters::Counters;
+use crate::state::registry::{Registry, Update};
+use crate::state::timers::Timers;
+use notchdoor::{key_hash, Action, Brain, Event, Micros, Outcome, Request, RequestId, ServerId, Settings};
+use notchdoor_settings::{position, Names};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+/// Where an answer goes: a connection, and the place among its commands.
+pub type Place = (u64, u64);
+/// One delegation, never reused.
+pub type DelegationId = u64;
+
+/// A final answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The value or the receipt that a worker or the origin gave for this request.
+    Served(Vec<u8>),
+    /// An overload reply: trying again is harmless.
+    Refused {
+        /// How long the client should stay away; 0 for no advice.
+        retry_after: Micros,
+    },
+    /// Failed; nothing is promised about its effect.
+    Failed,
+}
+
+/// A client's request, whatever protocol it came in.
+pub struct Taken<C> {
+    /// Where the answer goes.
+    pub place: Place,
+    /// The class, by its name.
+    pub class: String,
+    /// The tenant, by its name.
+    pub tenant: String,
+    /// What it is about.
+    pub key: Vec<u8>,
+    /// Whether it writes.
+    pub write: bool,
+    /// When the client gives up.
+    pub due: Micros,
+    /// What is passed on.
+    pub call: C,
+}
+
+/// What the driver has to do, in this order.
+pub enum Command<C> {
+    /// Begin a delegation; [`Proxy::ended`] is owed for it.
+    Delegate {
+        /// Its number.
+        delegation: DelegationId,
+        /// To whom.
+        server: ServerId,
+        /// What is sent.
+        call: Rc<C>,
+        /// When to give up on it.
+        give_up_at: Micros,
+    },
+    /// Close a delegation's connection; nothing more is owed for it.
+    Cancel(DelegationId),
+    /// Give a final answer.
+    Answer(Place, Answer),
+    /// Watch the registry; [`Proxy::registry_failed`] is owed when that ends.
+    Watch,
+    /// Drop all old connections to this server.
+    DropConnections(ServerId),
+}
+
+struct Attempt {
+    delegation: DelegationId,
+    sent: Micros,
+    out: bool,
+}
+
+struct Held<C> {
+    place: Place,
+    call: Rc<C>,
+    attempts: Vec<Attempt>,
+    over: bool,
+}
+
+/// The module with what it needs round it.
+pub struct Proxy<C> {
+    brain: Brain,
+    names: Names,
+    /// The list held.
+    pub registry: Registry,
+    held: HashMap<RequestId, Held<C>>,
+    places: HashMap<Place, RequestId>,
+    delegations: HashMap<DelegationId, (RequestId, u32)>,
+    timers: Timers,
+    /// What has been counted.
+    pub counters: Counters,
+    next_request: RequestId,
+    next_delegation: DelegationId,
+    commands: Vec<Command<C>>,
+    inputs: VecDeque<Event<'static>>,
+    actions: Vec<Action>,
+}
+
+impl<C> Proxy<C> {
+    /// A proxy that holds no list yet.
+    pub fn new(settings: Settings, names: Names, seed: u64, now: Micros) -> Self {
+        let registry = Registry::new(names.clone(), settings.origin_kind);
+        Proxy {
+            brain: Brain::new(settings, seed, now),
+            names,
+            registry,
+            held: HashMap::new(),
+            places: HashMap::new(),
+            delegations: HashMap::new(),
+            timers: Timers::default(),
+            counters: Counters::default(),
+            next_request: 1,
+            next_delegation: 1,
+            commands: Vec::new(),
+            inputs: VecDeque::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// What is to be done now.
+    pub fn take_commands(&mut self) -> Vec<Command<C>> {
+        std::mem::take(&mut self.commands)
+    }
+
+    /// When [`Proxy::tick`] is next wanted.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.timers.next_due()
+    }
+
+    /// Requests whose answer is owed.
+    pub fn owed(&self) -> usize {
+        self.places.len()
+    }
+
+    /// A request was read whole.
+    pub fn taken(&mut self, now: Micros, taken: Taken<C>) {
+        let id = self.next_request;
+        self.next_request += 1;
+        self.counters.taken += 1;
+        let request = Request {
+            id,
+            class: position(&self.names.classes, &taken.class),
+            tenant: position(&self.names.tenants, &taken.tenant),
+            key: Some(key_hash(&taken.key)),
+            write: taken.write,
+            due: taken.due,
+            cost_hint: None,
+        };
+        self.places.insert(taken.place, id);
+        let held = Held { place: taken.place, call: Rc::new(taken.call), attempts: Vec::new(), over: false };
+        self.held.insert(id, held);
+        self.feed(now, Event::Arrived(request));
+    }
+
+    /// The client has gone before the answer.
+    pub fn left(&mut self, now: Micros, place: Place) {
+        if let Some(id) = self.places.remove(&place) {
+            self.counters.left += 1;
+            if let Some(held) = self.held.get_mut(&id) {
+                held.over = true;
+            }
+            self.feed(now, Event::Left(id));
+            self.forget(id);
+        }
+    }
+
+    /// A delegation has ended.
+    pub fn ended(
+        &mut self,
+        now: Micros,
+        delegation: DelegationId,
+        ending: Ending,
+        value: Option<Vec<u8>>,
+        being_fetched: bool,
+    ) {
+        // What was called off has ended already: its late answer is nobody's.
+        let Some((id, n)) = self.delegations.remove(&delegation) else { return };
+        self.counters.ended(ending);
+        let outcome = ending.outcome().unwrap_or(Outcome::Reset);
+        let (mut took, mut last) = (0, true);
+        if let Some(held) = self.held.get_mut(&id) {
+            if let Some(attempt) = held.attempts.get_mut(n as usize) {
+                attempt.out = false;
+                took = now.saturating_sub(attempt.sent);
+            }
+            if outcome == Outcome::Ok && !held.over {
+                held.over = true;
+                self.places.remove(&held.place);
+                self.counters.served += 1;
+                let answer = Answer::Served(value.unwrap_or_default());
+                self.commands.push(Command::Answer(held.place, answer));
+            }
+            last = held.over;
+        }
+        self.feed(now, Event::Ended { id, attempt: n, outcome, took, last, being_fetched });
+        self.forget(id);
+    }
+
+    /// The registry sent the list or changes.
+    pub fn update(&mut self, now: Micros, update: Update) {
+        self.counters.registry_updates += 1;
+        let rev = update.rev;
+        let Some(applied) = self.registry.apply(update) else {
+            log::warn!("registry: changes up to {rev} came after {}", self.registry.rev());
+            return;
+        };
+        for server in applied.dropped {
+            self.commands.push(Command::DropConnections(server));
+        }
+        let event = if applied.all {
+            Event::WholeList(&applied.members)
+        } else {
+            Event::ListChange(&applied.members)
+        };
+        self.brain.handle(now, event, &mut self.actions);
+        self.perform(now);
+        self.settle(now);
+    }
+
+    /// A watch could not be begun, or has ended.
+    pub fn registry_failed(&mut self, now: Micros, ending: Ending) {
+        self.counters.ended(ending);
+        self.feed(now, Event::ListError);
+    }
+
+    /// Fires the timers that have fallen due.
+    pub fn tick(&mut self, now: Micros) {
+        while let Some(token) = self.timers.pop(now) {
+            self.feed(now, Event::Timer(token));
+        }
+    }
+
+    fn feed(&mut self, now: Micros, event: Event<'static>) {
+        self.inputs.push_back(event);
+        self.settle(now);
+    }
+
+    /// Hands what has happened to the module until nothing more comes of it.
+    fn settle(&mut self, now: Micros) {
+        while let Some(event) = self.inputs.pop_front() {
+            let ended = match event {
+                Event::Ended { id, .. } => Some(id),
+                _ => None,
+            };
+            self.brain.handle(now, event, &mut self.actions);
+            self.perform(now);
+            if let Some(id) = ended {
+                self.forget(id);
+            }
+        }
+    }
+
+    fn perform(&mut self, now: Micros) {
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { id, server, give_up_at } => self.send(now, id, server, give_up_at),
+                Action::Cancel { id, attempt } => self.cancel(now, id, attempt),
+                Action::Refuse { id, retry_after } => self.finish(id, Answer::Refused { retry_after }),
+                Action::Fail { id } => self.finish(id, Answer::Failed),
+                Action::Timer { after, token } => {
+                    if !self.timers.set(now.saturating_add(after), token) {
+                        log::error!("no room for another timer");
+                    }
+                }
+                Action::Watch => self.commands.push(Command::Watch),
+            }
+        }
+        self.actions = actions;
+    }
+
+    fn send(&mut self, now: Micros, id: RequestId, server: ServerId, give_up_at: Micros) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let delegation = self.next_delegation;
+        self.next_delegation += 1;
+        self.counters.sent += 1;
+        self.delegations.insert(delegation, (id, held.attempts.len() as u32));
+        held.attempts.push(Attempt { delegation, sent: now, out: true });
+        let call = Rc::clone(&held.call);
+        self.commands.push(Command::Delegate { delegation, server, call, give_up_at });
+    }
+
+    fn cancel(&mut self, now: Micros, id: RequestId, n: u32) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(attempt) = held.attempts.get_mut(n as usize).filter(|a| a.out) else { return };
+        attempt.out = false;
+        self.delegations.remove(&attempt.delegation);
+        self.commands.push(Command::Cancel(attempt.delegation));
+        self.counters.ended(Ending::Cancelled);
+        let took = now.saturating_sub(attempt.sent);
+        let (outcome, last) = (Ending::Cancelled.outcome().unwrap_or(Outcome::Cancelled), held.over);
+        let event = Event::Ended { id, attempt: n, outcome, took, last, being_fetched: false };
+        self.inputs.push_back(event);
+    }
+
+    fn finish(&mut self, id: RequestId, answer: Answer) {
+        let Some(held) = self.held.get_mut(&id).filter(|h| !h.over) else { return };
+        held.over = true;
+        self.places.remove(&held.place);
+        match answer {
+            Answer::Refused { .. } => self.counters.refused += 1,
+            _ => self.counters.failed += 1,
+        }
+        self.commands.push(Command::Answer(held.place, answer));
+        self.forget(id);
+    }
+
+    /// Drops a request that is over and has nothing out.
+    fn forget(&mut self, id: RequestId) {
+        if self.held.get(&id).is_some_and(|h| h.over && h.attempts.iter().all(|a| !a.out)) {
+            self.held.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/state/pool.rs
@@ -0,0 +1,183 @@
+//! Idle connections to workers and the origin, and the budget of sockets.
+
+use notchdoor::{Micros, ServerId};
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Idle connections that are kept for one worker.
+const MOST_IDLE: usize = 24;
+
+/// One socket of a budget: given back when it is dropped.
+pub struct Ticket(Rc<Cell<usize>>);
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// So many sockets and no more.
+pub struct Budget {
+    used: Rc<Cell<usize>>,
+    most: usize,
+}
+
+impl Budget {
+    /// A budget of which nothing is used.
+    pub fn new(most: usize) -> Self {
+        Budget { used: Rc::default(), most }
+    }
+
+    /// One more socket, if there is room.
+    pub fn take(&self) -> Option<Ticket> {
+        let room = self.used.get() < self.most;
+        room.then(|| {
+            self.used.set(self.used.get() + 1);
+            Ticket(Rc::clone(&self.used))
+        })
+    }
+
+    /// How many are used.
+    pub fn used(&self) -> usize {
+        self.used.get()
+    }
+}
+
+struct Shelf<C> {
+    /// Since when each has been idle, oldest first.
+    idle: Vec<(Micros, C)>,
+    /// Raised when all connections so far are of no more use.
+    generation: u64,
+}
+
+/// Idle connections by worker.
+pub struct Pools<C> {
+    shelves: HashMap<ServerId, Shelf<C>>,
+    /// Connections are closed after standing idle for so long.
+    retire_after: Micros,
+}
+
+impl<C> Pools<C> {
+    /// Empty pools for workers that close idle connections after `idle_close`.
+    pub fn new(idle_close: Micros) -> Self {
+        // A tenth earlier, and a second where that is more: a command written to a connection that the
+        // worker is closing ends as a reset, and an unsafe write may then not be repeated.
+        let margin = (idle_close / 10).max(1_000_000).min(idle_close / 2);
+        Pools { shelves: HashMap::new(), retire_after: idle_close - margin }
+    }
+
+    fn shelf(&mut self, server: ServerId) -> &mut Shelf<C> {
+        self.shelves.entry(server).or_insert(Shelf { idle: Vec::new(), generation: 0 })
+    }
+
+    /// The generation that a new connection belongs to.
+    pub fn generation(&mut self, server: ServerId) -> u64 {
+        self.shelf(server).generation
+    }
+
+    /// The connection that was used most recently, if it is not too old.
+    pub fn take(&mut self, now: Micros, server: ServerId) -> Option<C> {
+        let retire_after = self.retire_after;
+        let shelf = self.shelves.get_mut(&server)?;
+        let (since, connection) = shelf.idle.pop()?;
+        if since + retire_after > now {
+            return Some(connection);
+        }
+        // The others have been idle for longer still.
+        shelf.idle.clear();
+        None
+    }
+
+    /// Takes back a connection. It is dropped if its generation is over; of too many, the oldest is.
+    pub fn put(&mut self, now: Micros, server: ServerId, generation: u64, connection: C) {
+        let shelf = self.shelf(server);
+        if shelf.generation != generation {
+            return;
+        }
+        if shelf.idle.len() >= MOST_IDLE {
+            shelf.idle.remove(0);
+        }
+        shelf.idle.push((now, connection));
+    }
+
+    /// Drops a worker's idle connections, and those out when they come back.
+    pub fn drop_server(&mut self, server: ServerId) {
+        let shelf = self.shelf(server);
+        shelf.generation += 1;
+        shelf.idle.clear();
+    }
+
+    /// Drops the connections that are too old, or that `alive` says have been closed.
+    pub fn sweep(&mut self, now: Micros, alive: impl Fn(&C) -> bool) {
+        for shelf in self.shelves.values_mut() {
+            let retire_after = self.retire_after;
+            shelf.idle.retain(|(since, c)| since + retire_after > now && alive(c));
+        }
+    }
+
+    /// Drops the connection that has been idle for longest, to make room. False if there is none.
+    pub fn evict(&mut self) -> bool {
+        let oldest = |s: &&mut Shelf<C>| s.idle.first().map_or(Micros::MAX, |(since, _)| *since);
+        match self.shelves.values_mut().filter(|s| !s.idle.is_empty()).min_by_key(oldest) {
+            Some(shelf) => {
+                shelf.idle.remove(0);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// How many idle connections a worker has.
+    pub fn idle(&self, server: ServerId) -> usize {
+        self.shelves.get(&server).map_or(0, |s| s.idle.len())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Micros = 1_000_000;
+
+    #[test]
+    fn the_most_recently_used_connection_is_reused_and_old_ones_retire() {
+        let mut pools = Pools::new(30 * S);
+        for (now, c) in [(0, 'a'), (S, 'b'), (2 * S, 'c')] {
+            pools.put(now, 1, 0, c);
+        }
+        assert_eq!(pools.take(3 * S, 1), Some('c'));
+        assert_eq!(pools.take(3 * S, 2), None);
+        pools.sweep(27 * S, |_| true);
+        assert_eq!(pools.idle(1), 1, "retired a tenth before the worker closes it");
+        assert_eq!(pools.take(28 * S, 1), None, "too old though no sweep came by");
+        pools.put(40 * S, 1, 0, 'd');
+        pools.sweep(40 * S, |&c| c != 'd');
+        assert_eq!(pools.idle(1), 0, "closed by the worker");
+    }
+
+    #[test]
+    fn a_generation_that_is_over_does_not_come_back() {
+        let mut pools = Pools::new(30 * S);
+        let generation = pools.generation(1);
+        pools.put(0, 1, generation, 'a');
+        pools.drop_server(1);
+        pools.put(0, 1, generation, 'b');
+        assert_eq!(pools.take(0, 1), None);
+    }
+
+    #[test]
+    fn idle_connections_and_budgets_are_bounded() {
+        let mut pools = Pools::new(30 * S);
+        let budget = Budget::new(MOST_IDLE + 1);
+        for now in 0..=MOST_IDLE as u64 {
+            pools.put(now, 1, 0, budget.take());
+        }
+        assert_eq!((pools.idle(1), budget.used()), (MOST_IDLE, MOST_IDLE));
+        let _last = budget.take();
+        assert!(budget.take().is_none());
+        assert!(pools.evict() && budget.take().is_some());
+        while pools.evict() {}
+        assert_eq!(pools.idle(1), 0);
+    }
+}
--- /dev/null
+++ b/proxy/src/state/registry.rs
@@ -0,0 +1,238 @@
+//! The registry's list: which workers there are, where, and under which number the module knows them.
+
+use notchdoor::{Member, Micros, ServerId, ServerState};
+use notchdoor_settings::{position, Millis, Names, Readiness};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// The most workers that are kept, those that are gone included.
+const MOST_WORKERS: usize = 4096;
+
+/// One line of the list, as the registry writes it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Target {
+    /// The worker's name, the same at every proxy.
+    pub uid: String,
+    /// Where this proxy reaches it.
+    pub endpoint: String,
+    /// Its zone.
+    #[serde(default)]
+    pub az: String,
+    /// Its kind.
+    #[serde(default)]
+    pub model: String,
+    /// Its cell.
+    #[serde(default)]
+    pub pod_group: u32,
+    /// Its state.
+    pub state: Readiness,
+    /// Its size beside the others'.
+    #[serde(default = "one")]
+    pub capacity_hint: f64,
+    /// Its last start in Unix milliseconds; 0 for long ago.
+    #[serde(default)]
+    pub boot_ms: Millis,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// The whole list, or what has changed in it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Update {
+    /// The list's version.
+    pub rev: u64,
+    /// Whether it is the whole list.
+    #[serde(default)]
+    pub all: bool,
+    /// The lines.
+    pub targets: Vec<Target>,
+}
+
+/// A worker or the origin, as the proxy reaches it.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    uid: String,
+    /// Its address.
+    pub endpoint: SocketAddr,
+    /// Whether it is the origin, which speaks HTTP.
+    pub origin: bool,
+    boot: Micros,
+    /// Whether it may be sent anything.
+    pub serving: bool,
+}
+
+/// What an update comes to.
+#[derive(Debug, Default)]
+pub struct Applied {
+    /// The lines for the module.
+    pub members: Vec<Member>,
+    /// Whether they are the whole list.
+    pub all: bool,
+    /// Servers whose old connections are of no more use.
+    pub dropped: Vec<ServerId>,
+}
+
+/// The list held.
+pub struct Registry {
+    names: Names,
+    origin_kind: Option<u32>,
+    workers: HashMap<ServerId, Worker>,
+    rev: u64,
+}
+
+/// A worker's number: pinned, so that it is the same at every proxy and after every restart.
+pub fn server_id(uid: &str) -> ServerId {
+    let hash = notchdoor::key_hash(uid.as_bytes());
+    (hash ^ (hash >> 32)) as ServerId
+}
+
+impl Registry {
+    /// An empty list.
+    pub fn new(names: Names, origin_kind: Option<u32>) -> Self {
+        Registry { names, origin_kind, workers: HashMap::new(), rev: 0 }
+    }
+
+    /// The version held, from which a watch goes on.
+    pub fn rev(&self) -> u64 {
+        self.rev
+    }
+
+    /// The worker of this number.
+    pub fn worker(&self, server: ServerId) -> Option<&Worker> {
+        self.workers.get(&server)
+    }
+
+    /// All workers that serve, with their numbers.
+    pub fn serving(&self) -> impl Iterator<Item = (ServerId, &Worker)> {
+        self.workers.iter().filter(|(_, w)| w.serving).map(|(&id, w)| (id, w))
+    }
+
+    /// Takes a list or changes. `None` for changes older than what is held.
+    pub fn apply(&mut self, update: Update) -> Option<Applied> {
+        if !update.all && update.rev < self.rev {
+            return None;
+        }
+        self.rev = update.rev;
+        let mut applied = Applied { all: update.all, ..Applied::default() };
+        let mut named = Vec::new();
+        for target in update.targets {
+            if let Some(member) = self.line(target, &mut applied.dropped) {
+                named.push(member.server);
+                applied.members.push(member);
+            }
+        }
+        if update.all {
+            for (id, worker) in &mut self.workers {
+                if worker.serving && !named.contains(id) {
+                    worker.serving = false;
+                    applied.dropped.push(*id);
+                }
+            }
+            self.workers.retain(|id, _| named.contains(id));
+        }
+        Some(applied)
+    }
+
+    fn line(&mut self, target: Target, dropped: &mut Vec<ServerId>) -> Option<Member> {
+        let server = server_id(&target.uid);
+        let Ok(endpoint) = target.endpoint.parse::<SocketAddr>() else {
+            log::error!("registry: {} has no usable endpoint: {:?}", target.uid, target.endpoint);
+            return None;
+        };
+        // Guards against two workers that the module would take for one.
+        if let Some(other) = self.workers.get(&server).filter(|w| w.uid != target.uid) {
+            log::error!("registry: {} and {} share the number {server}", target.uid, other.uid);
+            return None;
+        }
+        if !self.workers.contains_key(&server) && self.workers.len() >= MOST_WORKERS {
+            log::error!("registry: no room for {}", target.uid);
+            return None;
+        }
+        let kind = position(&self.names.kinds, &target.model).unwrap_or(u32::MAX);
+        let serving = target.state == Readiness::InService;
+        // Whole milliseconds come through without loss; a new start must never look like the old one.
+        let boot = notchdoor_settings::micros(target.boot_ms);
+        let new = Worker { uid: target.uid, endpoint, origin: self.origin_kind == Some(kind), boot, serving };
+        if let Some(old) = self.workers.insert(server, new) {
+            if old.endpoint != endpoint || old.boot != boot || !serving {
+                dropped.push(server);
+            }
+        }
+        Some(Member {
+            server,
+            kind,
+            zone: position(&self.names.zones, &target.az).unwrap_or(u32::MAX),
+            cell: target.pod_group,
+            size: target.capacity_hint,
+            up_since: boot,
+            state: ServerState::from(target.state),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn update(rev: u64, all: bool, lines: &[(&str, u16, Readiness, f64)]) -> Update {
+        let target = |&(uid, port, state, boot_ms): &(&str, u16, Readiness, f64)| Target {
+            uid: uid.into(),
+            endpoint: format!("127.0.0.1:{port}"),
+            az: "a".into(),
+            model: if uid == "o" { "origin" } else { "cache" }.into(),
+            pod_group: 0,
+            state,
+            capacity_hint: 1.0,
+            boot_ms,
+        };
+        Update { rev, all, targets: lines.iter().map(target).collect() }
+    }
+
+    fn registry() -> Registry {
+        let kinds = vec!["cache".into(), "origin".into()];
+        Registry::new(Names { kinds, zones: vec!["a".into()], ..Names::default() }, Some(1))
+    }
+
+    #[test]
+    fn lists_and_changes_apply_in_order() {
+        use Readiness::{InService, Terminating};
+        let mut registry = registry();
+        let (w, o) = (server_id("w"), server_id("o"));
+        let list = [("w", 1, InService, 0.0), ("o", 2, InService, 0.0)];
+        let applied = registry.apply(update(5, true, &list)).unwrap();
+        assert!(applied.all && applied.members.len() == 2 && applied.dropped.is_empty());
+        assert!(registry.worker(o).unwrap().origin && !registry.worker(w).unwrap().origin);
+        assert!(registry.apply(update(4, false, &[("w", 1, Terminating, 0.0)])).is_none(), "older");
+        // Each change that makes the old connections useless says so.
+        for (rev, line, dropped) in [
+            (6, ("w", 1, InService, 0.0), vec![]),
+            (7, ("w", 9, InService, 0.0), vec![w]),
+            (8, ("w", 9, InService, 1_796_000_000_123.0), vec![w]),
+            (9, ("w", 9, Terminating, 1_796_000_000_123.0), vec![w]),
+        ] {
+            let applied = registry.apply(update(rev, false, &[line])).unwrap();
+            assert_eq!((applied.dropped, registry.rev()), (dropped, rev), "{rev}");
+            let boot = applied.members[0].up_since;
+            assert_eq!(boot, if rev < 8 { 0 } else { 1_796_000_000_123_000 });
+        }
+        let applied = registry.apply(update(2, true, &[("o", 2, InService, 0.0)])).unwrap();
+        assert_eq!(applied.members.len(), 1);
+        assert!(registry.worker(w).is_none(), "a whole list that lacks a worker ends it");
+    }
+
+    #[test]
+    fn numbers_are_pinned_and_a_shared_one_is_left_out() {
+        assert_eq!(server_id("s-5be2a07c"), 1_361_338_235);
+        let mut registry = registry();
+        registry.apply(update(1, true, &[("w", 1, Readiness::InService, 0.0)]));
+        // A collision, made by hand: two names that hash alike are too rare to find.
+        let held = registry.workers.get_mut(&server_id("w")).unwrap();
+        held.uid = "other".into();
+        let applied = registry.apply(update(2, false, &[("w", 7, Readiness::InService, 0.0)])).unwrap();
+        assert!(applied.members.is_empty());
+        assert_eq!(registry.worker(server_id("w")).unwrap().endpoint.port(), 1);
+    }
+}
--- /dev/null
+++ b/proxy/src/state/timers.rs
@@ -0,0 +1,56 @@
+//! The module's timers: one queue in the order in which they fall due.
+
+use notchdoor::Micros;
+use std::collections::BTreeMap;
+
+/// The most timers that are kept; the module sets a few for each request that it holds.
+const MOST: usize = 200_000;
+
+/// Timers by due time, those of one time in the order in which they were set.
+#[derive(Default)]
+pub struct Timers {
+    queue: BTreeMap<(Micros, u64), u64>,
+    serial: u64,
+}
+
+impl Timers {
+    /// Sets a timer. False if the queue is full.
+    pub fn set(&mut self, due: Micros, token: u64) -> bool {
+        let room = self.queue.len() < MOST;
+        if room {
+            self.queue.insert((due, self.serial), token);
+            self.serial += 1;
+        }
+        room
+    }
+
+    /// When the next one falls due.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.queue.first_key_value().map(|(&(due, _), _)| due)
+    }
+
+    /// Takes the next one that has fallen due.
+    pub fn pop(&mut self, now: Micros) -> Option<u64> {
+        if self.next_due()? > now {
+            return None;
+        }
+        self.queue.pop_first().map(|(_, token)| token)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn timers_fire_in_order_and_never_early() {
+        let mut timers = Timers::default();
+        for (due, token) in [(30, 1), (10, 2), (20, 3), (10, 4)] {
+            assert!(timers.set(due, token));
+        }
+        assert_eq!((timers.next_due(), timers.pop(9)), (Some(10), None));
+        let fired: Vec<u64> = std::iter::from_fn(|| timers.pop(25)).collect();
+        assert_eq!(fired, [2, 4, 3]);
+        assert_eq!(timers.next_due(), Some(30));
+    }
+}
--- /dev/null
+++ b/proxy/src/wire/acceptor.rs
@@ -0,0 +1,212 @@
+//! The client's side of a connection: commands in, answers out in the order of the commands.
+
+use super::call::{self, Call, Command};
+use super::resp::{write_bulk, Reader};
+use crate::proxy::Answer;
+use std::collections::VecDeque;
+
+/// What a client wants, by its place in the order of the connection's commands.
+#[derive(Debug, PartialEq)]
+pub enum Ask {
+    /// A request to be answered with [`Session::answer`].
+    Call(u64, Box<Call>),
+    /// `PING`, to be answered with [`Session::pong`].
+    Ping(u64),
+}
+
+/// One client connection's protocol state.
+#[derive(Default)]
+pub struct Session {
+    reader: Reader,
+    /// The answers owed, oldest first; `None` while one is not there.
+    owed: VecDeque<Option<Vec<u8>>>,
+    /// The place of the oldest of them.
+    first: u64,
+    out: Vec<u8>,
+    written: usize,
+    /// Nothing more is read: what is owed goes out, and then the connection is closed.
+    closing: bool,
+    malformed: bool,
+}
+
+impl Session {
+    /// Takes what has come in.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        if !self.closing {
+            self.reader.feed(bytes);
+        }
+    }
+
+    /// The next whole command. What is none is answered here: a command in an unknown form with `-ERR`, and
+    /// bytes that are no command at all with `-ERR` and the end of this connection.
+    pub fn next_ask(&mut self) -> Option<Ask> {
+        loop {
+            if self.closing {
+                return None;
+            }
+            let place = self.first + self.owed.len() as u64;
+            let value = match self.reader.next_value() {
+                Ok(value) => value?,
+                Err(malformed) => {
+                    self.owed.push_back(None);
+                    self.put(place, format!("-ERR Protocol error: {}\r\n", malformed.0).into_bytes());
+                    self.closing = true;
+                    self.malformed = true;
+                    return None;
+                }
+            };
+            self.owed.push_back(None);
+            match call::parse(value) {
+                Ok(Command::Call(call)) => return Some(Ask::Call(place, call)),
+                Ok(Command::Ping) => return Some(Ask::Ping(place)),
+                Err(text) => self.put(place, format!("-ERR {text}\r\n").into_bytes()),
+            }
+        }
+    }
+
+    /// Answers `PING`.
+    pub fn pong(&mut self, place: u64, ready: bool) {
+        let line: &[u8] = if ready { b"+PONG\r\n" } else { b"-LOADING not ready\r\n" };
+        self.put(place, line.to_vec());
+    }
+
+    /// Gives the final answer to a request.
+    pub fn answer(&mut self, place: u64, answer: Answer) {
+        let mut bytes = Vec::new();
+        match answer {
+            Answer::Served(value) => {
+                bytes.reserve_exact(value.len() + 16);
+                write_bulk(&mut bytes, &value);
+            }
+            Answer::Refused { retry_after: 0 } => bytes.extend_from_slice(b"-BUSY\r\n"),
+            // Rounded up: to come back a little late is harmless.
+            Answer::Refused { retry_after } => {
+                bytes.extend_from_slice(format!("-BUSY {}\r\n", retry_after.div_ceil(1000)).as_bytes());
+            }
+            Answer::Failed => bytes.extend_from_slice(b"-ERR failed\r\n"),
+        }
+        self.put(place, bytes);
+    }
+
+    fn put(&mut self, place: u64, bytes: Vec<u8>) {
+        let slot = place.checked_sub(self.first).and_then(|i| self.owed.get_mut(i as usize));
+        if let Some(slot @ None) = slot {
+            *slot = Some(bytes);
+        }
+        while let Some(Some(bytes)) = self.owed.front_mut() {
+            if self.written == self.out.len() {
+                (self.out, self.written) = (std::mem::take(bytes), 0);
+            } else {
+                self.out.append(bytes);
+            }
+            self.owed.pop_front();
+            self.first += 1;
+        }
+    }
+
+    /// What is to be written.
+    pub fn output(&self) -> &[u8] {
+        self.out.get(self.written..).unwrap_or_default()
+    }
+
+    /// So many bytes of the output were written.
+    pub fn wrote(&mut self, n: usize) {
+        self.written = (self.written + n).min(self.out.len());
+        if self.written == self.out.len() {
+            (self.out, self.written) = (Vec::new(), 0);
+        }
+    }
+
+    /// Answers that are owed or not written yet.
+    pub fn busy(&self) -> bool {
+        !self.owed.is_empty() || !self.output().is_empty()
+    }
+
+    /// How many answers are owed.
+    pub fn owed(&self) -> usize {
+        self.owed.len()
+    }
+
+    /// The places of the answers that have not come yet.
+    pub fn owed_places(&self) -> Vec<u64> {
+        let open = self.owed.iter().enumerate().filter(|(_, answer)| answer.is_none());
+        open.map(|(i, _)| self.first + i as u64).collect()
+    }
+
+    /// Bytes that were read and are in no command yet.
+    pub fn pending(&self) -> usize {
+        self.reader.pending()
+    }
+
+    /// Reads nothing more; see [`Session::finished`].
+    pub fn close(&mut self) {
+        self.closing = true;
+    }
+
+    /// Whether all that was taken is answered and nothing more will be read.
+    pub fn finished(&self) -> bool {
+        self.closing && !self.busy()
+    }
+
+    /// Whether anything may still be read.
+    pub fn reads(&self) -> bool {
+        !self.closing
+    }
+
+    /// Whether the client sent what is no command.
+    pub fn malformed(&self) -> bool {
+        self.malformed
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::wire::resp::write_command;
+
+    const GET: &[&[u8]] = &[b"OBJ.GET", b"k", b"i", b"c=read,t=a,d=480"];
+
+    fn asks(session: &mut Session, bytes: &[u8]) -> usize {
+        session.feed(bytes);
+        std::iter::from_fn(|| session.next_ask()).count()
+    }
+
+    #[test]
+    fn pipelined_commands_are_answered_in_their_order() {
+        let mut bytes = Vec::new();
+        write_command(&mut bytes, GET);
+        write_command(&mut bytes, GET);
+        write_command(&mut bytes, &[b"PING"]);
+        for at in 0..bytes.len() {
+            let mut session = Session::default();
+            assert_eq!(asks(&mut session, &bytes[..at]) + asks(&mut session, &bytes[at..]), 3);
+            session.pong(2, true);
+            session.answer(1, Answer::Refused { retry_after: 1_001 });
+            assert_eq!(session.output(), b"", "the first is still owed");
+            session.answer(0, Answer::Served(b"v".to_vec()));
+            session.answer(0, Answer::Failed);
+            assert_eq!(session.output(), b"$1\r\nv\r\n-BUSY 2\r\n+PONG\r\n");
+            session.wrote(3);
+            assert_eq!(session.output().first(), Some(&b'\n'));
+            session.wrote(1_000);
+            assert!(!session.busy());
+        }
+    }
+
+    #[test]
+    fn a_malformed_command_ends_its_connection_after_what_is_owed() {
+        let mut session = Session::default();
+        let mut bytes = Vec::new();
+        write_command(&mut bytes, GET);
+        write_command(&mut bytes, &[b"WHAT"]);
+        bytes.extend_from_slice(b"!?");
+        write_command(&mut bytes, GET);
+        assert_eq!(asks(&mut session, &bytes), 1);
+        assert!(session.malformed() && !session.finished());
+        session.answer(0, Answer::Failed);
+        let expected = b"-ERR failed\r\n-ERR unknown command\r\n-ERR Protocol error: unknown type\r\n";
+        assert_eq!(session.output(), expected);
+        session.wrote(expected.len());
+        assert!(session.finished());
+    }
+}
--- /dev/null
+++ b/proxy/src/wire/call.rs
@@ -0,0 +1,160 @@
+//! A client's command, taken apart: what the proxy decides on, and what is passed on as it came.
+
+use super::resp::Value;
+use notchdoor::Micros;
+
+/// The longest deadline that is taken at its word.
+const MAX_DEADLINE_MS: f64 = 3_600_000.0;
+/// The longest key, id or list of names and values.
+const MAX_WORD: usize = 4096;
+
+/// A request as the client sent it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    /// The command's name, as it was written.
+    pub command: Vec<u8>,
+    /// The key.
+    pub key: Vec<u8>,
+    /// The request's id.
+    pub id: Vec<u8>,
+    /// The list of names and values.
+    pub info: Vec<u8>,
+    /// Where in `info` the number of `d` stands.
+    deadline_at: (usize, usize),
+    /// The value of a write; `None` for a read.
+    pub value: Option<Vec<u8>>,
+    /// The class, by its name.
+    pub class: String,
+    /// The tenant, by its name.
+    pub tenant: String,
+    /// How long the client waits.
+    pub wait: Micros,
+}
+
+/// What a client may send.
+#[derive(Debug, PartialEq)]
+pub enum Command {
+    /// A request.
+    Call(Box<Call>),
+    /// Whether the proxy is ready.
+    Ping,
+}
+
+fn word(value: Value) -> Option<Vec<u8>> {
+    match value {
+        Value::Bulk(bytes) => bytes,
+        _ => None,
+    }
+}
+
+/// Whether a word can stand in a header or a path: guards against line breaks that would start a header
+/// of their own at the origin.
+fn plain(word: &[u8]) -> bool {
+    (1..=MAX_WORD).contains(&word.len()) && word.iter().all(u8::is_ascii_graphic)
+}
+
+/// Takes a command apart; the error is the text for the client.
+pub fn parse(value: Value) -> Result<Command, &'static str> {
+    let Value::Array(Some(items)) = value else { return Err("a command is an array of strings") };
+    let words: Option<Vec<Vec<u8>>> = items.into_iter().map(word).collect();
+    let mut words = words.ok_or("a command is an array of strings")?.into_iter();
+    let command = words.next().ok_or("empty command")?;
+    let rest: Vec<Vec<u8>> = words.collect();
+    if command.eq_ignore_ascii_case(b"PING") {
+        return Ok(Command::Ping);
+    }
+    let write = command.eq_ignore_ascii_case(b"OBJ.SET");
+    if !write && !command.eq_ignore_ascii_case(b"OBJ.GET") {
+        return Err("unknown command");
+    }
+    let (key, id, info, value) = match <[Vec<u8>; 4]>::try_from(rest) {
+        Ok([key, id, info, value]) if write => (key, id, info, Some(value)),
+        Err(rest) if !write => match <[Vec<u8>; 3]>::try_from(rest) {
+            Ok([key, id, info]) => (key, id, info, None),
+            Err(_) => return Err("wrong number of arguments"),
+        },
+        _ => return Err("wrong number of arguments"),
+    };
+    if !plain(&key) || !plain(&id) || !plain(&info) {
+        return Err("key, id and list must be plain words");
+    }
+    let text = std::str::from_utf8(&info).map_err(|_| "key, id and list must be plain words")?;
+    let (mut class, mut tenant, mut deadline, mut at) = ("", "", None, 0);
+    for pair in text.split(',') {
+        let (name, value) = pair.split_once('=').ok_or("the list must hold names and values")?;
+        match name {
+            "c" => class = value,
+            "t" => tenant = value,
+            "d" => deadline = Some((at + 2, value)),
+            _ => {}
+        }
+        at += pair.len() + 1;
+    }
+    let (start, number) = deadline.ok_or("d is missing")?;
+    let wait = number.parse::<f64>().ok().filter(|d| d.is_finite()).ok_or("d is not a number")?;
+    let (class, tenant) = (class.to_owned(), tenant.to_owned());
+    let wait = notchdoor_settings::micros(wait.min(MAX_DEADLINE_MS));
+    let deadline_at = (start, start + number.len());
+    Ok(Command::Call(Box::new(Call { command, key, id, info, deadline_at, value, class, tenant, wait })))
+}
+
+impl Call {
+    /// The list of names and values with another `d`, in whole milliseconds.
+    pub fn info_with_deadline(&self, wait: Micros) -> Vec<u8> {
+        let (start, end) = self.deadline_at;
+        let number = (wait / 1000).max(1).to_string();
+        let (before, after) = (self.info.get(..start), self.info.get(end..));
+        [before.unwrap_or_default(), number.as_bytes(), after.unwrap_or_default()].concat()
+    }
+
+    /// Bytes that are kept for it.
+    pub fn size(&self) -> usize {
+        self.key.len() + self.id.len() + self.info.len() + self.value.as_ref().map_or(0, Vec::len)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn command(words: &[&str]) -> Value {
+        Value::Array(Some(words.iter().map(|w| Value::Bulk(Some(w.as_bytes().to_vec()))).collect()))
+    }
+
+    #[test]
+    fn a_call_is_taken_apart_and_only_d_changes() {
+        let Ok(Command::Call(call)) =
+            parse(command(&["OBJ.SET", "k1", "i1", "c=put,d=480,t=acme,k=5c", "v"]))
+        else {
+            panic!("a call")
+        };
+        assert_eq!((call.class.as_str(), call.tenant.as_str(), call.wait), ("put", "acme", 480_000));
+        assert_eq!(call.value.as_deref(), Some(b"v".as_slice()));
+        assert_eq!(call.info_with_deadline(99_900), b"c=put,d=99,t=acme,k=5c");
+        assert_eq!(call.info_with_deadline(0), b"c=put,d=1,t=acme,k=5c");
+        assert_eq!(parse(command(&["ping"])), Ok(Command::Ping));
+    }
+
+    #[test]
+    fn what_is_no_call_is_told() {
+        let cases: &[(Value, &str)] = &[
+            (Value::Int(1), "a command is an array of strings"),
+            (Value::Array(None), "a command is an array of strings"),
+            (Value::Array(Some(vec![Value::Bulk(None)])), "a command is an array of strings"),
+            (Value::Array(Some(vec![Value::Array(Some(vec![]))])), "a command is an array of strings"),
+            (command(&[]), "empty command"),
+            (command(&["FLUSHALL"]), "unknown command"),
+            (command(&["OBJ.GET", "k", "i"]), "wrong number of arguments"),
+            (command(&["OBJ.GET", "k", "i", "d=1", "v"]), "wrong number of arguments"),
+            (command(&["OBJ.SET", "k", "i", "d=1"]), "wrong number of arguments"),
+            (command(&["OBJ.GET", "k\r\nX-A: b", "i", "d=1"]), "key, id and list must be plain words"),
+            (command(&["OBJ.GET", "", "i", "d=1"]), "key, id and list must be plain words"),
+            (command(&["OBJ.GET", "k", "i", "d"]), "the list must hold names and values"),
+            (command(&["OBJ.GET", "k", "i", "c=read"]), "d is missing"),
+            (command(&["OBJ.GET", "k", "i", "d=inf"]), "d is not a number"),
+        ];
+        for (value, text) in cases {
+            assert_eq!(parse(value.clone()), Err(*text), "{value:?}");
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/wire/driver/client.rs
@@ -0,0 +1,247 @@
+//! Client connections: accepting, reading commands, writing answers.
+
+use super::Shell;
+use crate::ending::Ending;
+use crate::proxy::{Answer, Taken};
+use crate::state::pool::Ticket;
+use crate::wire::acceptor::{Ask, Session};
+use crate::wire::call::Call;
+use async_channel::{Receiver, Sender};
+use async_io::{Async, Timer};
+use futures_lite::future;
+use notchdoor::Micros;
+use std::cell::{Cell, RefCell};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Answers that one connection may be owed before no more of it is read.
+const MOST_OWED: usize = 64;
+/// Pause before something that had no room is tried again.
+const NO_ROOM: Duration = Duration::from_millis(2);
+/// A client that takes nothing off its connection for so long is cut off.
+const STALLED: Duration = Duration::from_secs(10);
+/// Pause after a failure to accept: the descriptor that is missing comes back when a connection ends.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
+/// One client connection.
+pub struct Client {
+    io: Async<TcpStream>,
+    session: RefCell<Session>,
+    /// Tells the connection's task that there is something to write, or that it is over.
+    wake: (Sender<()>, Receiver<()>),
+    broken: Cell<bool>,
+    retiring: Cell<bool>,
+    used: Cell<Micros>,
+}
+
+impl Client {
+    /// Gives an answer and writes as much as the socket takes.
+    pub fn answer(&self, place: u64, answer: Answer) {
+        self.session.borrow_mut().answer(place, answer);
+        self.flush();
+    }
+
+    /// Has the connection closed once nothing is owed on it.
+    pub fn retire(&self) {
+        self.retiring.set(true);
+        self.wake();
+    }
+
+    fn wake(&self) {
+        // Full means that the task is being woken as it is.
+        let _ = self.wake.0.try_send(());
+    }
+
+    fn flush(&self) {
+        let mut session = self.session.borrow_mut();
+        while !session.output().is_empty() {
+            match self.io.get_ref().write(session.output()) {
+                Ok(0) => self.broken.set(true),
+                Ok(n) => {
+                    session.wrote(n);
+                    continue;
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                // A peer that is gone: its task ends, and with it what it asked for.
+                Err(_) => self.broken.set(true),
+            }
+            break;
+        }
+        drop(session);
+        if self.over().is_some() || !self.session.borrow().output().is_empty() {
+            self.wake();
+        }
+    }
+
+    /// How the connection has ended, if it has.
+    fn over(&self) -> Option<Ending> {
+        let session = self.session.borrow();
+        if self.broken.get() {
+            Some(Ending::ClientLeft)
+        } else if session.finished() {
+            Some(if session.malformed() { Ending::ClientMalformed } else { Ending::ClosedIdle })
+        } else if self.retiring.get() && !session.busy() && session.pending() == 0 {
+            Some(Ending::ClosedIdle)
+        } else {
+            None
+        }
+    }
+}
+
+/// Accepts connections until the task is dropped.
+pub async fn accept(shell: Rc<Shell>, listener: TcpListener) {
+    let listener = match Async::new(listener) {
+        Ok(listener) => listener,
+        Err(error) => return log::error!("acceptor: {error}"),
+    };
+    loop {
+        // A descriptor of the budget first: a connection that could not be served is left to the backlog.
+        let ticket = loop {
+            match shell.client_budget.take() {
+                Some(ticket) => break ticket,
+                None => {
+                    shell.retire_one();
+                    Timer::after(NO_ROOM).await;
+                }
+            }
+        };
+        match listener.accept().await {
+            Ok((io, _)) => {
+                let _ = io.get_ref().set_nodelay(true);
+                shell.proxy.borrow_mut().counters.accepted += 1;
+                let id = shell.next_client.get();
+                shell.next_client.set(id + 1);
+                let client = Rc::new(Client {
+                    io,
+                    session: RefCell::default(),
+                    wake: async_channel::bounded(1),
+                    broken: Cell::new(false),
+                    retiring: Cell::new(false),
+                    used: Cell::new(shell.clock.now()),
+                });
+                shell.clients.borrow_mut().insert(id, Rc::clone(&client));
+                shell.spawn(serve(Rc::clone(&shell), id, client, ticket));
+            }
+            Err(error) => {
+                // Guards against a proxy that dies or spins because a descriptor is missing (EMFILE) or a
+                // connection was gone before it was accepted.
+                let errors = {
+                    let counters = &mut shell.proxy.borrow_mut().counters;
+                    counters.accept_errors += 1;
+                    counters.accept_errors
+                };
+                if errors.is_power_of_two() {
+                    log::warn!("acceptor: cannot accept ({errors} times so far): {error}");
+                }
+                Timer::after(ACCEPT_AGAIN).await;
+            }
+        }
+    }
+}
+
+impl Shell {
+    /// Has the client connection closed that has been idle for longest.
+    fn retire_one(&self) {
+        let clients = self.clients.borrow();
+        let idle = clients.values().filter(|c| !c.retiring.get() && !c.session.borrow().busy());
+        if let Some(client) = idle.min_by_key(|c| c.used.get()) {
+            // What it has begun to send is not read yet, and it will send that once more elsewhere.
+            client.session.borrow_mut().close();
+            client.retire();
+        }
+    }
+
+    /// Whether another request may be taken: each may come to hold a value of the largest size.
+    fn room(&self) -> bool {
+        self.owed() < self.most_taken
+    }
+}
+
+async fn serve(shell: Rc<Shell>, id: u64, client: Rc<Client>, ticket: Ticket) {
+    let ending = future::or(write(&client), read(&shell, id, &client)).await;
+    log::debug!("client {id}: {}", ending.name());
+    shell.clients.borrow_mut().remove(&id);
+    shell.count_ending(ending);
+    let places = client.session.borrow().owed_places();
+    for place in places {
+        shell.drive(|proxy, now| proxy.left(now, (id, place)));
+    }
+    drop(client);
+    drop(ticket);
+}
+
+/// Writes what the socket did not take at once. Returns when the connection is over.
+async fn write(client: &Client) -> Ending {
+    loop {
+        if let Some(ending) = client.over() {
+            return ending;
+        }
+        if client.session.borrow().output().is_empty() {
+            let _ = client.wake.1.recv().await;
+            continue;
+        }
+        let writable = async { client.io.writable().await.is_ok() };
+        let stalled = async {
+            Timer::after(STALLED).await;
+            false
+        };
+        if !future::or(writable, stalled).await {
+            return Ending::ClientStalled;
+        }
+        client.flush();
+    }
+}
+
+/// Reads commands. Returns when the client has gone.
+async fn read(shell: &Rc<Shell>, id: u64, client: &Client) -> Ending {
+    let mut buffer = vec![0; 16 * 1024];
+    let mut read_at = shell.clock.now();
+    loop {
+        loop {
+            while client.session.borrow().owed() >= MOST_OWED || !shell.room() {
+                Timer::after(NO_ROOM).await;
+            }
+            let Some(ask) = client.session.borrow_mut().next_ask() else { break };
+            match ask {
+                Ask::Ping(place) => client.session.borrow_mut().pong(place, shell.ready()),
+                Ask::Call(place, call) => take(shell, (id, place), *call, read_at),
+            }
+        }
+        client.flush();
+        if !client.session.borrow().reads() {
+            return future::pending().await;
+        }
+        let n = match client.io.get_ref().read(&mut buffer) {
+            Ok(0) => return Ending::ClientLeft,
+            Ok(n) => n,
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => match client.io.readable().await {
+                Ok(()) => continue,
+                Err(_) => return Ending::ClientLeft,
+            },
+            Err(_) => return Ending::ClientLeft,
+        };
+        // What waits in our buffers for its turn has been read now: its time runs from here.
+        read_at = shell.clock.now();
+        client.used.set(read_at);
+        client.session.borrow_mut().feed(buffer.get(..n).unwrap_or_default());
+    }
+}
+
+fn take(shell: &Rc<Shell>, place: (u64, u64), call: Call, read_at: Micros) {
+    shell.drive(|proxy, now| {
+        let taken = Taken {
+            place,
+            class: call.class.clone(),
+            tenant: call.tenant.clone(),
+            key: call.key.clone(),
+            write: call.value.is_some(),
+            due: read_at.saturating_add(call.wait),
+            call,
+        };
+        proxy.taken(now, taken);
+    });
+}
--- /dev/null
+++ b/proxy/src/wire/driver/delegation.rs
@@ -0,0 +1,186 @@
+//! Delegations: one command out on a pooled connection, one reply back.
+
+use super::Shell;
+use crate::ending::Ending;
+use crate::proxy::DelegationId;
+use crate::state::pool::Ticket;
+use crate::wire::call::Call;
+use crate::wire::worker::{self, Reply};
+use crate::wire::{origin, MAX_VALUE};
+use async_io::{Async, Timer};
+use futures_lite::future;
+use notchdoor::{Micros, ServerId};
+use std::cell::Cell;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A connection to a worker or the origin.
+pub struct Connection {
+    io: Async<TcpStream>,
+    _ticket: Ticket,
+}
+
+impl Connection {
+    /// Whether an idle connection is still open and silent. Guards against a command that is written to a
+    /// connection which the other side has closed, and against bytes that nobody asked for.
+    pub fn alive(&self) -> bool {
+        matches!(self.io.get_ref().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+enum Decoder {
+    Worker(worker::Decoder),
+    Origin(origin::Decoder),
+}
+
+impl Decoder {
+    fn feed(&mut self, bytes: &[u8]) -> Option<Reply> {
+        match self {
+            Decoder::Worker(decoder) => decoder.feed(bytes),
+            Decoder::Origin(decoder) => decoder.feed(bytes),
+        }
+    }
+
+    fn closed(&mut self) -> Reply {
+        let whole = match self {
+            Decoder::Worker(_) => None,
+            Decoder::Origin(decoder) => decoder.closed(),
+        };
+        whole.unwrap_or(Reply::bare(Ending::BrokenSent))
+    }
+}
+
+/// Runs one delegation and tells the proxy how it ended.
+pub async fn run(
+    shell: Rc<Shell>,
+    delegation: DelegationId,
+    server: ServerId,
+    call: Rc<Call>,
+    give_up_at: Micros,
+) {
+    // Whether the command's last byte was written: on this hangs whether it may have run.
+    let sent = Cell::new(false);
+    let given_up = async {
+        Timer::at(shell.clock.instant(give_up_at)).await;
+        Reply::bare(if sent.get() { Ending::TimedOutSent } else { Ending::TimedOutUnsent })
+    };
+    let reply = future::or(attempt(&shell, server, &call, give_up_at, &sent), given_up).await;
+    log::debug!("delegation {delegation} to {server}: {}", reply.ending.name());
+    if let Some(task) = shell.delegations.borrow_mut().remove(&delegation) {
+        task.detach();
+    }
+    shell.drive(|proxy, now| proxy.ended(now, delegation, reply.ending, reply.value, reply.being_fetched));
+}
+
+async fn attempt(
+    shell: &Rc<Shell>,
+    server: ServerId,
+    call: &Call,
+    give_up_at: Micros,
+    sent: &Cell<bool>,
+) -> Reply {
+    let Some((endpoint, is_origin)) =
+        shell.proxy.borrow().registry.worker(server).map(|w| (w.endpoint, w.origin))
+    else {
+        return Reply::bare(Ending::NotSent);
+    };
+    let generation = shell.pools.borrow_mut().generation(server);
+    let connection = match checkout(shell, server, endpoint).await {
+        Ok(connection) => connection,
+        Err(ending) => return Reply::bare(ending),
+    };
+    let (bytes, mut decoder) = if is_origin {
+        (origin::encode(call, &endpoint.to_string()), Decoder::Origin(origin::Decoder::default()))
+    } else {
+        let wait = give_up_at.saturating_sub(shell.clock.now());
+        (worker::encode(call, wait), Decoder::Worker(worker::Decoder::default()))
+    };
+    if let Err(ending) = write(&connection, &bytes, sent).await {
+        return Reply::bare(ending);
+    }
+    drop(bytes);
+    let reply = read(&connection, &mut decoder).await;
+    if reply.reusable {
+        let now = shell.clock.now();
+        shell.pools.borrow_mut().put(now, server, generation, connection);
+    }
+    reply
+}
+
+/// A connection to the worker: the one used most recently, else a new one.
+async fn checkout(shell: &Rc<Shell>, server: ServerId, endpoint: SocketAddr) -> Result<Connection, Ending> {
+    loop {
+        let now = shell.clock.now();
+        let Some(connection) = shell.pools.borrow_mut().take(now, server) else { break };
+        if connection.alive() {
+            shell.proxy.borrow_mut().counters.reused += 1;
+            return Ok(connection);
+        }
+    }
+    connect(shell, endpoint).await
+}
+
+async fn connect(shell: &Rc<Shell>, endpoint: SocketAddr) -> Result<Connection, Ending> {
+    let mut ticket = shell.delegated_budget.take();
+    if ticket.is_none() && shell.pools.borrow_mut().evict() {
+        ticket = shell.delegated_budget.take();
+    }
+    let Some(ticket) = ticket else {
+        log::warn!("no socket left for another delegation");
+        return Err(Ending::NotSent);
+    };
+    shell.proxy.borrow_mut().counters.opened += 1;
+    let connected = async {
+        Async::<TcpStream>::connect(endpoint).await.map_err(|e| match e.kind() {
+            ErrorKind::TimedOut => Ending::ConnectTimedOut,
+            _ => Ending::ConnectRefused,
+        })
+    };
+    let timed_out = async {
+        Timer::after(Duration::from_micros(shell.network.connect_timeout)).await;
+        Err(Ending::ConnectTimedOut)
+    };
+    let io = future::or(connected, timed_out).await?;
+    let _ = io.get_ref().set_nodelay(true);
+    Ok(Connection { io, _ticket: ticket })
+}
+
+/// Writes the command. `sent` is set with its last byte and not before.
+async fn write(connection: &Connection, mut bytes: &[u8], sent: &Cell<bool>) -> Result<(), Ending> {
+    while !bytes.is_empty() {
+        match connection.io.get_ref().write(bytes) {
+            Ok(0) => return Err(Ending::BrokenUnsent),
+            Ok(n) => bytes = bytes.get(n..).unwrap_or_default(),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                connection.io.writable().await.map_err(|_| Ending::BrokenUnsent)?;
+            }
+            Err(_) => return Err(Ending::BrokenUnsent),
+        }
+    }
+    sent.set(true);
+    Ok(())
+}
+
+async fn read(connection: &Connection, decoder: &mut Decoder) -> Reply {
+    let mut buffer = vec![0; MAX_VALUE / 4];
+    loop {
+        match connection.io.get_ref().read(&mut buffer) {
+            Ok(0) => return decoder.closed(),
+            Ok(n) => {
+                if let Some(reply) = decoder.feed(buffer.get(..n).unwrap_or_default()) {
+                    return reply;
+                }
+            }
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                if connection.io.readable().await.is_err() {
+                    return Reply::bare(Ending::BrokenSent);
+                }
+            }
+            Err(_) => return Reply::bare(Ending::BrokenSent),
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/wire/driver/mod.rs
@@ -0,0 +1,224 @@
+//! The thin driver: it owns the sockets, feeds bytes to the state machines and carries out what the proxy
+//! wants done. One thread, one executor, a task for each connection and each delegation.
+
+mod client;
+mod delegation;
+mod watch;
+
+use super::call::Call;
+use crate::ending::Ending;
+use crate::lifecycle::clock::Clock;
+use crate::lifecycle::config::Config;
+use crate::proxy::{Command, DelegationId, Proxy};
+use crate::state::pool::{Budget, Pools};
+use async_channel::{Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
+use async_io::Timer;
+use client::Client;
+use delegation::Connection;
+use futures_lite::future;
+use notchdoor::Micros;
+use notchdoor_settings::Network;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often idle connections are looked over.
+const SWEEP: Duration = Duration::from_millis(500);
+/// A proxy whose registry says nothing at the start serves with the list that it was started with.
+const FIRST_LIST: Duration = Duration::from_millis(1500);
+
+/// All that the tasks share.
+pub struct Shell {
+    proxy: RefCell<Proxy<Call>>,
+    pools: RefCell<Pools<Connection>>,
+    executor: Rc<LocalExecutor<'static>>,
+    clients: RefCell<HashMap<u64, Rc<Client>>>,
+    next_client: Cell<u64>,
+    delegations: RefCell<HashMap<DelegationId, Task<()>>>,
+    watching: Cell<bool>,
+    acceptor: RefCell<Option<Task<()>>>,
+    clock: Clock,
+    /// Times that the sockets go by.
+    pub network: Network,
+    registry: SocketAddr,
+    client_budget: Budget,
+    delegated_budget: Budget,
+    most_taken: usize,
+    /// When the timer task wakes next.
+    armed: Cell<Micros>,
+    rearm: (Sender<()>, Receiver<()>),
+    heard: Cell<bool>,
+    stopping: Cell<bool>,
+}
+
+impl Shell {
+    /// Starts serving on `listener`.
+    pub fn start(config: Config, listener: TcpListener, executor: Rc<LocalExecutor<'static>>) -> Rc<Self> {
+        let clock = Clock::start();
+        let (settings, network) = (config.settings.settings(), config.settings.network());
+        let proxy = Proxy::new(settings, config.settings.names(), config.seed, clock.now());
+        let shell = Rc::new(Shell {
+            proxy: RefCell::new(proxy),
+            pools: RefCell::new(Pools::new(network.idle_close)),
+            executor,
+            clients: RefCell::default(),
+            next_client: Cell::new(1),
+            delegations: RefCell::default(),
+            watching: Cell::new(false),
+            acceptor: RefCell::default(),
+            clock,
+            network,
+            registry: config.registry,
+            client_budget: Budget::new(config.most_clients),
+            delegated_budget: Budget::new(config.most_delegated),
+            most_taken: config.most_taken,
+            armed: Cell::new(Micros::MAX),
+            rearm: async_channel::bounded(1),
+            heard: Cell::new(false),
+            stopping: Cell::new(false),
+        });
+        // The module asks for a watch once it is given a list, even one without lines.
+        let known =
+            config.known.unwrap_or(crate::state::registry::Update { rev: 0, all: true, targets: Vec::new() });
+        shell.drive(|proxy, now| proxy.update(now, crate::state::registry::Update { all: true, ..known }));
+        shell.spawn(Shell::run_timers(Rc::clone(&shell)));
+        shell.spawn(Shell::run_sweeps(Rc::clone(&shell)));
+        let first = Rc::clone(&shell);
+        shell.spawn(async move {
+            Timer::after(FIRST_LIST).await;
+            first.heard.set(true);
+        });
+        let acceptor = shell.executor.spawn(client::accept(Rc::clone(&shell), listener));
+        shell.acceptor.replace(Some(acceptor));
+        shell
+    }
+
+    fn spawn(&self, task: impl std::future::Future<Output = ()> + 'static) {
+        self.executor.spawn(task).detach();
+    }
+
+    /// Lets something happen to the proxy and carries out what it wants done.
+    fn drive<R>(self: &Rc<Self>, happen: impl FnOnce(&mut Proxy<Call>, Micros) -> R) -> R {
+        let now = self.clock.now();
+        let (result, commands, due) = {
+            let mut proxy = self.proxy.borrow_mut();
+            let result = happen(&mut proxy, now);
+            (result, proxy.take_commands(), proxy.next_due())
+        };
+        for command in commands {
+            self.execute(command);
+        }
+        if due.is_some_and(|due| due < self.armed.get()) {
+            // Full means that the timer task is being woken as it is.
+            let _ = self.rearm.0.try_send(());
+        }
+        result
+    }
+
+    fn execute(self: &Rc<Self>, command: Command<Call>) {
+        match command {
+            Command::Delegate { delegation, server, call, give_up_at } => {
+                let run = delegation::run(Rc::clone(self), delegation, server, call, give_up_at);
+                let task = self.executor.spawn(run);
+                self.delegations.borrow_mut().insert(delegation, task);
+            }
+            Command::Cancel(delegation) => {
+                // Dropping the task closes its connection: its late bytes are read by nobody.
+                let task = self.delegations.borrow_mut().remove(&delegation);
+                drop(task);
+            }
+            Command::Answer((client, place), answer) => {
+                let client = self.clients.borrow().get(&client).map(Rc::clone);
+                if let Some(client) = client {
+                    client.answer(place, answer);
+                }
+            }
+            Command::Watch => {
+                if self.watching.replace(true) {
+                    log::warn!("registry: asked for a second watch");
+                } else {
+                    self.spawn(watch::run(Rc::clone(self)));
+                }
+            }
+            Command::DropConnections(server) => self.pools.borrow_mut().drop_server(server),
+        }
+    }
+
+    async fn run_timers(self: Rc<Self>) {
+        loop {
+            let due = self.proxy.borrow().next_due();
+            self.armed.set(due.unwrap_or(Micros::MAX));
+            let timer = match due {
+                Some(due) => Timer::at(self.clock.instant(due)),
+                None => Timer::never(),
+            };
+            let rearmed = async {
+                let _ = self.rearm.1.recv().await;
+            };
+            future::or(
+                async {
+                    timer.await;
+                },
+                rearmed,
+            )
+            .await;
+            self.drive(|proxy, now| proxy.tick(now));
+        }
+    }
+
+    async fn run_sweeps(self: Rc<Self>) {
+        loop {
+            Timer::after(SWEEP).await;
+            let now = self.clock.now();
+            self.pools.borrow_mut().sweep(now, Connection::alive);
+        }
+    }
+
+    /// Whether clients should be sent here.
+    pub fn ready(&self) -> bool {
+        let listed = || self.proxy.borrow().registry.serving().next().is_some();
+        self.heard.get() && !self.stopping.get() && listed()
+    }
+
+    /// Requests whose answer is owed.
+    pub fn owed(&self) -> usize {
+        self.proxy.borrow().owed()
+    }
+
+    /// Client connections that are open.
+    pub fn clients_open(&self) -> usize {
+        self.clients.borrow().len()
+    }
+
+    /// Takes no new connections.
+    pub fn stop_accepting(&self) {
+        self.stopping.set(true);
+        self.acceptor.replace(None);
+    }
+
+    /// Has every client connection closed once all that was taken on it is answered.
+    pub fn retire_clients(&self) {
+        for client in self.clients.borrow().values() {
+            client.retire();
+        }
+    }
+
+    /// Writes the counters to the log.
+    pub fn report(&self, what: &str) {
+        let proxy = self.proxy.borrow();
+        log::info!(
+            "{what}: {} owed={} clients={} delegated={}",
+            proxy.counters,
+            proxy.owed(),
+            self.client_budget.used(),
+            self.delegated_budget.used()
+        );
+    }
+
+    fn count_ending(&self, ending: Ending) {
+        self.proxy.borrow_mut().counters.ended(ending);
+    }
+}
--- /dev/null
+++ b/proxy/src/wire/driver/watch.rs
@@ -0,0 +1,75 @@
+//! The watch on the registry.
+
+use super::Shell;
+use crate::ending::Ending;
+use crate::wire::registry::{self, Ended};
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use std::future::Future;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A connection to the registry is up by then or never.
+const CONNECT: Duration = Duration::from_millis(1000);
+/// A watch has a beat of 2 s; one that is silent for so long is dead. Guards against a registry that was
+/// cut off: its connection stays open and says nothing, and drains would go unheard.
+const SILENCE: Duration = Duration::from_millis(4500);
+
+/// Watches until the watch ends, and tells the proxy how it did.
+pub async fn run(shell: Rc<Shell>) {
+    let (ending, why) = watch(&shell).await;
+    log::warn!("registry: watch ended, {}: {why}", ending.name());
+    shell.watching.set(false);
+    shell.heard.set(true);
+    shell.drive(|proxy, now| proxy.registry_failed(now, ending));
+}
+
+async fn within<T>(
+    limit: Duration,
+    work: impl Future<Output = std::io::Result<T>>,
+) -> Result<T, (Ending, String)> {
+    let late = async {
+        Timer::after(limit).await;
+        Err((Ending::RegistrySilent, format!("nothing for {} ms", limit.as_millis())))
+    };
+    future::or(async { work.await.map_err(|e| (Ending::RegistryBroken, e.to_string())) }, late).await
+}
+
+async fn watch(shell: &Rc<Shell>) -> (Ending, String) {
+    match follow(shell).await {
+        Ok(()) => (Ending::RegistryBroken, "closed".to_owned()),
+        Err(end) => end,
+    }
+}
+
+async fn follow(shell: &Rc<Shell>) -> Result<(), (Ending, String)> {
+    let rev = {
+        let mut proxy = shell.proxy.borrow_mut();
+        proxy.counters.watches += 1;
+        proxy.registry.rev()
+    };
+    let mut io = within(CONNECT, Async::<TcpStream>::connect(shell.registry)).await?;
+    let _ = io.get_ref().set_nodelay(true);
+    let request = registry::encode(&shell.registry.to_string(), rev);
+    within(CONNECT, io.write_all(&request)).await?;
+    let mut decoder = registry::Decoder::default();
+    let mut buffer = vec![0; 16 * 1024];
+    loop {
+        let n = within(SILENCE, io.read(&mut buffer)).await?;
+        if n == 0 {
+            return Ok(());
+        }
+        let updates = decoder.feed(buffer.get(..n).unwrap_or_default());
+        for update in updates.map_err(|Ended(why)| (Ending::RegistryBroken, why))? {
+            log::info!(
+                "registry: version {}, {} lines, all={}",
+                update.rev,
+                update.targets.len(),
+                update.all
+            );
+            shell.drive(|proxy, now| proxy.update(now, update));
+            shell.heard.set(true);
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/wire/http.rs
@@ -0,0 +1,271 @@
+//! HTTP/1.1 answers: a decoder that is fed bytes and gives the head, the body's pieces and the end.
+
+/// The longest head.
+const MAX_HEAD: usize = 16 * 1024;
+/// The most header lines.
+const MAX_HEADERS: usize = 64;
+
+/// A part of an answer.
+#[derive(Debug, PartialEq)]
+pub enum Part {
+    /// The status, and whether `X-Rejected: 1` came with it.
+    Head {
+        /// The status code.
+        status: u16,
+        /// The other side says that the request never ran.
+        rejected: bool,
+    },
+    /// A piece of the body.
+    Data(Vec<u8>),
+    /// The answer is whole. Says whether the connection can take another request.
+    End {
+        /// Neither side wants the connection closed, and nothing came behind the answer.
+        reusable: bool,
+    },
+}
+
+enum State {
+    Head,
+    Length(u64),
+    ChunkSize,
+    Chunk(u64),
+    ChunkEnd,
+    Trailer,
+    UntilClose,
+    Done,
+}
+
+/// Reads one answer.
+pub struct Decoder {
+    state: State,
+    buffer: Vec<u8>,
+    keep: bool,
+}
+
+/// The bytes are no HTTP answer.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Malformed;
+
+impl Default for Decoder {
+    fn default() -> Self {
+        Decoder { state: State::Head, buffer: Vec::new(), keep: true }
+    }
+}
+
+impl Decoder {
+    /// Takes what has come in and gives what it completes.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Part>, Malformed> {
+        self.buffer.extend_from_slice(bytes);
+        let mut parts = Vec::new();
+        while let Some(part) = self.step()? {
+            let end = matches!(part, Part::End { .. });
+            parts.push(part);
+            if end {
+                break;
+            }
+        }
+        Ok(parts)
+    }
+
+    /// The other side has closed the connection: the end of an answer that has no other.
+    pub fn closed(&mut self) -> Option<Part> {
+        matches!(self.state, State::UntilClose).then(|| {
+            self.state = State::Done;
+            Part::End { reusable: false }
+        })
+    }
+
+    fn end(&mut self) -> Part {
+        self.state = State::Done;
+        Part::End { reusable: self.keep && self.buffer.is_empty() }
+    }
+
+    fn take(&mut self, n: usize) -> Vec<u8> {
+        let rest = self.buffer.split_off(n.min(self.buffer.len()));
+        std::mem::replace(&mut self.buffer, rest)
+    }
+
+    /// The length of the first line with its end.
+    fn line(&self) -> Result<Option<usize>, Malformed> {
+        match self.buffer.iter().position(|&b| b == b'\n') {
+            Some(at) => Ok(Some(at + 1)),
+            None if self.buffer.len() > MAX_HEAD => Err(Malformed),
+            None => Ok(None),
+        }
+    }
+
+    fn step(&mut self) -> Result<Option<Part>, Malformed> {
+        loop {
+            match self.state {
+                State::Head => match self.head()? {
+                    Some(part) => return Ok(Some(part)),
+                    None if matches!(self.state, State::Head) && self.interim()? => continue,
+                    None => return Ok(None),
+                },
+                State::Length(0) => return Ok(Some(self.end())),
+                State::Length(left) | State::Chunk(left) if left > 0 => {
+                    if self.buffer.is_empty() {
+                        return Ok(None);
+                    }
+                    let n = left.min(self.buffer.len() as u64);
+                    let chunked = matches!(self.state, State::Chunk(_));
+                    self.state = if chunked { State::Chunk(left - n) } else { State::Length(left - n) };
+                    return Ok(Some(Part::Data(self.take(n as usize))));
+                }
+                State::Length(_) | State::Chunk(_) => self.state = State::ChunkEnd,
+                State::ChunkSize => match httparse::parse_chunk_size(&self.buffer) {
+                    Ok(httparse::Status::Complete((n, size))) => {
+                        self.take(n);
+                        self.state = if size == 0 { State::Trailer } else { State::Chunk(size) };
+                    }
+                    Ok(httparse::Status::Partial) if self.buffer.len() <= MAX_HEAD => return Ok(None),
+                    _ => return Err(Malformed),
+                },
+                State::ChunkEnd => match self.line()? {
+                    Some(n) if matches!(self.take(n).as_slice(), b"\r\n" | b"\n") => {
+                        self.state = State::ChunkSize;
+                    }
+                    Some(_) => return Err(Malformed),
+                    None => return Ok(None),
+                },
+                State::Trailer => match self.line()? {
+                    Some(n) if matches!(self.take(n).as_slice(), b"\r\n" | b"\n") => {
+                        return Ok(Some(self.end()));
+                    }
+                    Some(_) => {}
+                    None => return Ok(None),
+                },
+                State::UntilClose if self.buffer.is_empty() => return Ok(None),
+                State::UntilClose => return Ok(Some(Part::Data(std::mem::take(&mut self.buffer)))),
+                State::Done => return Ok(None),
+            }
+        }
+    }
+
+    /// Whether an interim answer (1xx) was passed over.
+    fn interim(&mut self) -> Result<bool, Malformed> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut head = httparse::Response::new(&mut headers);
+        match head.parse(&self.buffer) {
+            Ok(httparse::Status::Complete(n)) if head.code.is_some_and(|c| c < 200 && c != 101) => {
+                self.take(n);
+                Ok(true)
+            }
+            Ok(httparse::Status::Complete(_)) | Err(_) => Err(Malformed),
+            Ok(httparse::Status::Partial) => Ok(false),
+        }
+    }
+
+    fn head(&mut self) -> Result<Option<Part>, Malformed> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut head = httparse::Response::new(&mut headers);
+        let n = match head.parse(&self.buffer) {
+            Ok(httparse::Status::Complete(n)) => n,
+            Ok(httparse::Status::Partial) if self.buffer.len() <= MAX_HEAD => return Ok(None),
+            _ => return Err(Malformed),
+        };
+        let status = head.code.ok_or(Malformed)?;
+        if status < 200 {
+            return Ok(None);
+        }
+        let (mut length, mut chunked, mut rejected) = (None, false, false);
+        self.keep = head.version == Some(1);
+        for header in head.headers.iter() {
+            let value = std::str::from_utf8(header.value).map_err(|_| Malformed)?.trim();
+            let named = |name: &str| header.name.eq_ignore_ascii_case(name);
+            if named("content-length") {
+                let n: u64 = value.parse().map_err(|_| Malformed)?;
+                if length.is_some_and(|l| l != n) {
+                    return Err(Malformed);
+                }
+                length = Some(n);
+            } else if named("transfer-encoding") {
+                chunked = value.to_ascii_lowercase().ends_with("chunked");
+            } else if named("connection") {
+                self.keep &= !value.to_ascii_lowercase().contains("close");
+            } else if named("x-rejected") {
+                rejected = value == "1";
+            }
+        }
+        self.state = match length {
+            _ if matches!(status, 204 | 304) => State::Length(0),
+            _ if chunked => State::ChunkSize,
+            Some(n) => State::Length(n),
+            None => State::UntilClose,
+        };
+        self.take(n);
+        Ok(Some(Part::Head { status, rejected }))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Status, rejected, body, and whether the answer was whole and its connection reusable.
+    type Seen = (u16, bool, Vec<u8>, Option<bool>);
+
+    fn read(bytes: &[u8], at: usize) -> Result<Seen, Malformed> {
+        let mut decoder = Decoder::default();
+        let mut seen = (0, false, Vec::new(), None);
+        let mut parts = decoder.feed(&bytes[..at])?;
+        parts.extend(decoder.feed(&bytes[at..])?);
+        parts.extend(decoder.closed());
+        for part in parts {
+            match part {
+                Part::Head { status, rejected } => (seen.0, seen.1) = (status, rejected),
+                Part::Data(data) => seen.2.extend(data),
+                Part::End { reusable } => seen.3 = Some(reusable),
+            }
+        }
+        Ok(seen)
+    }
+
+    #[test]
+    fn answers_come_out_however_they_are_split() {
+        type Case = (&'static [u8], u16, bool, &'static [u8], Option<bool>);
+        let cases: &[Case] = &[
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", 200, false, b"abc", Some(true)),
+            (b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabc", 200, false, b"abc", None),
+            (b"HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", 503, true, b"", Some(true)),
+            (b"HTTP/1.1 504 x\r\nX-Rejected: 0\r\nContent-Length: 0\r\n\r\n", 504, false, b"", Some(true)),
+            (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab", 200, false, b"ab", Some(false)),
+            (b"HTTP/1.1 204 x\r\n\r\n", 204, false, b"", Some(true)),
+            (b"HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\na", 200, false, b"a", Some(false)),
+            (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", {
+                200
+            }, false, b"a", Some(true)),
+            (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\nT: 1\r\n\r\n", {
+                200
+            }, false, b"abc", Some(true)),
+            (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab", 200, false, b"ab", None),
+        ];
+        for &(bytes, status, rejected, body, end) in cases {
+            for at in 0..=bytes.len() {
+                let expected = (status, rejected, body.to_vec(), end);
+                let seen = read(bytes, at).unwrap();
+                // Bytes behind the end make a connection unfit for reuse; here there are none.
+                assert_eq!(seen, expected, "{:?} split at {at}", String::from_utf8_lossy(bytes));
+            }
+        }
+        let behind = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nab";
+        assert_eq!(read(behind, 0).unwrap().3, Some(false));
+    }
+
+    #[test]
+    fn what_is_malformed_or_too_large_is_told() {
+        let long = format!("HTTP/1.1 200 OK\r\nX: {}", "y".repeat(MAX_HEAD));
+        let cases: &[&[u8]] = &[
+            b"SSH-2.0\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n",
+            b"HTTP/1.1 101 Switching\r\n\r\n",
+            long.as_bytes(),
+        ];
+        for bytes in cases {
+            assert_eq!(read(bytes, 0), Err(Malformed), "{:?}", String::from_utf8_lossy(bytes));
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/wire/resp.rs
@@ -0,0 +1,252 @@
+//! RESP2: a reader that is fed bytes and gives whole values, and the few forms that are written.
+
+use super::MAX_VALUE;
+
+/// The most elements of an array.
+const MAX_ITEMS: usize = 64;
+/// How deep arrays may lie in one another.
+const MAX_DEPTH: usize = 4;
+/// The longest line, which holds a length, a status or an error.
+const MAX_LINE: usize = 1024;
+/// The longest message: one value and what goes round it.
+const MAX_MESSAGE: usize = MAX_VALUE + 16 * 1024;
+
+/// A value as RESP2 has it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    /// A status line.
+    Simple(Vec<u8>),
+    /// An error line.
+    Error(Vec<u8>),
+    /// A number.
+    Int(i64),
+    /// A bulk string, or null.
+    Bulk(Option<Vec<u8>>),
+    /// An array, or null.
+    Array(Option<Vec<Value>>),
+}
+
+/// The bytes are not RESP2, or break a limit; the text says how.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+/// Takes bytes as they come and gives values once they are whole.
+#[derive(Default)]
+pub struct Reader {
+    buffer: Vec<u8>,
+    read: usize,
+    /// A value cannot be whole before the buffer holds so many bytes beyond `read`.
+    wanted: usize,
+}
+
+struct Cursor<'a> {
+    bytes: &'a [u8],
+    at: usize,
+}
+
+enum Stop {
+    /// More bytes are needed: so many in all, at the least.
+    More(usize),
+    Malformed(Malformed),
+}
+
+fn bad<T>(text: &'static str) -> Result<T, Stop> {
+    Err(Stop::Malformed(Malformed(text)))
+}
+
+impl<'a> Cursor<'a> {
+    /// One line without its end.
+    fn line(&mut self) -> Result<&'a [u8], Stop> {
+        let rest = self.bytes.get(self.at..).unwrap_or_default();
+        let Some(end) = rest.iter().take(MAX_LINE + 2).position(|&b| b == b'\n') else {
+            return if rest.len() > MAX_LINE + 1 { bad("line too long") } else { Err(Stop::More(0)) };
+        };
+        let line = rest.get(..end).and_then(|line| line.strip_suffix(b"\r"));
+        self.at += end + 1;
+        line.map_or_else(|| bad("line does not end in CR LF"), Ok)
+    }
+
+    fn number(line: &[u8]) -> Result<i64, Stop> {
+        let text = std::str::from_utf8(line).ok().filter(|t| !t.starts_with('+'));
+        text.and_then(|t| t.parse().ok()).map_or_else(|| bad("not a number"), Ok)
+    }
+
+    /// A length: `None` for -1, which is null.
+    fn length(line: &[u8], most: usize) -> Result<Option<usize>, Stop> {
+        match Self::number(line)? {
+            -1 => Ok(None),
+            n => match usize::try_from(n) {
+                Ok(n) if n <= most => Ok(Some(n)),
+                Ok(_) => bad("too large"),
+                Err(_) => bad("negative length"),
+            },
+        }
+    }
+
+    fn value(&mut self, depth: usize) -> Result<Value, Stop> {
+        // The first byte decides before the line is whole, so that garbage is not waited for.
+        match self.bytes.get(self.at) {
+            None => return Err(Stop::More(0)),
+            Some(b'+' | b'-' | b':' | b'$' | b'*') => {}
+            Some(_) => return bad("unknown type"),
+        }
+        let Some((kind, line)) = self.line()?.split_first() else { return bad("empty line") };
+        Ok(match kind {
+            b'+' => Value::Simple(line.to_vec()),
+            b'-' => Value::Error(line.to_vec()),
+            b':' => Value::Int(Self::number(line)?),
+            b'$' => Value::Bulk(match Self::length(line, MAX_VALUE)? {
+                None => None,
+                Some(n) => {
+                    let end = self.at + n;
+                    let Some(tail) = self.bytes.get(end..end + 2) else { return Err(Stop::More(end + 2)) };
+                    if tail != b"\r\n" {
+                        return bad("string does not end in CR LF");
+                    }
+                    let bytes = self.bytes.get(self.at..end).unwrap_or_default().to_vec();
+                    self.at = end + 2;
+                    Some(bytes)
+                }
+            }),
+            _ => Value::Array(match Self::length(line, MAX_ITEMS)? {
+                None => None,
+                Some(_) if depth >= MAX_DEPTH => return bad("nested too deep"),
+                Some(n) => Some((0..n).map(|_| self.value(depth + 1)).collect::<Result<_, _>>()?),
+            }),
+        })
+    }
+}
+
+impl Reader {
+    /// Takes what has come in.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        if self.read > 0 {
+            self.buffer.drain(..self.read);
+            self.read = 0;
+        }
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Bytes that are in no value given so far.
+    pub fn pending(&self) -> usize {
+        self.buffer.len() - self.read
+    }
+
+    /// The next whole value, `None` while there is none.
+    pub fn next_value(&mut self) -> Result<Option<Value>, Malformed> {
+        let bytes = self.buffer.get(self.read..).unwrap_or_default();
+        if bytes.len() < self.wanted.max(1) {
+            return Ok(None);
+        }
+        let mut cursor = Cursor { bytes, at: 0 };
+        match cursor.value(0) {
+            Ok(value) => {
+                self.read += cursor.at;
+                self.wanted = 0;
+                if self.read == self.buffer.len() {
+                    self.buffer.clear();
+                    self.read = 0;
+                    // One large value must not keep its room for as long as the connection lives.
+                    self.buffer.shrink_to(4096);
+                }
+                Ok(Some(value))
+            }
+            Err(Stop::More(wanted)) if bytes.len() <= MAX_MESSAGE && wanted <= MAX_MESSAGE => {
+                self.wanted = wanted;
+                Ok(None)
+            }
+            Err(Stop::More(_)) => Err(Malformed("message too large")),
+            Err(Stop::Malformed(malformed)) => Err(malformed),
+        }
+    }
+}
+
+/// Appends a bulk string.
+pub fn write_bulk(out: &mut Vec<u8>, bytes: &[u8]) {
+    out.extend_from_slice(format!("${}\r\n", bytes.len()).as_bytes());
+    out.extend_from_slice(bytes);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Appends a command: an array of bulk strings.
+pub fn write_command(out: &mut Vec<u8>, words: &[&[u8]]) {
+    out.extend_from_slice(format!("*{}\r\n", words.len()).as_bytes());
+    for word in words {
+        write_bulk(out, word);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn bulk(text: &str) -> Value {
+        Value::Bulk(Some(text.into()))
+    }
+
+    /// What the bytes hold, fed in two parts that are split at `at`.
+    fn read(bytes: &[u8], at: usize) -> Result<Vec<Value>, Malformed> {
+        let (mut reader, mut values) = (Reader::default(), Vec::new());
+        for part in [&bytes[..at], &bytes[at..]] {
+            reader.feed(part);
+            while let Some(value) = reader.next_value()? {
+                values.push(value);
+            }
+        }
+        Ok(values)
+    }
+
+    #[test]
+    fn whole_values_come_out_however_the_bytes_are_split() {
+        let array = |v: Vec<Value>| Value::Array(Some(v));
+        let cases: Vec<(&[u8], Vec<Value>)> = vec![
+            (b"+OK\r\n", vec![Value::Simple(b"OK".into())]),
+            (b"-BUSY 120\r\n", vec![Value::Error(b"BUSY 120".into())]),
+            (b":-7\r\n", vec![Value::Int(-7)]),
+            (b"$0\r\n\r\n", vec![bulk("")]),
+            (b"$4\r\na\r\nb\r\n", vec![bulk("a\r\nb")]),
+            (b"$-1\r\n", vec![Value::Bulk(None)]),
+            (b"*-1\r\n", vec![Value::Array(None)]),
+            (b"*0\r\n+x\r\n", vec![array(vec![]), Value::Simple(b"x".into())]),
+            (b"*3\r\n$2\r\nhi\r\n$-1\r\n*1\r\n:1\r\n", {
+                vec![array(vec![bulk("hi"), Value::Bulk(None), array(vec![Value::Int(1)])])]
+            }),
+            (b"*2\r\n$1\r\na\r\n$1\r\nb\r\n$1\r\nc\r\n", {
+                vec![array(vec![bulk("a"), bulk("b")]), bulk("c")]
+            }),
+            (b"$10\r\nabc", vec![]),
+        ];
+        for (bytes, values) in cases {
+            for at in 0..=bytes.len() {
+                assert_eq!(read(bytes, at).as_ref(), Ok(&values), "{bytes:?} split at {at}");
+            }
+        }
+    }
+
+    #[test]
+    fn what_is_malformed_or_too_large_is_told_and_not_waited_for() {
+        let long = [b"+".as_slice(), &[b'x'; MAX_LINE + 8]].concat();
+        let cases: Vec<(&[u8], &str)> = vec![
+            (b"GET /", "unknown type"),
+            (b"\r\n", "unknown type"),
+            (b"+a\n", "line does not end in CR LF"),
+            (b"$x\r\n", "not a number"),
+            (b"$+1\r\n", "not a number"),
+            (b"$-2\r\n", "negative length"),
+            (b"*99999999\r\n", "too large"),
+            (b"$65537\r\n", "too large"),
+            (b"$1\r\nabc", "string does not end in CR LF"),
+            (b"*1\r\n*1\r\n*1\r\n*1\r\n*1\r\n*1\r\n", "nested too deep"),
+            (b"*2\r\n$1\r\na\r\nQ", "unknown type"),
+            (&long, "line too long"),
+        ];
+        for (bytes, text) in cases {
+            assert_eq!(read(bytes, 0), Err(Malformed(text)), "{bytes:?}");
+        }
+        let mut many = b"*64\r\n".to_vec();
+        for _ in 0..3 {
+            write_bulk(&mut many, &[0; MAX_VALUE / 2]);
+        }
+        assert_eq!(read(&many, 0), Err(Malformed("message too large")), "many strings that are each small");
+    }
+}
--- /dev/null
+++ b/proxy/src/wire/worker.rs
@@ -0,0 +1,117 @@
+//! A worker's side: one command out, one reply back.
+
+use super::call::Call;
+use super::resp::{write_command, Malformed, Reader, Value};
+use crate::ending::Ending;
+use notchdoor::Micros;
+
+/// What came back for a delegation.
+#[derive(Debug, PartialEq)]
+pub struct Reply {
+    /// How it ended.
+    pub ending: Ending,
+    /// The value or the receipt, where it was served.
+    pub value: Option<Vec<u8>>,
+    /// Another fetch of the missed key is out.
+    pub being_fetched: bool,
+    /// Whether the connection can take another command.
+    pub reusable: bool,
+}
+
+impl Reply {
+    /// A reply that brought nothing.
+    pub fn bare(ending: Ending) -> Self {
+        Reply { ending, value: None, being_fetched: false, reusable: false }
+    }
+}
+
+/// The command as the client sent it, but for how long the proxy will wait.
+pub fn encode(call: &Call, wait: Micros) -> Vec<u8> {
+    let info = call.info_with_deadline(wait);
+    let mut out = Vec::with_capacity(call.size() + 128);
+    let mut words: Vec<&[u8]> = vec![&call.command, &call.key, &call.id, &info];
+    words.extend(call.value.as_deref());
+    write_command(&mut out, &words);
+    out
+}
+
+/// Reads one reply.
+#[derive(Default)]
+pub struct Decoder {
+    reader: Reader,
+}
+
+impl Decoder {
+    /// Takes what has come in; a reply once it is whole.
+    pub fn feed(&mut self, bytes: &[u8]) -> Option<Reply> {
+        self.reader.feed(bytes);
+        let mut reply = match self.reader.next_value() {
+            Ok(value) => judge(value?),
+            Err(Malformed(_)) => Reply::bare(Ending::Garbled),
+        };
+        // Guards against bytes that nobody asked for: they would be taken for the next command's answer.
+        reply.reusable = reply.ending != Ending::Garbled && self.reader.pending() == 0;
+        Some(reply)
+    }
+}
+
+fn judge(value: Value) -> Reply {
+    match value {
+        Value::Array(Some(items)) => {
+            let mut items = items.into_iter();
+            let first = items.next();
+            let pending = match items.next() {
+                Some(Value::Bulk(Some(word)) | Value::Simple(word)) => word == b"pending",
+                _ => false,
+            };
+            match first {
+                Some(Value::Bulk(Some(value))) => Reply { value: Some(value), ..Reply::bare(Ending::Served) },
+                Some(Value::Bulk(None)) => Reply { being_fetched: pending, ..Reply::bare(Ending::Missed) },
+                _ => Reply::bare(Ending::Garbled),
+            }
+        }
+        Value::Bulk(Some(value)) => Reply { value: Some(value), ..Reply::bare(Ending::Served) },
+        Value::Bulk(None) => Reply::bare(Ending::Missed),
+        Value::Error(line) => {
+            let word = line.split(|&b| b == b' ').next();
+            Reply::bare(if word == Some(b"BUSY") { Ending::TurnedAway } else { Ending::Errored })
+        }
+        Value::Simple(_) | Value::Int(_) | Value::Array(None) => Reply::bare(Ending::Garbled),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn replies_are_told_apart_however_they_are_split() {
+        type Case = (&'static [u8], Ending, Option<&'static [u8]>, bool, bool);
+        let cases: &[Case] = &[
+            (b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$6\r\nutil=1\r\n", Ending::Served, Some(b"v"), false, true),
+            (b"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n", Ending::Served, Some(b""), false, true),
+            (b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n", Ending::Missed, None, false, true),
+            (b"*3\r\n$-1\r\n$7\r\npending\r\n$-1\r\n", Ending::Missed, None, true, true),
+            (b"-ERR failed util=0.5\r\n", Ending::Errored, None, false, true),
+            (b"-SYNTAX\r\n", Ending::Errored, None, false, true),
+            (b"-BUSY\r\n", Ending::TurnedAway, None, false, true),
+            (b"-BUSY util=0.5\r\n", Ending::TurnedAway, None, false, true),
+            (b"-BUSYBODY\r\n", Ending::Errored, None, false, true),
+            (b"*0\r\n", Ending::Garbled, None, false, false),
+            (b"*-1\r\n", Ending::Garbled, None, false, false),
+            (b"+OK\r\n", Ending::Garbled, None, false, false),
+            (b"*1\r\n*1\r\n$1\r\nv\r\n", Ending::Garbled, None, false, false),
+        ];
+        for &(bytes, ending, value, being_fetched, reusable) in cases {
+            for at in 0..bytes.len() {
+                let mut decoder = Decoder::default();
+                assert_eq!(decoder.feed(&bytes[..at]), None, "{bytes:?} split at {at}");
+                let value = value.map(<[u8]>::to_vec);
+                let expected = Reply { ending, value, being_fetched, reusable };
+                assert_eq!(decoder.feed(&bytes[at..]), Some(expected), "{bytes:?} split at {at}");
+            }
+        }
+        assert_eq!(Decoder::default().feed(b"HTTP").map(|r| r.ending), Some(Ending::Garbled));
+        assert_eq!(Decoder::default().feed(b"$1\r\nv\r\n+late\r\n").map(|r| r.reusable), Some(false));
+    }
+}
--- /dev/null
+++ b/settings/src/lib.rs
@@ -0,0 +1,288 @@
+//! Decodes a deployment's settings: the JSON object that a simulated instance gets in its first message
+//! and a real proxy finds in its configuration. Fields that are not named here are skipped.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+use notchdoor::{Class, Discovery, Effect, Micros, Scope, ServerState, Settings, Tenant};
+use serde::Deserialize;
+
+/// A time in milliseconds, with fractions.
+pub type Millis = f64;
+
+/// Milliseconds as whole microseconds. What is negative or no number becomes 0.
+pub fn micros(t: Millis) -> Micros {
+    (t * 1000.0).round().max(0.0) as Micros
+}
+
+/// The settings as they are written.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct BootInfo {
+    balancers: u32,
+    grades: Vec<Grade>,
+    #[serde(default)]
+    tenants: Vec<TenantLine>,
+    #[serde(default)]
+    dcs: Vec<String>,
+    #[serde(default)]
+    skus: Vec<String>,
+    discovery: How,
+    #[serde(default)]
+    family_info: FamilyInfo,
+    #[serde(default)]
+    weight_kind: String,
+    #[serde(default)]
+    over_share_worth: f64,
+    limits: Limits,
+    obligations: Obligations,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum How {
+    Pushed,
+    OnRequest,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase")]
+struct FamilyInfo {
+    origin_kind: Option<i64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum EffectName {
+    Idempotent,
+    Deduplicated,
+    AtMostOnce,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "snake_case")]
+enum DedupScope {
+    #[default]
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Grade {
+    name: String,
+    aim: Millis,
+    #[serde(default)]
+    deadline: Millis,
+    points: f64,
+    #[serde(default)]
+    late_share: f64,
+    effect: EffectName,
+    #[serde(default)]
+    dedup_scope: DedupScope,
+    #[serde(default)]
+    dedup_window: Millis,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct TenantLine {
+    name: String,
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Limits {
+    max_attempts: u32,
+    #[serde(default)]
+    second_copies: bool,
+    #[serde(default)]
+    may_cancel: bool,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    max_retry_after: Millis,
+    most_held: u32,
+    #[serde(default = "default_connect_timeout")]
+    connect_timeout: Millis,
+    #[serde(default = "default_idle_close")]
+    idle_close: Millis,
+}
+
+fn default_connect_timeout() -> Millis {
+    1_000.0
+}
+
+fn default_idle_close() -> Millis {
+    30_000.0
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Obligations {
+    #[serde(default)]
+    ask_every: Millis,
+    cold: Millis,
+    cold_from: f64,
+    fall_multiple: f64,
+    tip_after: Millis,
+}
+
+/// A server's state, as the simulator's wire and the registry both word it.
+#[derive(Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Readiness {
+    /// In service.
+    InService,
+    /// Finishing its work; it takes nothing new.
+    Terminating,
+    /// Gone.
+    Terminated,
+}
+
+impl From<Readiness> for ServerState {
+    fn from(state: Readiness) -> Self {
+        match state {
+            Readiness::InService => ServerState::Serving,
+            Readiness::Terminating => ServerState::Draining,
+            Readiness::Terminated => ServerState::Gone,
+        }
+    }
+}
+
+/// The names that the module knows as numbers, each by its place.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// The request classes.
+    pub classes: Vec<String>,
+    /// The tenants.
+    pub tenants: Vec<String>,
+    /// The zones.
+    pub zones: Vec<String>,
+    /// The kinds of machine.
+    pub kinds: Vec<String>,
+}
+
+/// A name's place among `names`.
+pub fn position(names: &[String], name: &str) -> Option<u32> {
+    names.iter().position(|n| n == name).map(|i| i as u32)
+}
+
+/// What only a program with sockets of its own has to know.
+#[derive(Clone, Copy, Debug)]
+pub struct Network {
+    /// A connection that is not up by then never comes up.
+    pub connect_timeout: Micros,
+    /// Workers close a connection that has stood idle for so long.
+    pub idle_close: Micros,
+    /// The longest deadline of any class.
+    pub longest_deadline: Micros,
+}
+
+impl BootInfo {
+    /// The module's settings.
+    pub fn settings(&self) -> Settings {
+        let class = |g: &Grade| Class {
+            aim: micros(g.aim),
+            worth: g.points,
+            late_share: g.late_share,
+            effect: match g.effect {
+                EffectName::Idempotent => Effect::Idempotent,
+                EffectName::AtMostOnce => Effect::AtMostOnce,
+                EffectName::Deduplicated => Effect::Deduplicated {
+                    window: micros(g.dedup_window),
+                    scope: match g.dedup_scope {
+                        DedupScope::All => Scope::All,
+                        DedupScope::Zone => Scope::Zone,
+                        DedupScope::Cell => Scope::Cell,
+                    },
+                },
+            },
+        };
+        let (limits, rules) = (&self.limits, &self.obligations);
+        Settings {
+            balancers: self.balancers,
+            classes: self.grades.iter().map(class).collect(),
+            tenants: self.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
+            over_share_worth: self.over_share_worth,
+            origin_kind: self.family_info.origin_kind.and_then(|k| u32::try_from(k).ok()),
+            discovery: match self.discovery {
+                How::Pushed => Discovery::Pushed,
+                How::OnRequest => Discovery::OnRequest { ask_every: micros(rules.ask_every) },
+            },
+            sizes_are_live: self.weight_kind == "live",
+            max_attempts: limits.max_attempts,
+            second_copies: limits.second_copies,
+            may_cancel: limits.may_cancel,
+            max_retry_after: if limits.retry_after { micros(limits.max_retry_after) } else { 0 },
+            most_held: limits.most_held,
+            cold_from: rules.cold_from,
+            cold: micros(rules.cold),
+            fall_multiple: rules.fall_multiple,
+            fall_time: micros(rules.tip_after),
+        }
+    }
+
+    /// What the sockets go by.
+    pub fn network(&self) -> Network {
+        Network {
+            connect_timeout: micros(self.limits.connect_timeout),
+            idle_close: micros(self.limits.idle_close),
+            longest_deadline: self.grades.iter().map(|g| micros(g.deadline)).max().unwrap_or(0),
+        }
+    }
+
+    /// The names, by the numbers that the module has for them.
+    pub fn names(&self) -> Names {
+        Names {
+            classes: self.grades.iter().map(|g| g.name.clone()).collect(),
+            tenants: self.tenants.iter().map(|t| t.name.clone()).collect(),
+            zones: self.dcs.clone(),
+            kinds: self.skus.clone(),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TEXT: &str = r#"{"balancers":4,"future":{"x":1},"grades":[
+        {"name":"read","aim":500.0,"deadline":2000.0,"effect":"idempotent","points":1.0},
+        {"name":"fix","aim":0.25,"effect":"deduplicated","dedupScope":"zone","dedupWindow":800.0,"points":2.0}],
+        "tenants":[{"name":"t","quotaPerS":9.0}],"dcs":["a","b"],"skus":["cache","origin"],
+        "discovery":"on_request","familyInfo":{"originKind":1},"weightKind":"live",
+        "limits":{"maxAttempts":3,"maxRetryAfter":1000.0,"mostHeld":7,"connectTimeout":150.0},
+        "obligations":{"askEvery":10000.0,"cold":8100.0,"coldFrom":0.3,"fallMultiple":4.0,"tipAfter":2000.0}}"#;
+
+    #[test]
+    fn units_names_and_defaults_come_out_right() {
+        let boot: BootInfo = serde_json::from_str(TEXT).unwrap();
+        let settings = boot.settings();
+        assert_eq!(settings.classes[1].aim, 250);
+        let effect = Effect::Deduplicated { scope: Scope::Zone, window: 800_000 };
+        assert_eq!(settings.classes[1].effect, effect);
+        assert_eq!(settings.origin_kind, Some(1));
+        assert_eq!(settings.discovery, Discovery::OnRequest { ask_every: 10_000_000 });
+        assert_eq!(settings.max_retry_after, 0, "no retry-after where clients get none");
+        let network = boot.network();
+        assert_eq!((network.connect_timeout, network.idle_close), (150_000, 30_000_000));
+        assert_eq!(network.longest_deadline, 2_000_000);
+        assert_eq!(position(&boot.names().zones, "b"), Some(1));
+        assert_eq!(position(&boot.names().zones, "c"), None);
+    }
+
+    #[test]
+    fn a_missing_field_is_named() {
+        let text = TEXT.replace("\"mostHeld\":7,", "");
+        let error = serde_json::from_str::<BootInfo>(&text).err().map(|e| e.to_string());
+        assert!(error.is_some_and(|e| e.contains("mostHeld")));
+    }
+
+    #[test]
+    fn odd_times_become_zero() {
+        assert_eq!((micros(-1.0), micros(f64::NAN), micros(1.5)), (0, 0, 1_500));
+    }
+}
