--- a/proxy/src/lifecycle/signals.rs
+++ b/proxy/src/lifecycle/signals.rs
@@ -27,6 +27,7 @@
         }
     }
     let limit = Instant::now() + Duration::from_micros(shell.network.longest_deadline) + BEFORE_KILL;
+    shell.begin_stop();
     Timer::after(STILL_ACCEPTING).await;
     shell.stop_accepting();
     while shell.clients_open() > 0 && Instant::now() < limit {
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -4,7 +4,7 @@
 use crate::ending::Ending;
 use crate::state::counters::Counters;
 use crate::state::registry::{Registry, Update};
-use crate::state::timers::Timers;
+use crate::state::timers::{TimerKey, Timers};
 use notchdoor::{key_hash, Action, Brain, Event, Micros, Outcome, Request, RequestId, ServerId, Settings};
 use notchdoor_settings::{position, Names};
 use std::collections::{HashMap, VecDeque};
@@ -80,6 +80,7 @@
     place: Place,
     call: Rc<C>,
     attempts: Vec<Attempt>,
+    timers: Vec<TimerKey>,
     over: bool,
 }
 
@@ -153,7 +154,13 @@
             cost_hint: None,
         };
         self.places.insert(taken.place, id);
-        let held = Held { place: taken.place, call: Rc::new(taken.call), attempts: Vec::new(), over: false };
+        let held = Held {
+            place: taken.place,
+            call: Rc::new(taken.call),
+            attempts: Vec::new(),
+            timers: Vec::new(),
+            over: false,
+        };
         self.held.insert(id, held);
         self.feed(now, Event::Arrived(request));
     }
@@ -264,11 +271,7 @@
                 Action::Cancel { id, attempt } => self.cancel(now, id, attempt),
                 Action::Refuse { id, retry_after } => self.finish(id, Answer::Refused { retry_after }),
                 Action::Fail { id } => self.finish(id, Answer::Failed),
-                Action::Timer { after, token } => {
-                    if !self.timers.set(now.saturating_add(after), token) {
-                        log::error!("no room for another timer");
-                    }
-                }
+                Action::Timer { after, token } => self.set_timer(now.saturating_add(after), token),
                 Action::Watch => self.commands.push(Command::Watch),
             }
         }
@@ -311,10 +314,156 @@
         self.forget(id);
     }
 
-    /// Drops a request that is over and has nothing out.
+    fn set_timer(&mut self, due: Micros, token: u64) {
+        let request = Brain::timer_request(token);
+        // A request that has ended wants no more timers.
+        if request.is_some_and(|id| !self.held.contains_key(&id)) {
+            return;
+        }
+        let Some(key) = self.timers.set(due, token) else {
+            return log::error!("no room for another timer");
+        };
+        if let Some(held) = request.and_then(|id| self.held.get_mut(&id)) {
+            held.timers.push(key);
+        }
+    }
+
+    /// Drops a request that is over and has nothing out, and its timers with it. Guards against clients that
+    /// wait for an hour: the timers of what was answered long ago would fill the queue, and then a request
+    /// could go unanswered.
     fn forget(&mut self, id: RequestId) {
         if self.held.get(&id).is_some_and(|h| h.over && h.attempts.iter().all(|a| !a.out)) {
-            self.held.remove(&id);
+            for key in self.held.remove(&id).map_or(Vec::new(), |h| h.timers) {
+                self.timers.remove(key);
+            }
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::state::registry::Target;
+    use notchdoor::{Class, Discovery, Effect};
+    use notchdoor_settings::Readiness;
+
+    const S: Micros = 1_000_000;
+    const T: Micros = 1_000 * S;
+
+    fn proxy() -> Proxy<()> {
+        let class = Class { aim: S / 2, worth: 1.0, late_share: 0.5, effect: Effect::Idempotent };
+        let settings = Settings {
+            balancers: 1,
+            classes: vec![class],
+            tenants: vec![],
+            over_share_worth: 0.1,
+            origin_kind: Some(1),
+            discovery: Discovery::OnRequest { ask_every: 10 * S },
+            sizes_are_live: false,
+            max_attempts: 3,
+            second_copies: true,
+            may_cancel: true,
+            max_retry_after: S,
+            most_held: 1_000,
+            cold_from: 0.3,
+            cold: 8 * S,
+            fall_multiple: 4.0,
+            fall_time: 2 * S,
+        };
+        let names = Names {
+            classes: vec!["read".into()],
+            kinds: vec!["std".into(), "origin".into()],
+            ..Names::default()
+        };
+        let mut proxy = Proxy::new(settings, names, 7, T);
+        let target = |uid: &str, model: &str| Target {
+            uid: uid.into(),
+            endpoint: "127.0.0.1:1".into(),
+            az: String::new(),
+            model: model.into(),
+            pod_group: 0,
+            state: Readiness::InService,
+            capacity_hint: 1.0,
+            boot_ms: 0.0,
+        };
+        let targets = vec![target("w", "std"), target("o", "origin")];
+        proxy.update(T, Update { rev: 1, all: true, targets });
+        assert!(matches!(proxy.take_commands().as_slice(), [Command::Watch]));
+        proxy
+    }
+
+    fn take(proxy: &mut Proxy<()>, place: u64, now: Micros) -> Vec<DelegationId> {
+        let taken = Taken {
+            place: (1, place),
+            class: "read".into(),
+            tenant: String::new(),
+            key: b"k".to_vec(),
+            write: false,
+            due: now + S,
+            call: (),
+        };
+        proxy.taken(now, taken);
+        delegated(proxy.take_commands())
+    }
+
+    fn delegated(commands: Vec<Command<()>>) -> Vec<DelegationId> {
+        let delegation = |c: Command<()>| match c {
+            Command::Delegate { delegation, .. } => Some(delegation),
+            _ => None,
+        };
+        commands.into_iter().filter_map(delegation).collect()
+    }
+
+    fn answers(commands: Vec<Command<()>>) -> Vec<(Place, Answer)> {
+        let answer = |c: Command<()>| match c {
+            Command::Answer(place, answer) => Some((place, answer)),
+            _ => None,
+        };
+        commands.into_iter().filter_map(answer).collect()
+    }
+
+    #[test]
+    fn a_request_gets_one_answer_and_leaves_nothing_behind() {
+        let mut proxy = proxy();
+        let out = take(&mut proxy, 0, T);
+        assert_eq!((out.len(), proxy.owed()), (1, 1));
+        assert!(!proxy.timers.is_empty());
+        proxy.ended(T + 10, out[0], Ending::Served, Some(b"v".to_vec()), false);
+        let served = vec![((1, 0), Answer::Served(b"v".to_vec()))];
+        assert_eq!(answers(proxy.take_commands()), served);
+        proxy.ended(T + 20, out[0], Ending::Served, Some(b"late".to_vec()), false);
+        assert!(proxy.take_commands().is_empty(), "an ending that was told already is nobody's");
+        assert_eq!((proxy.owed(), proxy.held.len(), proxy.timers.len()), (0, 0, 0));
+    }
+
+    #[test]
+    fn a_client_that_leaves_has_its_delegation_called_off() {
+        let mut proxy = proxy();
+        let out = take(&mut proxy, 0, T);
+        proxy.left(T + 10, (1, 0));
+        let commands = proxy.take_commands();
+        assert!(matches!(commands.as_slice(), [Command::Cancel(d)] if *d == out[0]));
+        assert_eq!((proxy.held.len(), proxy.delegations.len(), proxy.timers.len()), (0, 0, 0));
+        assert_eq!((proxy.counters.left, proxy.counters.endings(Ending::Cancelled)), (1, 1));
+    }
+
+    #[test]
+    fn a_request_that_nothing_answers_is_answered_when_it_is_due() {
+        let mut proxy = proxy();
+        assert_eq!(take(&mut proxy, 0, T).len(), 1);
+        proxy.tick(T + S - 1);
+        assert!(answers(proxy.take_commands()).is_empty());
+        proxy.tick(T + S);
+        assert!(matches!(answers(proxy.take_commands()).as_slice(), [((1, 0), Answer::Refused { .. })]));
+        assert_eq!((proxy.owed(), proxy.held.len(), proxy.timers.len()), (0, 0, 0));
+    }
+
+    #[test]
+    fn a_failed_watch_is_asked_for_again() {
+        let mut proxy = proxy();
+        proxy.registry_failed(T, Ending::RegistrySilent);
+        let due = proxy.next_due().unwrap();
+        proxy.tick(due);
+        assert!(matches!(proxy.take_commands().as_slice(), [Command::Watch]));
+    }
+}
--- a/proxy/src/state/pool.rs
+++ b/proxy/src/state/pool.rs
@@ -47,13 +47,15 @@
 struct Shelf<C> {
     /// Since when each has been idle, oldest first.
     idle: Vec<(Micros, C)>,
-    /// Raised when all connections so far are of no more use.
+    /// Connections of another generation are of no more use.
     generation: u64,
 }
 
 /// Idle connections by worker.
 pub struct Pools<C> {
     shelves: HashMap<ServerId, Shelf<C>>,
+    /// Never used twice, so that a shelf that is dropped leaves nothing behind.
+    next_generation: u64,
     /// Connections are closed after standing idle for so long.
     retire_after: Micros,
 }
@@ -64,16 +66,17 @@
         // A tenth earlier, and a second where that is more: a command written to a connection that the
         // worker is closing ends as a reset, and an unsafe write may then not be repeated.
         let margin = (idle_close / 10).max(1_000_000).min(idle_close / 2);
-        Pools { shelves: HashMap::new(), retire_after: idle_close - margin }
-    }
-
-    fn shelf(&mut self, server: ServerId) -> &mut Shelf<C> {
-        self.shelves.entry(server).or_insert(Shelf { idle: Vec::new(), generation: 0 })
+        Pools { shelves: HashMap::new(), next_generation: 0, retire_after: idle_close - margin }
     }
 
     /// The generation that a new connection belongs to.
     pub fn generation(&mut self, server: ServerId) -> u64 {
-        self.shelf(server).generation
+        let next = &mut self.next_generation;
+        let shelf = self.shelves.entry(server).or_insert_with(|| {
+            *next += 1;
+            Shelf { idle: Vec::new(), generation: *next }
+        });
+        shelf.generation
     }
 
     /// The connection that was used most recently, if it is not too old.
@@ -91,10 +94,8 @@
 
     /// Takes back a connection. It is dropped if its generation is over; of too many, the oldest is.
     pub fn put(&mut self, now: Micros, server: ServerId, generation: u64, connection: C) {
-        let shelf = self.shelf(server);
-        if shelf.generation != generation {
-            return;
-        }
+        let shelf = self.shelves.get_mut(&server).filter(|s| s.generation == generation);
+        let Some(shelf) = shelf else { return };
         if shelf.idle.len() >= MOST_IDLE {
             shelf.idle.remove(0);
         }
@@ -103,9 +104,7 @@
 
     /// Drops a worker's idle connections, and those out when they come back.
     pub fn drop_server(&mut self, server: ServerId) {
-        let shelf = self.shelf(server);
-        shelf.generation += 1;
-        shelf.idle.clear();
+        self.shelves.remove(&server);
     }
 
     /// Drops the connections that are too old, or that `alive` says have been closed.
@@ -143,15 +142,16 @@
     #[test]
     fn the_most_recently_used_connection_is_reused_and_old_ones_retire() {
         let mut pools = Pools::new(30 * S);
+        let generation = pools.generation(1);
         for (now, c) in [(0, 'a'), (S, 'b'), (2 * S, 'c')] {
-            pools.put(now, 1, 0, c);
+            pools.put(now, 1, generation, c);
         }
         assert_eq!(pools.take(3 * S, 1), Some('c'));
         assert_eq!(pools.take(3 * S, 2), None);
         pools.sweep(27 * S, |_| true);
         assert_eq!(pools.idle(1), 1, "retired a tenth before the worker closes it");
         assert_eq!(pools.take(28 * S, 1), None, "too old though no sweep came by");
-        pools.put(40 * S, 1, 0, 'd');
+        pools.put(40 * S, 1, generation, 'd');
         pools.sweep(40 * S, |&c| c != 'd');
         assert_eq!(pools.idle(1), 0, "closed by the worker");
     }
@@ -164,14 +164,18 @@
         pools.drop_server(1);
         pools.put(0, 1, generation, 'b');
         assert_eq!(pools.take(0, 1), None);
+        assert_ne!(pools.generation(1), generation);
+        pools.put(0, 1, generation, 'c');
+        assert_eq!(pools.take(0, 1), None);
     }
 
     #[test]
     fn idle_connections_and_budgets_are_bounded() {
         let mut pools = Pools::new(30 * S);
         let budget = Budget::new(MOST_IDLE + 1);
+        let generation = pools.generation(1);
         for now in 0..=MOST_IDLE as u64 {
-            pools.put(now, 1, 0, budget.take());
+            pools.put(now, 1, generation, budget.take());
         }
         assert_eq!((pools.idle(1), budget.used()), (MOST_IDLE, MOST_IDLE));
         let _last = budget.take();
--- a/proxy/src/state/registry.rs
+++ b/proxy/src/state/registry.rs
@@ -125,9 +125,8 @@
             }
         }
         if update.all {
-            for (id, worker) in &mut self.workers {
+            for (id, worker) in &self.workers {
                 if worker.serving && !named.contains(id) {
-                    worker.serving = false;
                     applied.dropped.push(*id);
                 }
             }
@@ -151,6 +150,7 @@
             log::error!("registry: no room for {}", target.uid);
             return None;
         }
+        let gone = target.state == Readiness::Terminated;
         let kind = position(&self.names.kinds, &target.model).unwrap_or(u32::MAX);
         let serving = target.state == Readiness::InService;
         // Whole milliseconds come through without loss; a new start must never look like the old one.
@@ -161,6 +161,9 @@
                 dropped.push(server);
             }
         }
+        if gone {
+            self.workers.remove(&server);
+        }
         Some(Member {
             server,
             kind,
@@ -221,6 +224,9 @@
         let applied = registry.apply(update(2, true, &[("o", 2, InService, 0.0)])).unwrap();
         assert_eq!(applied.members.len(), 1);
         assert!(registry.worker(w).is_none(), "a whole list that lacks a worker ends it");
+        let applied = registry.apply(update(3, false, &[("o", 2, Readiness::Terminated, 0.0)])).unwrap();
+        assert_eq!((applied.members[0].state, applied.dropped), (ServerState::Gone, vec![o]));
+        assert!(registry.worker(o).is_none(), "what is gone leaves nothing behind");
     }
 
     #[test]
--- a/proxy/src/state/timers.rs
+++ b/proxy/src/state/timers.rs
@@ -6,22 +6,40 @@
 /// The most timers that are kept; the module sets a few for each request that it holds.
 const MOST: usize = 200_000;
 
+/// One timer's place in the queue.
+pub type TimerKey = (Micros, u64);
+
 /// Timers by due time, those of one time in the order in which they were set.
 #[derive(Default)]
 pub struct Timers {
-    queue: BTreeMap<(Micros, u64), u64>,
+    queue: BTreeMap<TimerKey, u64>,
     serial: u64,
 }
 
 impl Timers {
-    /// Sets a timer. False if the queue is full.
-    pub fn set(&mut self, due: Micros, token: u64) -> bool {
-        let room = self.queue.len() < MOST;
-        if room {
-            self.queue.insert((due, self.serial), token);
+    /// Sets a timer. `None` if the queue is full.
+    pub fn set(&mut self, due: Micros, token: u64) -> Option<TimerKey> {
+        let key = (due, self.serial);
+        (self.queue.len() < MOST).then(|| {
+            self.queue.insert(key, token);
             self.serial += 1;
-        }
-        room
+            key
+        })
+    }
+
+    /// Takes back a timer that nobody waits for any more.
+    pub fn remove(&mut self, key: TimerKey) {
+        self.queue.remove(&key);
+    }
+
+    /// How many are set.
+    pub fn len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Whether none is set.
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty()
     }
 
     /// When the next one falls due.
@@ -46,8 +64,10 @@
     fn timers_fire_in_order_and_never_early() {
         let mut timers = Timers::default();
         for (due, token) in [(30, 1), (10, 2), (20, 3), (10, 4)] {
-            assert!(timers.set(due, token));
+            assert!(timers.set(due, token).is_some());
         }
+        let taken_back = timers.set(15, 5).unwrap();
+        timers.remove(taken_back);
         assert_eq!((timers.next_due(), timers.pop(9)), (Some(10), None));
         let fired: Vec<u64> = std::iter::from_fn(|| timers.pop(25)).collect();
         assert_eq!(fired, [2, 4, 3]);
--- a/proxy/src/wire/driver/client.rs
+++ b/proxy/src/wire/driver/client.rs
@@ -12,7 +12,7 @@
 use notchdoor::Micros;
 use std::cell::{Cell, RefCell};
 use std::io::{ErrorKind, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +22,9 @@
 const NO_ROOM: Duration = Duration::from_millis(2);
 /// A client that takes nothing off its connection for so long is cut off.
 const STALLED: Duration = Duration::from_secs(10);
+/// For so long, and for so many pieces, a connection that sent garbage is read on before it is closed.
+const LINGER: Duration = Duration::from_millis(200);
+const LINGER_READS: usize = 64;
 /// Pause after a failure to accept: the descriptor that is missing comes back when a connection ends.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -163,6 +166,9 @@
 async fn serve(shell: Rc<Shell>, id: u64, client: Rc<Client>, ticket: Ticket) {
     let ending = future::or(write(&client), read(&shell, id, &client)).await;
     log::debug!("client {id}: {}", ending.name());
+    if ending == Ending::ClientMalformed {
+        linger(&client).await;
+    }
     shell.clients.borrow_mut().remove(&id);
     shell.count_ending(ending);
     let places = client.session.borrow().owed_places();
@@ -173,6 +179,25 @@
     drop(ticket);
 }
 
+/// Ends the sending and reads on for a moment. Guards against a `-ERR` that the client never sees: a socket
+/// that is closed with unread bytes is reset, and what was written to it may be lost.
+async fn linger(client: &Client) {
+    let _ = client.io.get_ref().shutdown(Shutdown::Write);
+    let drain = async {
+        let mut buffer = [0; 4096];
+        for _ in 0..LINGER_READS {
+            match client.io.read_with(|mut io| io.read(&mut buffer)).await {
+                Ok(n) if n > 0 => {}
+                _ => return,
+            }
+        }
+    };
+    let late = async {
+        Timer::after(LINGER).await;
+    };
+    future::or(drain, late).await;
+}
+
 /// Writes what the socket did not take at once. Returns when the connection is over.
 async fn write(client: &Client) -> Ending {
     loop {
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -193,9 +193,13 @@
         self.clients.borrow().len()
     }
 
+    /// Says from here on that it is not ready; everything else goes on.
+    pub fn begin_stop(&self) {
+        self.stopping.set(true);
+    }
+
     /// Takes no new connections.
     pub fn stop_accepting(&self) {
-        self.stopping.set(true);
         self.acceptor.replace(None);
     }
 
--- /dev/null
+++ b/proxy/tests/common/mod.rs
@@ -0,0 +1,292 @@
+//! What the socket tests share: the program as a process, and peers that do what a test says.
+
+use notchdoor_proxy::wire::resp::{write_command, Reader, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// No wait is longer: a test that would hang fails instead.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A worker's or the origin's way: what it answers to a request (a worker's words, or the origin's method,
+/// path and id); `None` breaks the connection.
+pub type Way = Box<dyn Fn(&[String]) -> Option<Vec<u8>> + Send + Sync>;
+
+/// A worker or an origin, and what it was sent.
+pub struct Peer {
+    pub endpoint: SocketAddr,
+    seen: Arc<Mutex<Vec<Vec<String>>>>,
+}
+
+impl Peer {
+    /// Every request so far.
+    pub fn seen(&self) -> Vec<Vec<String>> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    fn start(way: Way, next: fn(&mut BufReader<TcpStream>) -> Option<Vec<String>>) -> Peer {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let peer = Peer { endpoint: listener.local_addr().unwrap(), seen: Arc::default() };
+        let (seen, way) = (Arc::clone(&peer.seen), Arc::new(way));
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (seen, way) = (Arc::clone(&seen), Arc::clone(&way));
+                std::thread::spawn(move || {
+                    let mut reader = BufReader::new(stream);
+                    while let Some(request) = next(&mut reader) {
+                        seen.lock().unwrap().push(request.clone());
+                        match way(&request) {
+                            Some(answer) if reader.get_mut().write_all(&answer).is_ok() => {}
+                            _ => return,
+                        }
+                    }
+                });
+            }
+        });
+        peer
+    }
+
+    pub fn worker(way: Way) -> Peer {
+        Peer::start(way, |reader| {
+            let mut resp = Reader::default();
+            loop {
+                let bytes = reader.fill_buf().ok().filter(|b| !b.is_empty())?.to_vec();
+                reader.consume(bytes.len());
+                resp.feed(&bytes);
+                if let Some(Value::Array(Some(words))) = resp.next_value().ok()? {
+                    let word = |w: &Value| match w {
+                        Value::Bulk(Some(w)) => String::from_utf8_lossy(w).into_owned(),
+                        other => panic!("no word: {other:?}"),
+                    };
+                    return Some(words.iter().map(word).collect());
+                }
+            }
+        })
+    }
+
+    pub fn origin(way: Way) -> Peer {
+        Peer::start(way, |reader| {
+            let (mut request, mut length, mut line) = (Vec::new(), 0, String::new());
+            while reader.read_line(&mut line).ok().filter(|n| *n > 0)? > 2 {
+                let text = line.trim();
+                match text.split_once(": ") {
+                    Some(("X-Call-Id", id)) => request.push(id.to_owned()),
+                    Some(("Content-Length", n)) => length = n.parse().unwrap(),
+                    Some(_) => {}
+                    None => request.extend(text.split(' ').take(2).map(str::to_owned)),
+                }
+                line.clear();
+            }
+            reader.read_exact(&mut vec![0; length]).ok()?;
+            Some(request)
+        })
+    }
+}
+
+/// A worker's answer with this value.
+pub fn value(text: &str) -> Option<Vec<u8>> {
+    Some(format!("*3\r\n${}\r\n{text}\r\n$3\r\nhit\r\n$-1\r\n", text.len()).into_bytes())
+}
+
+/// An origin's answer.
+pub fn http(head: &str, body: &str) -> Option<Vec<u8>> {
+    Some(format!("HTTP/1.1 {head}\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes())
+}
+
+/// A line of the registry's list.
+pub fn line(uid: &str, peer: &Peer, state: &str, boot_ms: u128) -> String {
+    let model = if uid.starts_with('o') { "origin" } else { "std" };
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{}","az":"a","model":"{model}","pod_group":1,"state":"{state}","capacity_hint":1.0,"boot_ms":{boot_ms}}}"#,
+        peer.endpoint
+    )
+}
+
+pub fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
+}
+
+/// A registry that says what a test has it say; each watch that is begun is told with its `from`.
+pub struct Registry {
+    endpoint: SocketAddr,
+    pub watches: Receiver<String>,
+    says: Sender<String>,
+}
+
+impl Registry {
+    pub fn start() -> Registry {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let endpoint = listener.local_addr().unwrap();
+        let ((told, watches), (says, said)) = (channel(), channel::<String>());
+        std::thread::spawn(move || {
+            let mut open = Vec::new();
+            for stream in listener.incoming().flatten() {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                let mut first = String::new();
+                reader.read_line(&mut first).unwrap();
+                let mut stream = stream;
+                stream
+                    .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+                    .unwrap();
+                told.send(first).unwrap();
+                while let Ok(text) = said.recv() {
+                    // An empty text leaves the watch open and silent, and waits for the next one.
+                    if text.is_empty() {
+                        break;
+                    }
+                    stream.write_all(format!("{:x}\r\n{text}\n\r\n", text.len() + 1).as_bytes()).unwrap();
+                }
+                open.push(stream);
+            }
+        });
+        Registry { endpoint, watches, says }
+    }
+
+    pub fn say(&self, rev: u64, lines: &[String]) {
+        self.says.send(format!(r#"{{"rev":{rev},"all":false,"targets":[{}]}}"#, lines.join(","))).unwrap();
+    }
+
+    pub fn fall_silent(&self) {
+        self.says.send(String::new()).unwrap();
+    }
+}
+
+/// The program, killed when it is dropped.
+pub struct Proxy {
+    pub child: Child,
+    pub listen: SocketAddr,
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn settings() -> &'static str {
+    r#"{"balancers":1,"me":0,"grades":[
+        {"name":"read","aim":750.0,"deadline":2000.0,"effect":"idempotent","points":2.0},
+        {"name":"fix","aim":800.0,"deadline":2000.0,"effect":"deduplicated","dedupScope":"all","dedupWindow":2000.0,"points":3.0},
+        {"name":"close","aim":300.0,"deadline":600.0,"effect":"at_most_once","points":8.0}],
+        "tenants":[{"name":"acme","quotaPerS":100.0}],"dcs":["a"],"skus":["std","slow","origin"],
+        "discovery":"on_request","familyInfo":{"mode":"aside","originKind":2},"weightKind":"rough",
+        "limits":{"connectTimeout":150.0,"idleClose":30000.0,"maxAttempts":3,"maxRetryAfter":1000.0,"mayCancel":true,
+        "mostHeld":20000,"retryAfter":true,"secondCopies":true},
+        "obligations":{"askEvery":10000.0,"cold":8100.0,"coldFrom":0.31,"fallMultiple":4.0,"tipAfter":2000.0}}"#
+}
+
+impl Proxy {
+    /// Starts the program with this list and waits until it says that it is ready.
+    pub fn start(registry: &Registry, lines: &[String]) -> Proxy {
+        // An address of this process's own and a port below those that the system hands out: one that is
+        // asked for and given back could be taken by another test's connection.
+        static NEXT: AtomicU16 = AtomicU16::new(10_000);
+        let [.., a, b] = std::process::id().to_be_bytes();
+        let port = NEXT.fetch_add(1, Ordering::Relaxed);
+        let listen = SocketAddr::from(([127, 77, a, b.clamp(1, 254)], port));
+        let path =
+            std::env::temp_dir().join(format!("notchdoor-test-{}-{}", std::process::id(), listen.port()));
+        let config = format!(
+            r#"{{"name":"n0","listen":"{listen}","discovery":"{}","seed":"7","known":{{"rev":41,"all":true,"targets":[{}]}},"settings":{}}}"#,
+            registry.endpoint,
+            lines.join(","),
+            settings()
+        );
+        std::fs::write(&path, config).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_notchdoor"))
+            .env("EDGE_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let proxy = Proxy { child, listen };
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Ok(stream) = TcpStream::connect(listen) {
+                if Client::new(stream).ask(&["PING"]) == Value::Simple(b"PONG".to_vec()) {
+                    break;
+                }
+            }
+            assert!(Instant::now() < until, "never ready");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        std::fs::remove_file(path).unwrap();
+        proxy
+    }
+
+    pub fn client(&self) -> Client {
+        Client::new(TcpStream::connect(self.listen).unwrap())
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
+        assert!(sent.unwrap().success());
+    }
+
+    /// Waits for the program's end: whether it exited with 0, and its log.
+    pub fn wait(mut self) -> (bool, String) {
+        let until = Instant::now() + PATIENCE;
+        while self.child.try_wait().unwrap().is_none() {
+            assert!(Instant::now() < until, "never ends");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let mut log = String::new();
+        self.child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+        (self.child.wait().unwrap().success(), log)
+    }
+}
+
+/// A client's connection.
+pub struct Client {
+    pub stream: TcpStream,
+    reader: Reader,
+}
+
+impl Client {
+    pub fn new(stream: TcpStream) -> Client {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client { stream, reader: Reader::default() }
+    }
+
+    pub fn send(&mut self, words: &[&str]) {
+        let mut bytes = Vec::new();
+        write_command(&mut bytes, &words.iter().map(|w| w.as_bytes()).collect::<Vec<_>>());
+        self.stream.write_all(&bytes).unwrap();
+    }
+
+    /// The next answer; `None` when the connection has ended.
+    pub fn next(&mut self) -> Option<Value> {
+        let mut buffer = [0; 4096];
+        loop {
+            if let Some(value) = self.reader.next_value().unwrap() {
+                return Some(value);
+            }
+            match self.stream.read(&mut buffer) {
+                Ok(n) if n > 0 => self.reader.feed(&buffer[..n]),
+                _ => return None,
+            }
+        }
+    }
+
+    pub fn ask(&mut self, words: &[&str]) -> Value {
+        self.send(words);
+        self.next().expect("an answer")
+    }
+
+    pub fn get(&mut self, key: &str, id: &str, wait: u64) -> Value {
+        self.ask(&["OBJ.GET", key, id, &format!("c=read,t=acme,d={wait}")])
+    }
+}
+
+pub fn bulk(text: &str) -> Value {
+    Value::Bulk(Some(text.as_bytes().to_vec()))
+}
+
+/// Whether it is a refusal that tells when to come back.
+pub fn busy(value: &Value) -> bool {
+    matches!(value, Value::Error(line) if line.starts_with(b"BUSY "))
+}
--- /dev/null
+++ b/proxy/tests/rules.rs
@@ -0,0 +1,220 @@
+//! One test with real sockets for each rule: the program as a process, and peers on loopback.
+
+mod common;
+use common::*;
+use notchdoor_proxy::wire::resp::Value;
+use std::io::Write;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+/// A worker that answers each read with the id it came with.
+fn echo() -> Peer {
+    Peer::worker(Box::new(|words| value(&words[2])))
+}
+
+/// An origin that answers everything with the id it came with.
+fn origin() -> Peer {
+    Peer::origin(Box::new(|request| http("200 OK", &request[2])))
+}
+
+fn failed(value: &Value) -> bool {
+    *value == Value::Error(b"ERR failed".to_vec())
+}
+
+#[test]
+fn a_request_is_passed_on_as_it_came_but_for_d() {
+    let (registry, worker, origin) = (Registry::start(), echo(), origin());
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    let info = "c=read,t=acme,d=480,size=7,r=1";
+    assert_eq!(proxy.client().ask(&["OBJ.GET", "key", "id1", info]), bulk("id1"));
+    let seen = worker.seen();
+    let passed: u64 = seen[0][3]["c=read,t=acme,d=".len()..].split(',').next().unwrap().parse().unwrap();
+    assert!((1..=480).contains(&passed));
+    assert_eq!(seen[0], ["OBJ.GET", "key", "id1", &info.replace("480", &passed.to_string())]);
+    assert!(registry.watches.recv_timeout(PATIENCE).unwrap().contains("watch=1&from=41 "));
+}
+
+#[test]
+fn a_miss_is_fetched_from_the_origin_and_pipelined_answers_keep_their_order() {
+    let worker = Peer::worker(Box::new(|words| match words[1].as_str() {
+        "missing" => Some(b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_vec()),
+        _ => value(&words[2]),
+    }));
+    let (registry, origin) = (Registry::start(), origin());
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    let mut client = proxy.client();
+    client.send(&["OBJ.GET", "missing", "id1", "c=read,t=acme,d=900"]);
+    client.send(&["OBJ.GET", "there", "id2", "c=read,t=acme,d=900"]);
+    client.send(&["OBJ.SET", "there", "id3", "c=close,t=acme,d=900", "text"]);
+    for id in ["id1", "id2", "id3"] {
+        assert_eq!(client.next(), Some(bulk(id)));
+    }
+    let mut seen = origin.seen();
+    seen.sort();
+    assert_eq!(seen, [["GET", "/missing", "id1"], ["PUT", "/there", "id3"]]);
+}
+
+#[test]
+fn no_request_is_lost_when_nothing_answers() {
+    let silent = Peer::worker(Box::new(|_| {
+        std::thread::sleep(PATIENCE);
+        None
+    }));
+    let (registry, origin) = (Registry::start(), origin());
+    let list = [line("w", &silent, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    let begun = Instant::now();
+    let answer = proxy.client().get("k", "id1", 300);
+    assert!(busy(&answer) || failed(&answer) || answer == bulk("id1"), "{answer:?}");
+    assert!(begun.elapsed() >= Duration::from_millis(290), "not before its time");
+    assert!(begun.elapsed() < Duration::from_secs(2), "its deadline and some room for a busy machine");
+}
+
+#[test]
+fn a_planned_stop_answers_what_was_taken_and_exits_with_0() {
+    let slow = Peer::worker(Box::new(|words| {
+        std::thread::sleep(Duration::from_millis(800));
+        value(&words[2])
+    }));
+    let (registry, origin) = (Registry::start(), origin());
+    let list = [line("w", &slow, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    let (mut held, mut idle) = (proxy.client(), proxy.client());
+    held.send(&["OBJ.GET", "k", "id1", "c=read,t=acme,d=2000"]);
+    proxy.signal("TERM");
+    // New connections keep coming for a while, and are served.
+    assert_eq!(proxy.client().get("k", "id2", 2000), bulk("id2"));
+    assert_eq!(held.next(), Some(bulk("id1")));
+    assert_eq!(idle.next(), None, "closed");
+    let (good, log) = proxy.wait();
+    assert!(good && log.contains("stopped with every request answered"), "{log}");
+    assert!(log.contains("counters at exit: taken=2 served=2 "), "{log}");
+}
+
+#[test]
+fn an_unsafe_write_that_may_have_run_is_neither_repeated_nor_refused() {
+    // What the origin does is in the key; each case has a proxy of its own, whose window nothing has cut.
+    for (key, expected, sends) in [("break", "failed", 1), ("error", "failed", 1), ("reject", "busy", 1)] {
+        let origin = Peer::origin(Box::new(|request| match request[1].as_str() {
+            "/break" => None,
+            "/error" => http("503 x", ""),
+            _ => http("503 x\r\nX-Rejected: 1", ""),
+        }));
+        let (registry, worker) = (Registry::start(), echo());
+        let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+        let proxy = Proxy::start(&registry, &list);
+        let answer = proxy.client().ask(&["OBJ.SET", key, "id1", "c=close,t=acme,d=600", "text"]);
+        assert!(if expected == "busy" { busy(&answer) } else { failed(&answer) }, "{key}: {answer:?}");
+        assert_eq!(origin.seen().len(), sends, "{key}");
+    }
+}
+
+#[test]
+fn a_drain_is_heeded_at_once_and_survives_a_silent_registry() {
+    let (registry, a, b, origin) = (Registry::start(), echo(), echo(), origin());
+    let state = |state: &str| line("a", &a, state, 0);
+    let list = [state("in_service"), line("b", &b, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    let mut client = proxy.client();
+    let mut sixteen = |round: &str| {
+        for n in 0..16 {
+            let id = format!("{round}{n}");
+            assert_eq!(client.get(&format!("k{n}"), &id, 2000), bulk(&id));
+        }
+    };
+    sixteen("x");
+    let before = a.seen().len();
+    assert!(before > 0 && !b.seen().is_empty(), "both take part");
+    registry.watches.recv_timeout(PATIENCE).unwrap();
+    registry.say(42, &[state("terminating")]);
+    std::thread::sleep(Duration::from_millis(900));
+    sixteen("y");
+    assert_eq!(a.seen().len(), before, "nothing new within the second that the rule allows");
+    // A watch that is silent past its beat is dropped, and the next one goes on from the list held.
+    registry.fall_silent();
+    assert!(registry.watches.recv_timeout(PATIENCE).unwrap().contains("from=42 "));
+    registry.say(43, &[state("in_service")]);
+    std::thread::sleep(Duration::from_millis(900));
+    sixteen("z");
+    assert!(a.seen().len() > before);
+}
+
+#[test]
+fn a_worker_that_has_just_started_gets_little() {
+    let (registry, cold, warm, origin) = (Registry::start(), echo(), echo(), origin());
+    let list = [
+        line("a", &cold, "in_service", unix_ms()),
+        line("b", &warm, "in_service", 0),
+        line("o", &origin, "in_service", 0),
+    ];
+    let proxy = Proxy::start(&registry, &list);
+    let mut client = proxy.client();
+    for n in 0..40 {
+        let id = format!("id{n}");
+        assert_eq!(client.get(&format!("k{n}"), &id, 2000), bulk(&id));
+    }
+    // Its start is read on the module's clock: taken for long ago, it would get about half.
+    assert!(cold.seen().len() <= 3 && warm.seen().len() >= 37, "{}", cold.seen().len());
+}
+
+#[test]
+fn a_late_answer_is_never_taken_for_another_requests() {
+    let worker = Peer::worker(Box::new(|words| {
+        let late = words[2] == "late";
+        std::thread::sleep(Duration::from_millis(if late { 400 } else { 0 }));
+        value(&words[2])
+    }));
+    let (registry, origin) = (Registry::start(), Peer::origin(Box::new(|_| http("500 x", ""))));
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    let mut client = proxy.client();
+    let answer = client.get("k", "late", 200);
+    assert!(busy(&answer) || failed(&answer), "{answer:?}");
+    for n in 0..50 {
+        let id = format!("id{n}");
+        assert_eq!(client.get("k", &id, 2000), bulk(&id));
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn a_malformed_command_costs_its_own_connection_and_a_client_may_leave() {
+    let silent = Peer::worker(Box::new(|words| {
+        std::thread::sleep(Duration::from_millis(if words[1] == "k" { 0 } else { 300 }));
+        value(&words[2])
+    }));
+    let (registry, origin) = (Registry::start(), origin());
+    let list = [line("w", &silent, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    let mut good = proxy.client();
+    for garbage in [b"GET / HTTP/1.1\r\n\r\n".as_slice(), b"*1\r\n$99999999\r\n", b"*-1\r\n*1\r\n:1\r\n"] {
+        let mut bad = proxy.client();
+        bad.stream.write_all(garbage).unwrap();
+        assert!(matches!(bad.next(), Some(Value::Error(line)) if line.starts_with(b"ERR ")));
+    }
+    let mut leaver = proxy.client();
+    leaver.send(&["OBJ.GET", "slow", "id0", "c=read,t=acme,d=2000"]);
+    std::thread::sleep(Duration::from_millis(50));
+    drop(leaver);
+    assert_eq!(good.get("k", "id1", 2000), bulk("id1"));
+    proxy.signal("TERM");
+    let (ended, log) = proxy.wait();
+    assert!(ended && log.contains(" left=1 "), "{log}");
+}
+
+#[test]
+fn a_bad_configuration_is_told_in_one_line() {
+    let run = |path: Option<&str>| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_notchdoor"));
+        command.env_remove("EDGE_CONFIG");
+        command.envs(path.map(|p| ("EDGE_CONFIG", p)));
+        let output = command.output().unwrap();
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+    };
+    for (path, told) in [(None, "EDGE_CONFIG: not set"), (Some("/nowhere"), "EDGE_CONFIG: cannot read")] {
+        let (code, text) = run(path);
+        assert!(code == Some(2) && text.contains(told) && text.lines().count() == 1, "{text}");
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -472,6 +472,12 @@
         }
     }
 
+    /// The request that a timer's token speaks of. Once that request is over and nothing is out for it, the
+    /// timer may be dropped: it would do nothing.
+    pub fn timer_request(token: u64) -> Option<RequestId> {
+        (token & 3 != DISCOVERY).then_some(token >> 2)
+    }
+
     /// Takes one event and appends what is to be done at once to `actions`.
     pub fn handle(&mut self, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) {
         match event {
