--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 use async_executor::LocalExecutor;
+use async_io::Async;
 use async_signal::{Signal, Signals};
 use notchdoor_proxy::lifecycle::{config::Config, logger, signals};
 use notchdoor_proxy::wire::driver::Shell;
@@ -15,7 +16,7 @@
     logger::start(&config.name);
     let signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Usr1]).map_err(|e| format!("signals: {e}"))?;
-    let listener = TcpListener::bind(config.listen)
+    let listener = Async::<TcpListener>::bind(config.listen)
         .map_err(|e| format!("EDGE_LISTEN: cannot listen on {}: {e}", config.listen))?;
     log::info!("started, listening on {}, registry at {}", config.listen, config.registry);
     let executor = Rc::new(LocalExecutor::new());
--- a/proxy/src/wire/acceptor.rs
+++ b/proxy/src/wire/acceptor.rs
@@ -122,6 +122,11 @@
         !self.owed.is_empty() || !self.output().is_empty()
     }
 
+    /// Bytes of answers that are there and not written.
+    pub fn waiting(&self) -> usize {
+        self.output().len() + self.owed.iter().flatten().map(Vec::len).sum::<usize>()
+    }
+
     /// How many answers are owed.
     pub fn owed(&self) -> usize {
         self.owed.len()
@@ -183,13 +188,14 @@
             session.pong(2, true);
             session.answer(1, Answer::Refused { retry_after: 1_001 });
             assert_eq!(session.output(), b"", "the first is still owed");
+            assert_eq!(session.waiting(), b"-BUSY 2\r\n+PONG\r\n".len());
             session.answer(0, Answer::Served(b"v".to_vec()));
             session.answer(0, Answer::Failed);
             assert_eq!(session.output(), b"$1\r\nv\r\n-BUSY 2\r\n+PONG\r\n");
             session.wrote(3);
             assert_eq!(session.output().first(), Some(&b'\n'));
             session.wrote(1_000);
-            assert!(!session.busy());
+            assert!(!session.busy() && session.waiting() == 0);
         }
     }
 
--- a/proxy/src/wire/driver/client.rs
+++ b/proxy/src/wire/driver/client.rs
@@ -6,6 +6,7 @@
 use crate::state::pool::Ticket;
 use crate::wire::acceptor::{Ask, Session};
 use crate::wire::call::Call;
+use crate::wire::MAX_VALUE;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -18,6 +19,9 @@
 
 /// Answers that one connection may be owed before no more of it is read.
 const MOST_OWED: usize = 64;
+/// Bytes of answers that may wait on one connection before no more of it is read. Guards against a client
+/// that asks on and on and reads nothing.
+const MOST_WAITING: usize = 4 * MAX_VALUE;
 /// Pause before something that had no room is tried again.
 const NO_ROOM: Duration = Duration::from_millis(2);
 /// A client that takes nothing off its connection for so long is cut off.
@@ -37,6 +41,15 @@
     broken: Cell<bool>,
     retiring: Cell<bool>,
     used: Cell<Micros>,
+    /// Bytes of answers that wait on any connection, and this one's part of them.
+    unsent: Rc<Cell<usize>>,
+    counted: Cell<usize>,
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.unsent.set(self.unsent.get().saturating_sub(self.counted.get()));
+    }
 }
 
 impl Client {
@@ -57,6 +70,13 @@
         let _ = self.wake.0.try_send(());
     }
 
+    /// Brings the count of waiting bytes up to date.
+    fn recount(&self) {
+        let waiting = self.session.borrow().waiting();
+        let others = self.unsent.get().saturating_sub(self.counted.replace(waiting));
+        self.unsent.set(others + waiting);
+    }
+
     fn flush(&self) {
         let mut session = self.session.borrow_mut();
         while !session.output().is_empty() {
@@ -74,11 +94,18 @@
             break;
         }
         drop(session);
+        self.recount();
         if self.over().is_some() || !self.session.borrow().output().is_empty() {
             self.wake();
         }
     }
 
+    /// Bytes that have come and are not read yet. Guards against a stop that closes a connection on a request
+    /// which is already there.
+    fn unread(&self) -> usize {
+        self.io.get_ref().peek(&mut [0]).unwrap_or(0)
+    }
+
     /// How the connection has ended, if it has.
     fn over(&self) -> Option<Ending> {
         let session = self.session.borrow();
@@ -86,7 +113,7 @@
             Some(Ending::ClientLeft)
         } else if session.finished() {
             Some(if session.malformed() { Ending::ClientMalformed } else { Ending::ClosedIdle })
-        } else if self.retiring.get() && !session.busy() && session.pending() == 0 {
+        } else if self.retiring.get() && !session.busy() && session.pending() == 0 && self.unread() == 0 {
             Some(Ending::ClosedIdle)
         } else {
             None
@@ -95,11 +122,7 @@
 }
 
 /// Accepts connections until the task is dropped.
-pub async fn accept(shell: Rc<Shell>, listener: TcpListener) {
-    let listener = match Async::new(listener) {
-        Ok(listener) => listener,
-        Err(error) => return log::error!("acceptor: {error}"),
-    };
+pub async fn accept(shell: Rc<Shell>, listener: Async<TcpListener>) {
     loop {
         // A descriptor of the budget first: a connection that could not be served is left to the backlog.
         let ticket = loop {
@@ -124,6 +147,8 @@
                     broken: Cell::new(false),
                     retiring: Cell::new(false),
                     used: Cell::new(shell.clock.now()),
+                    unsent: Rc::clone(&shell.unsent),
+                    counted: Cell::new(0),
                 });
                 shell.clients.borrow_mut().insert(id, Rc::clone(&client));
                 shell.spawn(serve(Rc::clone(&shell), id, client, ticket));
@@ -157,9 +182,10 @@
         }
     }
 
-    /// Whether another request may be taken: each may come to hold a value of the largest size.
+    /// Whether another request may be taken: each may come to hold a value of the largest size. What is not
+    /// read stays in the sockets, and its clients wait.
     fn room(&self) -> bool {
-        self.owed() < self.most_taken
+        self.owed() + self.unsent.get() / MAX_VALUE < self.most_taken
     }
 }
 
@@ -226,7 +252,10 @@
     let mut read_at = shell.clock.now();
     loop {
         loop {
-            while client.session.borrow().owed() >= MOST_OWED || !shell.room() {
+            while client.session.borrow().owed() >= MOST_OWED
+                || client.session.borrow().waiting() > MOST_WAITING
+                || !shell.room()
+            {
                 Timer::after(NO_ROOM).await;
             }
             let Some(ask) = client.session.borrow_mut().next_ask() else { break };
--- a/proxy/src/wire/driver/delegation.rs
+++ b/proxy/src/wire/driver/delegation.rs
@@ -16,6 +16,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// No descriptor is left to the process, to the system; no port is left.
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
+const EADDRNOTAVAIL: i32 = 99;
+
 /// A connection to a worker or the origin.
 pub struct Connection {
     io: Async<TcpStream>,
@@ -158,6 +163,8 @@
     let connected = async {
         Async::<TcpStream>::connect(endpoint).await.map_err(|e| match e.kind() {
             ErrorKind::TimedOut => Ending::ConnectTimedOut,
+            // Guards against a worker that is blamed for what this machine lacks.
+            _ if matches!(e.raw_os_error(), Some(EMFILE | ENFILE | EADDRNOTAVAIL)) => Ending::NotSent,
             _ => Ending::ConnectRefused,
         })
     };
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -13,11 +13,11 @@
 use crate::state::pool::{Budget, Pools};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
-use async_io::Timer;
+use async_io::{Async, Timer};
 use client::Client;
 use delegation::Connection;
 use futures_lite::future;
-use notchdoor::Micros;
+use notchdoor::{Discovery, Micros};
 use notchdoor_settings::Network;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -29,6 +29,8 @@
 const SWEEP: Duration = Duration::from_millis(500);
 /// A proxy whose registry says nothing at the start serves with the list that it was started with.
 const FIRST_LIST: Duration = Duration::from_millis(1500);
+/// The longest pause between two watches where the settings name none.
+const PUSHED_ASK_EVERY: Micros = 10_000_000;
 
 /// All that the tasks share.
 pub struct Shell {
@@ -47,6 +49,8 @@
     client_budget: Budget,
     delegated_budget: Budget,
     most_taken: usize,
+    /// Bytes of answers that clients have not taken yet.
+    unsent: Rc<Cell<usize>>,
     /// When the timer task wakes next.
     armed: Cell<Micros>,
     rearm: (Sender<()>, Receiver<()>),
@@ -56,9 +60,17 @@
 
 impl Shell {
     /// Starts serving on `listener`.
-    pub fn start(config: Config, listener: TcpListener, executor: Rc<LocalExecutor<'static>>) -> Rc<Self> {
+    pub fn start(
+        config: Config,
+        listener: Async<TcpListener>,
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> Rc<Self> {
         let clock = Clock::start();
-        let (settings, network) = (config.settings.settings(), config.settings.network());
+        let (mut settings, network) = (config.settings.settings(), config.settings.network());
+        // On sockets nothing is pushed: where the simulator would, a real proxy has to watch all the same.
+        if settings.discovery == Discovery::Pushed {
+            settings.discovery = Discovery::OnRequest { ask_every: PUSHED_ASK_EVERY };
+        }
         let proxy = Proxy::new(settings, config.settings.names(), config.seed, clock.now());
         let shell = Rc::new(Shell {
             proxy: RefCell::new(proxy),
@@ -75,6 +87,7 @@
             client_budget: Budget::new(config.most_clients),
             delegated_budget: Budget::new(config.most_delegated),
             most_taken: config.most_taken,
+            unsent: Rc::default(),
             armed: Cell::new(Micros::MAX),
             rearm: async_channel::bounded(1),
             heard: Cell::new(false),
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -43,6 +43,10 @@
                             Some(answer) if reader.get_mut().write_all(&answer).is_ok() => {}
                             _ => return,
                         }
+                        // A key of this name has its connection closed behind the answer.
+                        if request[1].ends_with("once") {
+                            return;
+                        }
                     }
                 });
             }
@@ -183,6 +187,11 @@
 impl Proxy {
     /// Starts the program with this list and waits until it says that it is ready.
     pub fn start(registry: &Registry, lines: &[String]) -> Proxy {
+        Proxy::with_sockets(registry, lines, 1024)
+    }
+
+    /// The same with another limit on descriptors.
+    pub fn with_sockets(registry: &Registry, lines: &[String], sockets: u32) -> Proxy {
         // An address of this process's own and a port below those that the system hands out: one that is
         // asked for and given back could be taken by another test's connection.
         static NEXT: AtomicU16 = AtomicU16::new(10_000);
@@ -192,7 +201,7 @@
         let path =
             std::env::temp_dir().join(format!("notchdoor-test-{}-{}", std::process::id(), listen.port()));
         let config = format!(
-            r#"{{"name":"n0","listen":"{listen}","discovery":"{}","seed":"7","known":{{"rev":41,"all":true,"targets":[{}]}},"settings":{}}}"#,
+            r#"{{"name":"n0","listen":"{listen}","discovery":"{}","seed":"7","limits":{{"memory_mb":192,"sockets":{sockets}}},"known":{{"rev":41,"all":true,"targets":[{}]}},"settings":{}}}"#,
             registry.endpoint,
             lines.join(","),
             settings()
--- a/proxy/tests/rules.rs
+++ b/proxy/tests/rules.rs
@@ -218,3 +218,55 @@
         assert!(code == Some(2) && text.contains(told) && text.lines().count() == 1, "{text}");
     }
 }
+
+#[test]
+fn a_connection_that_the_other_side_has_closed_is_not_written_to() {
+    let (registry, worker, origin) = (Registry::start(), echo(), origin());
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    let mut client = proxy.client();
+    for n in 0..4 {
+        // An unsafe write that ended as a reset could not be sent again.
+        let id = format!("id{n}");
+        assert_eq!(client.ask(&["OBJ.SET", "once", &id, "c=close,t=acme,d=600", "text"]), bulk(&id));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(origin.seen().len(), 4);
+}
+
+#[test]
+fn idle_clients_make_room_for_new_ones() {
+    let (registry, worker, origin) = (Registry::start(), echo(), origin());
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::with_sockets(&registry, &list, 96);
+    // The budget has room for 19 clients; each that comes after them closes the one idle for longest.
+    let mut clients: Vec<Client> = (0..40).map(|_| proxy.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate().skip(30) {
+        assert_eq!(client.get("k", &format!("id{n}"), 2000), bulk(&format!("id{n}")));
+    }
+    assert_eq!(clients[0].next(), None, "closed, with nothing owed");
+}
+
+#[test]
+fn a_client_that_reads_nothing_stops_nobody() {
+    let large = "x".repeat(60_000);
+    let worker =
+        Peer::worker(Box::new(move |words| value(if words[1] == "large" { &large } else { &words[2] })));
+    let (registry, origin) = (Registry::start(), origin());
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    let mut deaf = proxy.client();
+    // Few at a time, so that the module refuses none; 900 answers are 54 MB, far beyond the kernel's buffers.
+    for n in 0..900 {
+        deaf.send(&["OBJ.GET", "large", &format!("d{n}"), "c=read,t=acme,d=2000"]);
+        if n % 4 == 3 {
+            std::thread::sleep(Duration::from_millis(8));
+        }
+    }
+    let mut other = proxy.client();
+    assert_eq!(other.get("k", "id1", 2000), bulk("id1"));
+    let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).unwrap();
+    let peak = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
+    let kilobytes: u64 = peak.split_whitespace().nth(1).unwrap().parse().unwrap();
+    assert!(kilobytes < 24_000, "{peak}");
+}
