Be ready once the registry's watch has said anything; tell endings apart in the counters

Seen in a socket test: with a registry that has nothing new to tell, PING was refused for 1.5 s (286 tries), since only an update counted as having heard of it (driver/watch.rs); a beat counts now. The counters had 'served' twice, for requests and for endings; endings are ending_NAME.

--- a/proxy/src/state/counters.rs
+++ b/proxy/src/state/counters.rs
@@ -66,7 +66,7 @@
             self.accept_errors
         )?;
         for ending in Ending::ALL {
-            write!(f, " {}={}", ending.name(), self.endings(ending))?;
+            write!(f, " ending_{}={}", ending.name(), self.endings(ending))?;
         }
         Ok(())
     }
--- a/proxy/src/wire/call.rs
+++ b/proxy/src/wire/call.rs
@@ -50,7 +50,7 @@
 /// Whether a word can stand in a header or a path: guards against line breaks that would start a header
 /// of their own at the origin.
 fn plain(word: &[u8]) -> bool {
-    (1..=MAX_WORD).contains(&word.len()) && word.iter().all(u8::is_ascii_graphic)
+    (1..=MAX_WORD).contains(&word.len()) && word.iter().all(|&b| b > b' ' && b != 0x7f)
 }
 
 /// Takes a command apart; the error is the text for the client.
@@ -133,6 +133,8 @@
         assert_eq!(call.info_with_deadline(99_900), b"c=put,d=99,t=acme,k=5c");
         assert_eq!(call.info_with_deadline(0), b"c=put,d=1,t=acme,k=5c");
         assert_eq!(parse(command(&["ping"])), Ok(Command::Ping));
+        let accented = parse(command(&["OBJ.GET", "k", "i", "c=read,t=Chávez,d=1"]));
+        assert!(matches!(accented, Ok(Command::Call(call)) if call.tenant == "Chávez"));
     }
 
     #[test]
--- a/proxy/src/wire/driver/watch.rs
+++ b/proxy/src/wire/driver/watch.rs
@@ -67,6 +67,9 @@
             let (rev, lines) = (update.rev, update.targets.len());
             log::log!(level, "registry: version {rev}, {lines} lines, all={}", update.all);
             shell.drive(|proxy, now| proxy.update(now, update));
+        }
+        // A beat will do: the registry is there and has nothing that the list held lacks.
+        if decoder.open() {
             shell.heard.set(true);
         }
     }
--- a/proxy/src/wire/origin.rs
+++ b/proxy/src/wire/origin.rs
@@ -13,7 +13,7 @@
     out.extend_from_slice(format!("{method} /").as_bytes());
     for &byte in &call.key {
         // The call's words are plain; what a path may not hold as it is goes out as its number.
-        if b"%?#\"<>\\^`{|}".contains(&byte) {
+        if !byte.is_ascii() || b"%?#\"<>\\^`{|}".contains(&byte) {
             out.extend_from_slice(format!("%{byte:02X}").as_bytes());
         } else {
             out.push(byte);
@@ -96,9 +96,9 @@
 
     #[test]
     fn requests_carry_the_call_as_it_came() {
-        let get = encode(&call(&["OBJ.GET", "a/b?c", "id1", "c=read,d=480"]), "h:1");
+        let get = encode(&call(&["OBJ.GET", "a/b?é", "id1", "c=read,d=480"]), "h:1");
         let text =
-            "GET /a/b%3Fc HTTP/1.1\r\nHost: h:1\r\nX-Call-Id: id1\r\nX-Call-Info: c=read,d=480\r\n\r\n";
+            "GET /a/b%3F%C3%A9 HTTP/1.1\r\nHost: h:1\r\nX-Call-Id: id1\r\nX-Call-Info: c=read,d=480\r\n\r\n";
         assert_eq!(String::from_utf8_lossy(&get), text);
         let put = encode(&call(&["OBJ.SET", "k", "id2", "c=put,d=1", "vv"]), "h:1");
         assert!(put.starts_with(b"PUT /k HTTP/1.1\r\n") && put.ends_with(b"\r\nContent-Length: 2\r\n\r\nvv"));
--- a/proxy/src/wire/registry.rs
+++ b/proxy/src/wire/registry.rs
@@ -17,7 +17,7 @@
 pub struct Decoder {
     http: http::Decoder,
     line: Vec<u8>,
-    /// The head has come and says that a watch follows.
+    /// A line has come, if only an empty one.
     open: bool,
 }
 
@@ -32,7 +32,7 @@
         let mut updates = Vec::new();
         for part in parts {
             match part {
-                Part::Head { status: 200, .. } => self.open = true,
+                Part::Head { status: 200, .. } => {}
                 Part::Head { status, .. } => return Err(Ended(format!("status {status}"))),
                 Part::Data(data) => {
                     for piece in data.split_inclusive(|&b| b == b'\n') {
@@ -41,6 +41,7 @@
                             return Err(Ended("line too long".into()));
                         }
                         if piece.ends_with(b"\n") {
+                            self.open = true;
                             updates.extend(self.update()?);
                         }
                     }
@@ -56,6 +57,11 @@
         Ok(updates)
     }
 
+    /// Whether the watch has said anything, a beat included.
+    pub fn open(&self) -> bool {
+        self.open
+    }
+
     fn update(&mut self) -> Result<Option<Update>, Ended> {
         let line = std::mem::take(&mut self.line);
         if line.trim_ascii().is_empty() {
--- a/proxy/tests/rules.rs
+++ b/proxy/tests/rules.rs
@@ -196,12 +196,15 @@
     }
     let mut leaver = proxy.client();
     leaver.send(&["OBJ.GET", "slow", "id0", "c=read,t=acme,d=2000"]);
+    proxy.signal("USR1");
     std::thread::sleep(Duration::from_millis(50));
     drop(leaver);
     assert_eq!(good.get("k", "id1", 2000), bulk("id1"));
     proxy.signal("TERM");
     let (ended, log) = proxy.wait();
-    assert!(ended && log.contains(" left=1 "), "{log}");
+    assert!(ended && log.contains(" left=1 ") && log.contains(" counters: taken="), "{log}");
+    // The third was well-formed RESP and no command: it is told, and its connection stays open.
+    assert!(log.contains(" ending_client_malformed=2 "), "{log}");
 }
 
 #[test]
