--- a/proxy/tests/rules.rs
+++ b/proxy/tests/rules.rs
@@ -273,3 +273,20 @@
     let kilobytes: u64 = peak.split_whitespace().nth(1).unwrap().parse().unwrap();
     assert!(kilobytes < 24_000, "{peak}");
 }
+
+#[test]
+fn a_dead_worker_costs_no_read() {
+    let (registry, a, b, origin) = (Registry::start(), echo(), echo(), origin());
+    // Nobody listens on the port that the list gives for the first.
+    let dead = line("a", &a, "in_service", 0).replace("127.0.0.1", "127.77.0.1");
+    let list = [dead, line("b", &b, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    let mut client = proxy.client();
+    for n in 0..16 {
+        let id = format!("id{n}");
+        assert_eq!(client.get(&format!("k{n}"), &id, 2000), bulk(&id));
+    }
+    proxy.signal("TERM");
+    let (ended, log) = proxy.wait();
+    assert!(ended && log.contains(" served=16 ") && !log.contains(" ending_connect_refused=0 "), "{log}");
+}
