Cap the time that a stop may take at the 3 s that SIGKILL waits for

Seen by reading lifecycle/signals.rs: with a class whose deadline is over 3 s the stop would have gone on past SIGKILL, which counts such a deadline as 3 s; with settings that name no deadline it would have ended after 0.6 s. This deployment's longest is 2 s, so nothing changes here.

--- a/proxy/src/lifecycle/signals.rs
+++ b/proxy/src/lifecycle/signals.rs
@@ -4,6 +4,7 @@
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
+use notchdoor::Micros;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,6 +13,18 @@
 /// SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM.
 const BEFORE_KILL: Duration = Duration::from_millis(600);
 
+/// The longest deadline that SIGKILL waits for, and what is taken where the settings name none.
+const LONGEST: Duration = Duration::from_secs(3);
+
+/// How long a stop may take before it has to exit with what is still open.
+fn answering(longest_deadline: Micros) -> Duration {
+    let longest = match longest_deadline {
+        0 => LONGEST,
+        deadline => Duration::from_micros(deadline).min(LONGEST),
+    };
+    longest + BEFORE_KILL
+}
+
 /// Waits for a signal to stop, and then until all that was taken is answered.
 pub async fn until_stopped(shell: &Rc<Shell>, mut signals: Signals) {
     loop {
@@ -26,7 +39,7 @@
             None => futures_lite::future::pending().await,
         }
     }
-    let limit = Instant::now() + Duration::from_micros(shell.network.longest_deadline) + BEFORE_KILL;
+    let limit = Instant::now() + answering(shell.network.longest_deadline);
     shell.begin_stop();
     Timer::after(STILL_ACCEPTING).await;
     shell.stop_accepting();
@@ -41,3 +54,16 @@
         log::info!("stopped with every request answered");
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_stop_ends_before_it_is_killed() {
+        // Guards against a class with a long deadline: SIGKILL comes 3.7 s after SIGTERM all the same.
+        for (deadline, millis) in [(2_000_000, 2_600), (60_000_000, 3_600), (0, 3_600)] {
+            assert_eq!(answering(deadline), Duration::from_millis(millis));
+        }
+    }
+}
