Read the configuration again on SIGHUP and move the watch to its registry

At fault: lifecycle/signals.rs waited for TERM, INT and USR1 only, so HUP's default action ended the process, and Shell.registry was fixed at the start. EDGE_DISCOVERY would also have gone before the file on a second reading. Now Source::reread takes the file's discovery, keeps the old configuration where the file is wrong (the line names the field, also for wrong types, by serde_path_to_error), names changed fields that want a restart, and Shell::move_registry drops the old watch and begins the new one from the version held. Signals go on being heeded during a stop. Signals are taken before the file is read. Ruled out: a rewind from known (the socket test has known at version 3 and sees from=41). The test a_new_configuration_moves_the_registry_and_ends_nothing fails without the change (exit on HUP).

--- a/proxy/src/lifecycle/config.rs
+++ b/proxy/src/lifecycle/config.rs
@@ -3,6 +3,7 @@
 use crate::state::registry::Update;
 use notchdoor_settings::BootInfo;
 use serde::Deserialize;
+use serde_json::{Map, Value};
 use std::net::SocketAddr;
 
 /// The platform's limit on sockets; what the file allows beyond it is not used.
@@ -10,6 +11,21 @@
 /// Descriptors for the listener, the registry, the poller, signals, the standard streams and chance.
 const OTHER_SOCKETS: usize = 64;
 
+/// Where the configuration came from and what it said: what a later reading of the file is held against.
+pub struct Source {
+    path: String,
+    fields: Map<String, Value>,
+}
+
+/// What a later reading of the file comes to.
+#[derive(Debug, PartialEq)]
+pub struct Reload {
+    /// The registry from here on.
+    pub registry: SocketAddr,
+    /// Fields that differ from those the proxy started with and that only a restart takes up.
+    pub wants_restart: Vec<String>,
+}
+
 /// A proxy's configuration.
 pub struct Config {
     /// The proxy's name.
@@ -62,18 +78,62 @@
     text.parse().map_err(|_| format!("{field}: not an address and port: {text:?}"))
 }
 
+fn read(path: &str) -> Result<Vec<u8>, String> {
+    std::fs::read(path).map_err(|e| format!("EDGE_CONFIG: cannot read {path}: {e}"))
+}
+
+fn fields(text: &[u8]) -> Result<Map<String, Value>, String> {
+    serde_json::from_slice(text).map_err(|e| format!("EDGE_CONFIG: {e}"))
+}
+
+impl Source {
+    /// Reads the file again.
+    pub fn reread(&self) -> Result<Reload, String> {
+        self.compare(&read(&self.path)?)
+    }
+
+    /// Holds a later text of the file against the one that the proxy started with. The variables went before
+    /// the file at the start; now `discovery` is what the file says.
+    fn compare(&self, text: &[u8]) -> Result<Reload, String> {
+        let registry = Config::parse(text, |_| None)?.registry;
+        let mut wants_restart = Vec::new();
+        let new = fields(text)?;
+        for name in ["name", "listen", "seed", "limits", "settings"] {
+            match (self.fields.get(name), new.get(name)) {
+                (Some(Value::Object(a)), Some(Value::Object(b))) => {
+                    let mut inner: Vec<&String> =
+                        a.keys().chain(b.keys()).filter(|k| a.get(*k) != b.get(*k)).collect();
+                    inner.sort();
+                    inner.dedup();
+                    wants_restart.extend(inner.into_iter().map(|k| format!("{name}.{k}")));
+                }
+                (a, b) if a != b => wants_restart.push(name.to_owned()),
+                _ => {}
+            }
+        }
+        Ok(Reload { registry, wants_restart })
+    }
+}
+
 impl Config {
     /// Reads the file that `EDGE_CONFIG` names, and the variables.
-    pub fn load() -> Result<Self, String> {
+    pub fn load() -> Result<(Self, Source), String> {
         let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG: not set".to_owned())?;
-        let text = std::fs::read(&path).map_err(|e| format!("EDGE_CONFIG: cannot read {path}: {e}"))?;
-        Config::parse(&text, |name| std::env::var(name).ok())
+        let text = read(&path)?;
+        let config = Config::parse(&text, |name| std::env::var(name).ok())?;
+        Ok((config, Source { path, fields: fields(&text)? }))
     }
 
     /// Takes the file's text; `variable` looks up what goes before it. The error names the field or the
     /// variable at fault.
     pub fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
-        let file: File = serde_json::from_slice(text).map_err(|e| format!("EDGE_CONFIG: {e}"))?;
+        fields(text)?;
+        let mut json = serde_json::Deserializer::from_slice(text);
+        let file: File =
+            serde_path_to_error::deserialize(&mut json).map_err(|e| match e.path().to_string() {
+                path if path == "." => format!("EDGE_CONFIG: {}", e.inner()),
+                path => format!("EDGE_CONFIG: {path}: {}", e.inner()),
+            })?;
         let place = |name: &str, field: &str, text: String| match variable(name) {
             Some(text) => address(&text, name),
             None => address(&text, field),
@@ -133,7 +193,8 @@
             ("127.0.0.2:8500", "127.0.0.2", "discovery: not an address"),
             ("\"sockets\":4096", "\"sockets\":70", "limits.sockets: too few"),
             ("\"memory_mb\":192", "\"memory_mb\":1", "limits.memory_mb: too little"),
-            ("\"mostHeld\":20000", "\"mostHeld\":\"x\"", "invalid type"),
+            ("\"mostHeld\":20000", "\"mostHeld\":\"x\"", "settings.limits.mostHeld: invalid type"),
+            ("\"rev\":41,", "", "known: missing field `rev`"),
             ("\"maxAttempts\":3,", "", "missing field `maxAttempts`"),
             ("{\"name\"", "[", "EDGE_CONFIG: "),
         ];
@@ -145,4 +206,28 @@
         let error = Config::parse(TEXT.as_bytes(), variable).err().unwrap();
         assert!(error.starts_with("EDGE_DISCOVERY: "), "{error}");
     }
+
+    #[test]
+    fn a_later_text_moves_the_registry_and_names_what_wants_a_restart() {
+        let source = Source { path: String::new(), fields: fields(TEXT.as_bytes()).unwrap() };
+        let compare = |pairs: &[(&str, &str)]| {
+            let text = pairs.iter().fold(TEXT.to_owned(), |text, (a, b)| text.replacen(a, b, 1));
+            source.compare(text.as_bytes())
+        };
+        let moved = ("127.0.0.2:8500", "127.0.0.3:8500");
+        let reload = compare(&[moved]).unwrap();
+        assert_eq!((reload.registry.to_string(), reload.wants_restart.len()), ("127.0.0.3:8500".into(), 0));
+        let changed = compare(&[
+            moved,
+            ("\"memory_mb\":192", "\"memory_mb\":48"),
+            ("0.3,", "0.4,"),
+            ("\"n3\"", "\"n4\""),
+        ]);
+        assert_eq!(changed.unwrap().wants_restart, ["name", "limits.memory_mb", "settings.obligations"]);
+        // Guards against a half-written file that takes the registry away.
+        for (from, to, told) in [("127.0.0.2:8500", "x", "discovery: not an address"), ("}}}", "}}", "EOF")] {
+            let error = compare(&[(from, to)]).unwrap_err();
+            assert!(error.contains(told) && !error.contains('\n'), "{error}");
+        }
+    }
 }
--- a/proxy/src/lifecycle/signals.rs
+++ b/proxy/src/lifecycle/signals.rs
@@ -1,9 +1,11 @@
-//! SIGTERM and SIGINT stop the proxy in order; SIGUSR1 prints the counters.
+//! SIGTERM and SIGINT stop the proxy in order; SIGHUP reads the configuration again; SIGUSR1 prints the
+//! counters.
 
+use super::config::{Reload, Source};
 use crate::wire::driver::Shell;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::{future, StreamExt};
 use notchdoor::Micros;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -25,20 +27,48 @@
     longest + BEFORE_KILL
 }
 
-/// Waits for a signal to stop, and then until all that was taken is answered.
-pub async fn until_stopped(shell: &Rc<Shell>, mut signals: Signals) {
+/// Does what each signal asks for, and returns at the first that asks for a stop.
+async fn heed(shell: &Rc<Shell>, source: &Source, signals: &mut Signals) {
     loop {
         match signals.next().await {
             Some(Ok(Signal::Usr1)) => shell.report("counters"),
-            Some(Ok(signal)) => {
-                log::info!("stopping on {signal:?}");
-                break;
-            }
+            Some(Ok(Signal::Hup)) => reload(shell, source),
+            Some(Ok(signal)) => return log::info!("stopping on {signal:?}"),
             Some(Err(error)) => log::warn!("signals: {error}"),
             // Without signals the proxy serves until it is killed.
-            None => futures_lite::future::pending().await,
+            None => future::pending().await,
+        }
+    }
+}
+
+/// Takes up what a new configuration changes. Requests and connections stay as they are, and a file that is
+/// wrong changes nothing.
+fn reload(shell: &Rc<Shell>, source: &Source) {
+    match source.reread() {
+        Ok(Reload { registry, wants_restart }) => {
+            log::info!("configuration read again, registry at {registry}");
+            if !wants_restart.is_empty() {
+                log::warn!("configuration: a restart is needed for {}", wants_restart.join(", "));
+            }
+            shell.move_registry(registry);
         }
+        Err(error) => log::error!("configuration not taken, the old one stays: {error}"),
     }
+}
+
+/// Waits for a signal to stop, and then until all that was taken is answered.
+pub async fn until_stopped(shell: &Rc<Shell>, source: &Source, mut signals: Signals) {
+    heed(shell, source, &mut signals).await;
+    // The registry may move during a stop too, and a second signal to stop changes nothing.
+    let heed_on = async {
+        loop {
+            heed(shell, source, &mut signals).await;
+        }
+    };
+    future::or(stop(shell), heed_on).await;
+}
+
+async fn stop(shell: &Rc<Shell>) {
     let limit = Instant::now() + answering(shell.network.longest_deadline);
     shell.begin_stop();
     Timer::after(STILL_ACCEPTING).await;
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -12,16 +12,17 @@
 use std::rc::Rc;
 
 fn run() -> Result<(), String> {
-    let config = Config::load()?;
+    // Before anything else: a signal that nothing waits for ends the process.
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup])
+        .map_err(|e| format!("signals: {e}"))?;
+    let (config, source) = Config::load()?;
     logger::start(&config.name);
-    let signals =
-        Signals::new([Signal::Term, Signal::Int, Signal::Usr1]).map_err(|e| format!("signals: {e}"))?;
     let listener = Async::<TcpListener>::bind(config.listen)
         .map_err(|e| format!("EDGE_LISTEN: cannot listen on {}: {e}", config.listen))?;
     log::info!("started, listening on {}, registry at {}", config.listen, config.registry);
     let executor = Rc::new(LocalExecutor::new());
     let shell = Shell::start(config, listener, Rc::clone(&executor));
-    async_io::block_on(executor.run(signals::until_stopped(&shell, signals)));
+    async_io::block_on(executor.run(signals::until_stopped(&shell, &source, signals)));
     shell.report("counters at exit");
     Ok(())
 }
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -40,12 +40,13 @@
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     next_client: Cell<u64>,
     delegations: RefCell<HashMap<DelegationId, Task<()>>>,
-    watching: Cell<bool>,
+    /// The watch on the registry, while one runs.
+    watch: RefCell<Option<Task<()>>>,
     acceptor: RefCell<Option<Task<()>>>,
     clock: Clock,
     /// Times that the sockets go by.
     pub network: Network,
-    registry: SocketAddr,
+    registry: Cell<SocketAddr>,
     client_budget: Budget,
     delegated_budget: Budget,
     most_taken: usize,
@@ -79,11 +80,11 @@
             clients: RefCell::default(),
             next_client: Cell::new(1),
             delegations: RefCell::default(),
-            watching: Cell::new(false),
+            watch: RefCell::default(),
             acceptor: RefCell::default(),
             clock,
             network,
-            registry: config.registry,
+            registry: Cell::new(config.registry),
             client_budget: Budget::new(config.most_clients),
             delegated_budget: Budget::new(config.most_delegated),
             most_taken: config.most_taken,
@@ -150,16 +151,28 @@
                 }
             }
             Command::Watch => {
-                if self.watching.replace(true) {
-                    log::warn!("registry: asked for a second watch");
-                } else {
-                    self.spawn(watch::run(Rc::clone(self)));
+                // One that a move of the registry has begun serves as well.
+                if self.watch.borrow().is_none() {
+                    self.begin_watch();
                 }
             }
             Command::DropConnections(server) => self.pools.borrow_mut().drop_server(server),
         }
     }
 
+    fn begin_watch(self: &Rc<Self>) {
+        let task = self.executor.spawn(watch::run(Rc::clone(self)));
+        // A watch that was there ends with its task.
+        self.watch.replace(Some(task));
+    }
+
+    /// Watches the registry at this address from here on. The list held stays, and the new watch goes on from
+    /// its version. It is begun anew even where the address is the same: whoever asks for it has cause to.
+    pub fn move_registry(self: &Rc<Self>, registry: SocketAddr) {
+        self.registry.set(registry);
+        self.begin_watch();
+    }
+
     async fn run_timers(self: Rc<Self>) {
         loop {
             let due = self.proxy.borrow().next_due();
--- a/proxy/src/wire/driver/watch.rs
+++ b/proxy/src/wire/driver/watch.rs
@@ -20,7 +20,9 @@
 pub async fn run(shell: Rc<Shell>) {
     let (ending, why) = watch(&shell).await;
     log::warn!("registry: watch ended, {}: {why}", ending.name());
-    shell.watching.set(false);
+    if let Some(task) = shell.watch.borrow_mut().take() {
+        task.detach();
+    }
     shell.heard.set(true);
     shell.drive(|proxy, now| proxy.registry_failed(now, ending));
 }
@@ -44,14 +46,15 @@
 }
 
 async fn follow(shell: &Rc<Shell>) -> Result<(), (Ending, String)> {
+    let registry = shell.registry.get();
     let rev = {
         let mut proxy = shell.proxy.borrow_mut();
         proxy.counters.watches += 1;
         proxy.registry.rev()
     };
-    let mut io = within(CONNECT, Async::<TcpStream>::connect(shell.registry)).await?;
+    let mut io = within(CONNECT, Async::<TcpStream>::connect(registry)).await?;
     let _ = io.get_ref().set_nodelay(true);
-    let request = registry::encode(&shell.registry.to_string(), rev);
+    let request = registry::encode(&registry.to_string(), rev);
     within(CONNECT, io.write_all(&request)).await?;
     let mut decoder = registry::Decoder::default();
     let mut buffer = vec![0; 16 * 1024];
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -3,10 +3,12 @@
 use notchdoor_proxy::wire::resp::{write_command, Reader, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// No wait is longer: a test that would hang fails instead.
@@ -163,15 +165,28 @@
 pub struct Proxy {
     pub child: Child,
     pub listen: SocketAddr,
+    path: PathBuf,
+    log: Arc<Mutex<String>>,
+    logging: Option<JoinHandle<()>>,
 }
 
 impl Drop for Proxy {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
     }
 }
 
+fn config(registry: &Registry, listen: SocketAddr, lines: &[String], sockets: u32) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{}","seed":"7","limits":{{"memory_mb":192,"sockets":{sockets}}},"known":{{"rev":41,"all":true,"targets":[{}]}},"settings":{}}}"#,
+        registry.endpoint,
+        lines.join(","),
+        settings()
+    )
+}
+
 pub fn settings() -> &'static str {
     r#"{"balancers":1,"me":0,"grades":[
         {"name":"read","aim":750.0,"deadline":2000.0,"effect":"idempotent","points":2.0},
@@ -200,19 +215,22 @@
         let listen = SocketAddr::from(([127, 77, a, b.clamp(1, 254)], port));
         let path =
             std::env::temp_dir().join(format!("notchdoor-test-{}-{}", std::process::id(), listen.port()));
-        let config = format!(
-            r#"{{"name":"n0","listen":"{listen}","discovery":"{}","seed":"7","limits":{{"memory_mb":192,"sockets":{sockets}}},"known":{{"rev":41,"all":true,"targets":[{}]}},"settings":{}}}"#,
-            registry.endpoint,
-            lines.join(","),
-            settings()
-        );
-        std::fs::write(&path, config).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_notchdoor"))
+        std::fs::write(&path, config(registry, listen, lines, sockets)).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_notchdoor"))
             .env("EDGE_CONFIG", &path)
+            .env("EDGE_DISCOVERY", registry.endpoint.to_string())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
-        let proxy = Proxy { child, listen };
+        let (log, lines) =
+            (Arc::new(Mutex::new(String::new())), BufReader::new(child.stderr.take().unwrap()));
+        let told = Arc::clone(&log);
+        let logging = std::thread::spawn(move || {
+            for line in lines.lines().map_while(Result::ok) {
+                told.lock().unwrap().push_str(&(line + "\n"));
+            }
+        });
+        let proxy = Proxy { child, listen, path, log, logging: Some(logging) };
         let until = Instant::now() + PATIENCE;
         loop {
             if let Ok(stream) = TcpStream::connect(listen) {
@@ -223,10 +241,20 @@
             assert!(Instant::now() < until, "never ready");
             std::thread::sleep(Duration::from_millis(5));
         }
-        std::fs::remove_file(path).unwrap();
         proxy
     }
 
+    /// Puts another text in the configuration's place and sends SIGHUP.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.path, text).unwrap();
+        self.signal("HUP");
+    }
+
+    /// A configuration that names this registry and, beside it, a list long out of date.
+    pub fn config(&self, registry: &Registry) -> String {
+        config(registry, self.listen, &[], 1024).replace("\"rev\":41", "\"rev\":3")
+    }
+
     pub fn client(&self) -> Client {
         Client::new(TcpStream::connect(self.listen).unwrap())
     }
@@ -243,10 +271,19 @@
             assert!(Instant::now() < until, "never ends");
             std::thread::sleep(Duration::from_millis(5));
         }
-        let mut log = String::new();
-        self.child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+        self.logging.take().unwrap().join().unwrap();
+        let log = self.log.lock().unwrap().clone();
         (self.child.wait().unwrap().success(), log)
     }
+
+    /// Waits until the log holds this text.
+    pub fn logged(&self, text: &str) {
+        let until = Instant::now() + PATIENCE;
+        while !self.log.lock().unwrap().contains(text) {
+            assert!(Instant::now() < until, "never logged: {text}");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
 }
 
 /// A client's connection.
--- a/proxy/tests/rules.rs
+++ b/proxy/tests/rules.rs
@@ -290,3 +290,39 @@
     let (ended, log) = proxy.wait();
     assert!(ended && log.contains(" served=16 ") && !log.contains(" ending_connect_refused=0 "), "{log}");
 }
+
+/// Guards against a proxy that SIGHUP ends, that goes on with a registry which has moved, or that drops
+/// what it holds on the way.
+#[test]
+fn a_new_configuration_moves_the_registry_and_ends_nothing() {
+    let slow = Peer::worker(Box::new(|words| {
+        std::thread::sleep(Duration::from_millis(if words[1] == "slow" { 700 } else { 0 }));
+        value(&words[2])
+    }));
+    let (old, new, other, origin) = (Registry::start(), Registry::start(), echo(), origin());
+    let state = |state: &str| line("a", &slow, state, 0);
+    let list = [state("in_service"), line("b", &other, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&old, &list);
+    assert!(old.watches.recv_timeout(PATIENCE).unwrap().contains("from=41 "));
+    let mut held = proxy.client();
+    held.send(&["OBJ.GET", "slow", "id0", "c=read,t=acme,d=2000"]);
+    proxy.reload("{\"name\":");
+    proxy.logged("the old one stays: EDGE_CONFIG: EOF");
+    proxy.reload(&proxy.config(&new).replace("192", "48"));
+    // The list held and its version stay, whatever `known` says, and the file goes before the variable.
+    assert!(new.watches.recv_timeout(PATIENCE).unwrap().contains("from=41 "));
+    new.say(42, &[state("terminating")]);
+    assert_eq!(held.next(), Some(bulk("id0")), "no request is ended");
+    proxy.logged("registry: version 42");
+    let before = slow.seen().len();
+    for n in 0..16 {
+        let id = format!("id{n}");
+        assert_eq!(held.get(&format!("k{n}"), &id, 2000), bulk(&id));
+    }
+    assert_eq!(slow.seen().len(), before, "the new registry's word counts");
+    proxy.signal("HUP");
+    proxy.signal("TERM");
+    proxy.signal("HUP");
+    let (good, log) = proxy.wait();
+    assert!(good && log.contains("a restart is needed for limits.memory_mb\n"), "{log}");
+}
