Keep spoilt answers and bad clients' requests from cutting windows and shunning workers

The debug log of one proxy: 62 of 1,750 fetches at the origin and 3 in 100 at each worker came back garbled, and 570 delegations were errored, nearly all for 1,333 requests of bad clients that were passed on. At fault: ending.rs told Garbled as Reset, which cuts the origin's window to 1 and counts against a worker's health (brain.rs ended, observe); proxy.rs took requests of classes the settings lack; call.rs took -5, 1e9 and 0 for d. Now: Outcome::Spoilt (may have run) is no breach and no failure; the read is asked again of the worker it came from, a spoilt fetch is read from the cache that stored it, a keyed write is repeated, an unsafe one fails. Unknown classes, ids in use and d that is no number are -ERR before anything is taken. worker.rs serves only the three-part array; a bare bulk or an error line other than ERR and BUSY is garbled. Tests: a_spoilt_answer_is_asked_for_again_where_it_came_from, a_spoilt_answer_of_the_origin_cuts_nothing..., what_cannot_be_carried_out_is_not_taken, and cases in worker.rs and call.rs.

--- a/proxy/src/ending.rs
+++ b/proxy/src/ending.rs
@@ -84,7 +84,8 @@
             | Ending::ConnectTimedOut
             | Ending::BrokenUnsent
             | Ending::TimedOutUnsent => Outcome::ConnectFailed,
-            Ending::BrokenSent | Ending::Garbled => Outcome::Reset,
+            Ending::BrokenSent => Outcome::Reset,
+            Ending::Garbled => Outcome::Spoilt,
             Ending::TimedOutSent => Outcome::Timeout,
             Ending::Cancelled => Outcome::Cancelled,
             Ending::NotSent => Outcome::Moot,
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -7,7 +7,7 @@
 use crate::state::timers::{TimerKey, Timers};
 use notchdoor::{key_hash, Action, Brain, Event, Micros, Outcome, Request, RequestId, ServerId, Settings};
 use notchdoor_settings::{position, Names};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 /// Where an answer goes: a connection, and the place among its commands.
@@ -31,6 +31,8 @@
 
 /// A client's request, whatever protocol it came in.
 pub struct Taken<C> {
+    /// Its id, as the client gave it.
+    pub id: Vec<u8>,
     /// Where the answer goes.
     pub place: Place,
     /// The class, by its name.
@@ -77,6 +79,7 @@
 }
 
 struct Held<C> {
+    name: Vec<u8>,
     place: Place,
     call: Rc<C>,
     attempts: Vec<Attempt>,
@@ -91,6 +94,8 @@
     /// The list held.
     pub registry: Registry,
     held: HashMap<RequestId, Held<C>>,
+    /// The clients' ids of all that is held.
+    open: HashSet<Vec<u8>>,
     places: HashMap<Place, RequestId>,
     delegations: HashMap<DelegationId, (RequestId, u32)>,
     timers: Timers,
@@ -112,6 +117,7 @@
             names,
             registry,
             held: HashMap::new(),
+            open: HashSet::new(),
             places: HashMap::new(),
             delegations: HashMap::new(),
             timers: Timers::default(),
@@ -139,14 +145,20 @@
         self.places.len()
     }
 
-    /// A request was read whole.
-    pub fn taken(&mut self, now: Micros, taken: Taken<C>) {
+    /// A request was read whole. One that cannot be carried out is not taken, and the error says why: guards
+    /// against workers and the origin that are asked, and judged, for what no worker could answer.
+    pub fn taken(&mut self, now: Micros, taken: Taken<C>) -> Result<(), &'static str> {
+        let class = position(&self.names.classes, &taken.class).ok_or("unknown class")?;
+        // Guards against one client's request that ends another's of the same id at the workers.
+        if !self.open.insert(taken.id.clone()) {
+            return Err("id in use");
+        }
         let id = self.next_request;
         self.next_request += 1;
         self.counters.taken += 1;
         let request = Request {
             id,
-            class: position(&self.names.classes, &taken.class),
+            class: Some(class),
             tenant: position(&self.names.tenants, &taken.tenant),
             key: Some(key_hash(&taken.key)),
             write: taken.write,
@@ -155,6 +167,7 @@
         };
         self.places.insert(taken.place, id);
         let held = Held {
+            name: taken.id,
             place: taken.place,
             call: Rc::new(taken.call),
             attempts: Vec::new(),
@@ -163,6 +176,7 @@
         };
         self.held.insert(id, held);
         self.feed(now, Event::Arrived(request));
+        Ok(())
     }
 
     /// The client has gone before the answer.
@@ -333,7 +347,9 @@
     /// could go unanswered.
     fn forget(&mut self, id: RequestId) {
         if self.held.get(&id).is_some_and(|h| h.over && h.attempts.iter().all(|a| !a.out)) {
-            for key in self.held.remove(&id).map_or(Vec::new(), |h| h.timers) {
+            let Some(held) = self.held.remove(&id) else { return };
+            self.open.remove(&held.name);
+            for key in held.timers {
                 self.timers.remove(key);
             }
         }
@@ -393,17 +409,33 @@
     }
 
     fn take(proxy: &mut Proxy<()>, place: u64, now: Micros) -> Vec<DelegationId> {
-        let taken = Taken {
+        proxy.taken(now, request(place, "read", now)).unwrap();
+        delegated(proxy.take_commands())
+    }
+
+    fn request(place: u64, class: &str, now: Micros) -> Taken<()> {
+        Taken {
+            id: place.to_string().into_bytes(),
             place: (1, place),
-            class: "read".into(),
+            class: class.into(),
             tenant: String::new(),
             key: b"k".to_vec(),
             write: false,
             due: now + S,
             call: (),
-        };
-        proxy.taken(now, taken);
-        delegated(proxy.take_commands())
+        }
+    }
+
+    #[test]
+    fn what_cannot_be_carried_out_is_not_taken() {
+        let mut proxy = proxy();
+        assert_eq!(proxy.taken(T, request(0, "none", T)), Err("unknown class"));
+        let out = take(&mut proxy, 0, T);
+        assert_eq!(proxy.taken(T, request(0, "read", T)), Err("id in use"));
+        assert!(proxy.take_commands().is_empty(), "the first is not disturbed");
+        proxy.ended(T + 10, out[0], Ending::Served, Some(b"v".to_vec()), false);
+        assert_eq!(answers(proxy.take_commands()), [((1, 0), Answer::Served(b"v".to_vec()))]);
+        assert!(proxy.open.is_empty());
     }
 
     fn delegated(commands: Vec<Command<()>>) -> Vec<DelegationId> {
--- a/proxy/src/state/counters.rs
+++ b/proxy/src/state/counters.rs
@@ -9,6 +9,8 @@
 pub struct Counters {
     /// Requests taken from clients.
     pub taken: u64,
+    /// Commands in a known form that were not taken.
+    pub rejected: u64,
     /// Delegations begun.
     pub sent: u64,
     /// Requests answered with a value or receipt.
@@ -50,9 +52,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "taken={} served={} refused={} failed={} left={} sent={} accepted={} opened={} reused={} \
+            "taken={} rejected={} served={} refused={} failed={} left={} sent={} accepted={} opened={} reused={} \
              registry_updates={} watches={} accept_errors={}",
             self.taken,
+            self.rejected,
             self.served,
             self.refused,
             self.failed,
--- a/proxy/src/wire/acceptor.rs
+++ b/proxy/src/wire/acceptor.rs
@@ -59,7 +59,7 @@
             match call::parse(value) {
                 Ok(Command::Call(call)) => return Some(Ask::Call(place, call)),
                 Ok(Command::Ping) => return Some(Ask::Ping(place)),
-                Err(text) => self.put(place, format!("-ERR {text}\r\n").into_bytes()),
+                Err(text) => self.reject(place, text),
             }
         }
     }
@@ -70,6 +70,11 @@
         self.put(place, line.to_vec());
     }
 
+    /// Answers a request that is not taken.
+    pub fn reject(&mut self, place: u64, text: &str) {
+        self.put(place, format!("-ERR {text}\r\n").into_bytes());
+    }
+
     /// Gives the final answer to a request.
     pub fn answer(&mut self, place: u64, answer: Answer) {
         let mut bytes = Vec::new();
--- a/proxy/src/wire/call.rs
+++ b/proxy/src/wire/call.rs
@@ -91,7 +91,9 @@
         at += pair.len() + 1;
     }
     let (start, number) = deadline.ok_or("d is missing")?;
-    let wait = number.parse::<f64>().ok().filter(|d| d.is_finite()).ok_or("d is not a number")?;
+    // Digits, with a fraction at the most: what else Rust takes for a number (inf, 1e9, +5) is a mistake.
+    let digits = number.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let wait = number.parse::<f64>().ok().filter(|d| digits && *d > 0.0).ok_or("d is not a number")?;
     let (class, tenant) = (class.to_owned(), tenant.to_owned());
     let wait = notchdoor_settings::micros(wait.min(MAX_DEADLINE_MS));
     let deadline_at = (start, start + number.len());
@@ -154,6 +156,10 @@
             (command(&["OBJ.GET", "k", "i", "d"]), "the list must hold names and values"),
             (command(&["OBJ.GET", "k", "i", "c=read"]), "d is missing"),
             (command(&["OBJ.GET", "k", "i", "d=inf"]), "d is not a number"),
+            (command(&["OBJ.GET", "k", "i", "d=-5"]), "d is not a number"),
+            (command(&["OBJ.GET", "k", "i", "d=1e9"]), "d is not a number"),
+            (command(&["OBJ.GET", "k", "i", "d=0"]), "d is not a number"),
+            (command(&["OBJ.GET", "k", "i", "d="]), "d is not a number"),
         ];
         for (value, text) in cases {
             assert_eq!(parse(value.clone()), Err(*text), "{value:?}");
--- a/proxy/src/wire/driver/client.rs
+++ b/proxy/src/wire/driver/client.rs
@@ -261,7 +261,7 @@
             let Some(ask) = client.session.borrow_mut().next_ask() else { break };
             match ask {
                 Ask::Ping(place) => client.session.borrow_mut().pong(place, shell.ready()),
-                Ask::Call(place, call) => take(shell, (id, place), *call, read_at),
+                Ask::Call(place, call) => take(shell, client, (id, place), *call, read_at),
             }
         }
         client.flush();
@@ -285,9 +285,10 @@
     }
 }
 
-fn take(shell: &Rc<Shell>, place: (u64, u64), call: Call, read_at: Micros) {
-    shell.drive(|proxy, now| {
+fn take(shell: &Rc<Shell>, client: &Client, place: (u64, u64), call: Call, read_at: Micros) {
+    let taken = shell.drive(|proxy, now| {
         let taken = Taken {
+            id: call.id.clone(),
             place,
             class: call.class.clone(),
             tenant: call.tenant.clone(),
@@ -296,6 +297,10 @@
             due: read_at.saturating_add(call.wait),
             call,
         };
-        proxy.taken(now, taken);
+        proxy.taken(now, taken)
     });
+    if let Err(text) = taken {
+        shell.proxy.borrow_mut().counters.rejected += 1;
+        client.session.borrow_mut().reject(place.1, text);
+    }
 }
--- a/proxy/src/wire/worker.rs
+++ b/proxy/src/wire/worker.rs
@@ -57,26 +57,23 @@
 
 fn judge(value: Value) -> Reply {
     match value {
-        Value::Array(Some(items)) => {
-            let mut items = items.into_iter();
-            let first = items.next();
-            let pending = match items.next() {
-                Some(Value::Bulk(Some(word)) | Value::Simple(word)) => word == b"pending",
-                _ => false,
-            };
-            match first {
-                Some(Value::Bulk(Some(value))) => Reply { value: Some(value), ..Reply::bare(Ending::Served) },
-                Some(Value::Bulk(None)) => Reply { being_fetched: pending, ..Reply::bare(Ending::Missed) },
-                _ => Reply::bare(Ending::Garbled),
+        // The value, how it went, the load report. The report may be anything: it is not read.
+        Value::Array(Some(items)) => match <[Value; 3]>::try_from(items) {
+            Ok([Value::Bulk(Some(value)), Value::Bulk(_), _]) => {
+                Reply { value: Some(value), ..Reply::bare(Ending::Served) }
             }
-        }
-        Value::Bulk(Some(value)) => Reply { value: Some(value), ..Reply::bare(Ending::Served) },
-        Value::Bulk(None) => Reply::bare(Ending::Missed),
-        Value::Error(line) => {
-            let word = line.split(|&b| b == b' ').next();
-            Reply::bare(if word == Some(b"BUSY") { Ending::TurnedAway } else { Ending::Errored })
-        }
-        Value::Simple(_) | Value::Int(_) | Value::Array(None) => Reply::bare(Ending::Garbled),
+            Ok([Value::Bulk(None), Value::Bulk(word), _]) => {
+                Reply { being_fetched: word.as_deref() == Some(b"pending"), ..Reply::bare(Ending::Missed) }
+            }
+            _ => Reply::bare(Ending::Garbled),
+        },
+        Value::Error(line) => Reply::bare(match line.split(|&b| b == b' ').next() {
+            Some(b"BUSY") => Ending::TurnedAway,
+            Some(b"ERR") => Ending::Errored,
+            _ => Ending::Garbled,
+        }),
+        // Guards against noise that happens to be RESP: no other form is an answer.
+        _ => Reply::bare(Ending::Garbled),
     }
 }
 
@@ -93,10 +90,14 @@
             (b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n", Ending::Missed, None, false, true),
             (b"*3\r\n$-1\r\n$7\r\npending\r\n$-1\r\n", Ending::Missed, None, true, true),
             (b"-ERR failed util=0.5\r\n", Ending::Errored, None, false, true),
-            (b"-SYNTAX\r\n", Ending::Errored, None, false, true),
+            (b"-SYNTAX\r\n", Ending::Garbled, None, false, false),
+            (b"$1\r\nv\r\n", Ending::Garbled, None, false, false),
+            (b"$-1\r\n", Ending::Garbled, None, false, false),
+            (b"*1\r\n$1\r\nv\r\n", Ending::Garbled, None, false, false),
+            (b"*3\r\n$1\r\nv\r\n$-1\r\n:7\r\n", Ending::Served, Some(b"v"), false, true),
             (b"-BUSY\r\n", Ending::TurnedAway, None, false, true),
             (b"-BUSY util=0.5\r\n", Ending::TurnedAway, None, false, true),
-            (b"-BUSYBODY\r\n", Ending::Errored, None, false, true),
+            (b"-BUSYBODY\r\n", Ending::Garbled, None, false, false),
             (b"*0\r\n", Ending::Garbled, None, false, false),
             (b"*-1\r\n", Ending::Garbled, None, false, false),
             (b"+OK\r\n", Ending::Garbled, None, false, false),
@@ -112,6 +113,10 @@
             }
         }
         assert_eq!(Decoder::default().feed(b"HTTP").map(|r| r.ending), Some(Ending::Garbled));
-        assert_eq!(Decoder::default().feed(b"$1\r\nv\r\n+late\r\n").map(|r| r.reusable), Some(false));
+        let behind = b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n+late\r\n";
+        assert_eq!(
+            Decoder::default().feed(behind).map(|r| (r.ending, r.reusable)),
+            Some((Ending::Served, false))
+        );
     }
 }
--- a/proxy/tests/rules.rs
+++ b/proxy/tests/rules.rs
@@ -90,7 +90,7 @@
     assert_eq!(idle.next(), None, "closed");
     let (good, log) = proxy.wait();
     assert!(good && log.contains("stopped with every request answered"), "{log}");
-    assert!(log.contains("counters at exit: taken=2 served=2 "), "{log}");
+    assert!(log.contains("counters at exit: taken=2 rejected=0 served=2 "), "{log}");
 }
 
 #[test]
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -800,7 +800,8 @@
         let late = self.window.aim * LATE;
         let health = &mut self.servers[i].health;
         let (failed, answered) = match outcome {
-            Outcome::Ok | Outcome::Miss => (false, true),
+            // A spoilt answer is as good a sign of life as any: shunning its server would only move its keys.
+            Outcome::Ok | Outcome::Miss | Outcome::Spoilt => (false, true),
             Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => (true, false),
             Outcome::Timeout => (true, true),
             // A full server works: ejecting it would only move its whole load to the next one.
@@ -1134,6 +1135,8 @@
             return;
         };
         attempt.full = outcome == Outcome::Full;
+        // Guards against a read that a spoilt answer drives from the cache that holds its key to the origin.
+        attempt.again = outcome == Outcome::Spoilt && !attempt.fetch;
         attempt.state = if outcome.never_ran() { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
         let (i, sent, fetch, flight) = (attempt.server, attempt.sent, attempt.fetch, attempt.flight);
         let was_over = held.over;
@@ -1167,7 +1170,7 @@
             let out = held.attempts.iter().any(|a| a.state == AttemptState::Out);
             let fetching = held.attempts.iter().any(|a| a.state == AttemptState::Out && a.fetch);
             if fetch {
-                self.give_up(now, id, actions);
+                self.fetch_failed(now, id, outcome, actions);
             } else if outcome == Outcome::Miss && !fetching {
                 self.fetch(now, id, actions);
             } else if !out {
@@ -1181,7 +1184,21 @@
         }
         self.forget(id);
         if let Some(flight) = flight {
-            self.land(now, flight, outcome == Outcome::Ok, actions);
+            // What was spoilt on its way here has been stored all the same.
+            self.land(now, flight, matches!(outcome, Outcome::Ok | Outcome::Spoilt), actions);
+        }
+    }
+
+    /// A fetch or a write has ended without a value. One whose answer was spoilt on its way has been carried
+    /// out: a read finds the value where it missed, and a write that may be repeated has its receipt given
+    /// again. Anything else ends the request: the origin has trouble enough.
+    fn fetch_failed(&mut self, now: Micros, id: RequestId, outcome: Outcome, actions: &mut Vec<Action>) {
+        let (missed, write) = (self.held[&id].missed, self.held[&id].request.write);
+        let spoilt = outcome == Outcome::Spoilt;
+        if spoilt && write {
+            self.fetch(now, id, actions);
+        } else if !spoilt || !missed.is_some_and(|cache| self.send(now, id, cache, false, actions)) {
+            self.give_up(now, id, actions);
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -180,6 +180,8 @@
     ConnectFailed,
     /// The connection broke; it may have run.
     Reset,
+    /// Answered with what cannot be read; it may have run. The server answers, so it tells nothing against it.
+    Spoilt,
     /// Cancelled by the balancer; it may have run.
     Cancelled,
     /// Never sent; it never ran.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -452,3 +452,50 @@
     assert!(light.len() == 2 && light[0] != light[1] && !light.contains(&ORIGIN), "{light:?}");
     assert_eq!(silent(101, 40.0).len(), 1, "a heavy read is slow by itself");
 }
+
+/// Guards against caches that are shunned, and reads that go to the origin, because any server's answers are
+/// spoilt now and then.
+#[test]
+fn a_spoilt_answer_is_asked_for_again_where_it_came_from() {
+    let mut brain = brain(settings(), &members(6));
+    let mut now = START;
+    for id in 1..60 {
+        let home = sent(&arrive(&mut brain, now, read(id, id, now)));
+        now += 20 * MS;
+        assert_eq!(sent(&end(&mut brain, now, id, 0, Outcome::Spoilt, 20 * MS)), home, "{id}");
+        now += 20 * MS;
+        assert!(sent(&end(&mut brain, now, id, 1, Outcome::Ok, 20 * MS)).is_empty());
+        assert_ne!(home, [ORIGIN]);
+    }
+}
+
+/// Guards against a window cut for answers that were spoilt on their way, and against writes that are then
+/// repeated though they may not be.
+#[test]
+fn a_spoilt_answer_of_the_origin_cuts_nothing_and_repeats_only_what_may_be() {
+    let mut brain = brain(settings(), &members(6));
+    let mut now = START;
+    for id in 1..40 {
+        // In turn: a read that missed, a write whose repeat is dropped, and one that must never run twice.
+        let class = [0, 1, 3][id as usize % 3];
+        let request = Request { write: class != 0, class: Some(class), ..read(id, id, now) };
+        let mut asked = sent(&arrive(&mut brain, now, request));
+        let home = asked[0];
+        if class == 0 {
+            asked = sent(&end(&mut brain, now, id, 0, Outcome::Miss, MS));
+        }
+        assert_eq!(asked, [ORIGIN], "{id}: the window is as it was");
+        now += 30 * MS;
+        let n = u32::from(class == 0);
+        let actions = end(&mut brain, now, id, n, Outcome::Spoilt, 30 * MS);
+        match class {
+            0 => assert_eq!(sent(&actions), [home], "what was fetched has been stored"),
+            1 => assert_eq!(sent(&actions), [ORIGIN]),
+            _ => assert_eq!(actions, [Action::Fail { id }]),
+        }
+        now += 30 * MS;
+        if class != 3 {
+            end(&mut brain, now, id, n + 1, Outcome::Ok, 30 * MS);
+        }
+    }
+}
