Learn nothing from time-outs that the client left no time for

The debug log: at the origin 2 to 5 time-outs in half a second after 1 to 92 ms, each of a request whose d was that short; none of the delays of the served fetches had changed (mean 36 ms). At fault: brain.rs ended took every time-out for a breach, so each cut the origin's window to 1, and counted them against the caches' health. TimedOutUnsent was told as could not connect. A read whose connection broke (131 of 139 on connections in use) is asked again at the cache that holds its key and not at the next rank, which has to miss. Ruled out: slow origin, lack of sockets (186 of 256), memory. Tests: a_time_out_that_the_client_left_no_time_for..., a_read_whose_connection_broke_is_asked_for_again_at_its_cache; both fail with the old brain.rs.

--- a/proxy/src/ending.rs
+++ b/proxy/src/ending.rs
@@ -80,15 +80,13 @@
             Ending::Missed => Outcome::Miss,
             Ending::Errored => Outcome::Error,
             Ending::TurnedAway => Outcome::Full,
-            Ending::ConnectRefused
-            | Ending::ConnectTimedOut
-            | Ending::BrokenUnsent
-            | Ending::TimedOutUnsent => Outcome::ConnectFailed,
+            Ending::ConnectRefused | Ending::ConnectTimedOut | Ending::BrokenUnsent => Outcome::ConnectFailed,
             Ending::BrokenSent => Outcome::Reset,
             Ending::Garbled => Outcome::Spoilt,
             Ending::TimedOutSent => Outcome::Timeout,
             Ending::Cancelled => Outcome::Cancelled,
-            Ending::NotSent => Outcome::Moot,
+            // The client's time was shorter than a connection may take: that says nothing of the worker.
+            Ending::NotSent | Ending::TimedOutUnsent => Outcome::Moot,
             Ending::ClientLeft
             | Ending::ClientStalled
             | Ending::ClientMalformed
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1136,7 +1136,8 @@
         };
         attempt.full = outcome == Outcome::Full;
         // Guards against a read that a spoilt answer drives from the cache that holds its key to the origin.
-        attempt.again = outcome == Outcome::Spoilt && !attempt.fetch;
+        // So does one connection that broke; a cache that is down fails again, and the origin is asked.
+        attempt.again = matches!(outcome, Outcome::Spoilt | Outcome::Reset) && !attempt.fetch;
         attempt.state = if outcome.never_ran() { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
         let (i, sent, fetch, flight) = (attempt.server, attempt.sent, attempt.fetch, attempt.flight);
         let was_over = held.over;
@@ -1149,7 +1150,12 @@
             outcome,
             Outcome::Error | Outcome::Full | Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset
         );
-        let told = !matches!(outcome, Outcome::Cancelled | Outcome::Moot);
+        // Guards against clients that leave next to no time: what they did not wait for was not slow yet.
+        let patience = if fetch { self.window.limit(K) } else { Some(self.window.aim * LATE) };
+        let cut_short =
+            outcome == Outcome::Timeout && ((now - sent) as f64) < patience.unwrap_or(self.window.aim);
+        let breach = breach && !cut_short;
+        let told = !cut_short && !matches!(outcome, Outcome::Cancelled | Outcome::Moot);
         if fetch {
             self.window.complete(now, sent, now - sent, breach, told);
         } else {
@@ -1157,10 +1163,12 @@
             self.servers[i].window.complete(now, sent, now - sent, breach, told && outcome != Outcome::Miss);
             let took = now - sent;
             let late = self.pool.limit(K).map_or(took, |limit| took.max(limit as Micros));
-            let told = told && outcome != Outcome::Miss;
-            self.pool.complete(now, sent, if breach { late } else { took }, false, told);
+            let timed = told && outcome != Outcome::Miss;
+            self.pool.complete(now, sent, if breach { late } else { took }, false, timed);
             self.answers += u32::from(matches!(outcome, Outcome::Ok | Outcome::Miss));
-            self.observe(now, i, outcome, (now - sent) as f64);
+            if told {
+                self.observe(now, i, outcome, (now - sent) as f64);
+            }
         }
         if last && !was_over {
             self.close(id, actions);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -499,3 +499,30 @@
         }
     }
 }
+
+/// Guards against clients that leave a few milliseconds: their time-outs cut the origin's window and had
+/// healthy caches passed over.
+#[test]
+fn a_time_out_that_the_client_left_no_time_for_tells_nothing() {
+    let mut brain = brain(settings(), &members(6));
+    let mut now = START;
+    for (id, key) in (1..40).zip(keys_at(2, 39)) {
+        let write = id % 2 == 0;
+        let class = if write { 3 } else { 0 };
+        let due = now + 10 * MS;
+        let request = Request { write, class: Some(class), due, ..read(id, key, now) };
+        let home = if write { ORIGIN } else { 2 };
+        assert_eq!(sent(&arrive(&mut brain, now, request)), [home], "{id}");
+        now += 10 * MS;
+        end(&mut brain, now, id, 0, Outcome::Timeout, 10 * MS);
+    }
+}
+
+/// Guards against a read that one broken connection drives from the cache that holds its key to the origin.
+#[test]
+fn a_read_whose_connection_broke_is_asked_for_again_at_its_cache() {
+    let mut brain = brain(settings(), &members(6));
+    let home = sent(&arrive(&mut brain, START, read(1, 5, START)));
+    assert_eq!(sent(&end(&mut brain, START + MS, 1, 0, Outcome::Reset, MS)), home);
+    assert_eq!(sent(&end(&mut brain, START + 2 * MS, 1, 1, Outcome::Reset, MS)), [ORIGIN]);
+}
