Turn away a d beyond an hour and cut no window for a single error

Now d beyond an hour is -ERR, and an error is a breach as a reset is: not alone among K completions.

--- a/proxy/src/wire/call.rs
+++ b/proxy/src/wire/call.rs
@@ -3,7 +3,7 @@
 use super::resp::Value;
 use notchdoor::Micros;
 
-/// The longest deadline that is taken at its word.
+/// The longest deadline that a client may name; workers turn away what is far beyond it.
 const MAX_DEADLINE_MS: f64 = 3_600_000.0;
 /// The longest key, id or list of names and values.
 const MAX_WORD: usize = 4096;
@@ -94,8 +94,11 @@
     // Digits, with a fraction at the most: what else Rust takes for a number (inf, 1e9, +5) is a mistake.
     let digits = number.bytes().all(|b| b.is_ascii_digit() || b == b'.');
     let wait = number.parse::<f64>().ok().filter(|d| digits && *d > 0.0).ok_or("d is not a number")?;
+    if wait > MAX_DEADLINE_MS {
+        return Err("d is too long");
+    }
     let (class, tenant) = (class.to_owned(), tenant.to_owned());
-    let wait = notchdoor_settings::micros(wait.min(MAX_DEADLINE_MS));
+    let wait = notchdoor_settings::micros(wait);
     let deadline_at = (start, start + number.len());
     Ok(Command::Call(Box::new(Call { command, key, id, info, deadline_at, value, class, tenant, wait })))
 }
@@ -158,6 +161,7 @@
             (command(&["OBJ.GET", "k", "i", "d=inf"]), "d is not a number"),
             (command(&["OBJ.GET", "k", "i", "d=-5"]), "d is not a number"),
             (command(&["OBJ.GET", "k", "i", "d=1e9"]), "d is not a number"),
+            (command(&["OBJ.GET", "k", "i", "d=99999999999999999999999"]), "d is too long"),
             (command(&["OBJ.GET", "k", "i", "d=0"]), "d is not a number"),
             (command(&["OBJ.GET", "k", "i", "d="]), "d is not a number"),
         ];
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1168,7 +1168,7 @@
         let cut_short =
             outcome == Outcome::Timeout && ((now - sent) as f64) < patience.unwrap_or(self.window.aim);
         let window = if fetch { &mut self.window } else { &mut self.servers[i].window };
-        let lone = outcome == Outcome::Reset && !window.broke();
+        let lone = matches!(outcome, Outcome::Reset | Outcome::Error) && !window.broke();
         let breach = breach && !cut_short && !lone;
         let told = !cut_short && !matches!(outcome, Outcome::Cancelled | Outcome::Moot);
         if fetch {
