End silent clients, halves of commands and stalled answers; make room by rule

A pooled connection was reused at once (checkout), so a second copy that came a moment behind would have been the next answer. Now: a command has 2 s from its first byte, the first one from connecting; an answer that has begun and pauses for 100 ms is garbled and asked for again; a connection rests 2 ms between commands; a Content-Length beyond any value ends at once; an error line gets 500 ms (40 where others wait) and 1 MiB of reading behind it. Where none is left, up to eight idle connections go at once. Four socket tests, each fails without.

--- a/proxy/src/ending.rs
+++ b/proxy/src/ending.rs
@@ -37,6 +37,8 @@
     ClientStalled,
     /// The client sent what is no command; its connection was closed after the answers it was owed.
     ClientMalformed,
+    /// The client sent no whole command in the time that it has for one.
+    ClientSilent,
     /// An idle connection was closed to make room or to stop.
     ClosedIdle,
     /// The registry's call failed or its answer made no sense.
@@ -47,7 +49,7 @@
 
 impl Ending {
     /// All of them, in the order of the counters.
-    pub const ALL: [Ending; 19] = [
+    pub const ALL: [Ending; 20] = [
         Ending::Served,
         Ending::Missed,
         Ending::Errored,
@@ -64,6 +66,7 @@
         Ending::ClientLeft,
         Ending::ClientStalled,
         Ending::ClientMalformed,
+        Ending::ClientSilent,
         Ending::ClosedIdle,
         Ending::RegistryBroken,
         Ending::RegistrySilent,
@@ -90,6 +93,7 @@
             Ending::ClientLeft
             | Ending::ClientStalled
             | Ending::ClientMalformed
+            | Ending::ClientSilent
             | Ending::ClosedIdle
             | Ending::RegistryBroken
             | Ending::RegistrySilent => return None,
@@ -115,6 +119,7 @@
             Ending::ClientLeft => "client_left",
             Ending::ClientStalled => "client_stalled",
             Ending::ClientMalformed => "client_malformed",
+            Ending::ClientSilent => "client_silent",
             Ending::ClosedIdle => "closed_idle",
             Ending::RegistryBroken => "registry_broken",
             Ending::RegistrySilent => "registry_silent",
--- a/proxy/src/lifecycle/config.rs
+++ b/proxy/src/lifecycle/config.rs
@@ -9,7 +9,7 @@
 /// The platform's limit on sockets; what the file allows beyond it is not used.
 const MOST_SOCKETS: usize = 1024;
 /// Descriptors for the listener, the registry, the poller, signals, the standard streams and chance.
-const OTHER_SOCKETS: usize = 64;
+const OTHER_SOCKETS: usize = 32;
 
 /// Where the configuration came from and what it said: what a later reading of the file is held against.
 pub struct Source {
@@ -191,7 +191,7 @@
             ("8c1f30d27a5be964", "xyz", "seed: not a hex number"),
             ("127.0.0.1:6379", "nowhere", "listen: not an address"),
             ("127.0.0.2:8500", "127.0.0.2", "discovery: not an address"),
-            ("\"sockets\":4096", "\"sockets\":70", "limits.sockets: too few"),
+            ("\"sockets\":4096", "\"sockets\":40", "limits.sockets: too few"),
             ("\"memory_mb\":192", "\"memory_mb\":1", "limits.memory_mb: too little"),
             ("\"mostHeld\":20000", "\"mostHeld\":\"x\"", "settings.limits.mostHeld: invalid type"),
             ("\"rev\":41,", "", "known: missing field `rev`"),
--- a/proxy/src/state/pool.rs
+++ b/proxy/src/state/pool.rs
@@ -79,13 +79,13 @@
         shelf.generation
     }
 
-    /// The connection that was used most recently, if it is not too old.
-    pub fn take(&mut self, now: Micros, server: ServerId) -> Option<C> {
+    /// The connection that was used most recently, if it is not too old, and since when it has been idle.
+    pub fn take(&mut self, now: Micros, server: ServerId) -> Option<(Micros, C)> {
         let retire_after = self.retire_after;
         let shelf = self.shelves.get_mut(&server)?;
         let (since, connection) = shelf.idle.pop()?;
         if since + retire_after > now {
-            return Some(connection);
+            return Some((since, connection));
         }
         // The others have been idle for longer still.
         shelf.idle.clear();
@@ -146,7 +146,7 @@
         for (now, c) in [(0, 'a'), (S, 'b'), (2 * S, 'c')] {
             pools.put(now, 1, generation, c);
         }
-        assert_eq!(pools.take(3 * S, 1), Some('c'));
+        assert_eq!(pools.take(3 * S, 1), Some((2 * S, 'c')));
         assert_eq!(pools.take(3 * S, 2), None);
         pools.sweep(27 * S, |_| true);
         assert_eq!(pools.idle(1), 1, "retired a tenth before the worker closes it");
--- a/proxy/src/wire/acceptor.rs
+++ b/proxy/src/wire/acceptor.rs
@@ -27,6 +27,9 @@
     /// Nothing more is read: what is owed goes out, and then the connection is closed.
     closing: bool,
     malformed: bool,
+    silent: bool,
+    /// Whole commands that have come.
+    asked: u64,
 }
 
 impl Session {
@@ -46,7 +49,11 @@
             }
             let place = self.first + self.owed.len() as u64;
             let value = match self.reader.next_value() {
-                Ok(value) => value?,
+                Ok(value) => {
+                    let value = value?;
+                    self.asked += 1;
+                    value
+                }
                 Err(malformed) => {
                     self.owed.push_back(None);
                     self.put(place, format!("-ERR Protocol error: {}\r\n", malformed.0).into_bytes());
@@ -148,6 +155,26 @@
         self.reader.pending()
     }
 
+    /// Ends a connection whose client took too long over a command: with an error if some of it has come.
+    pub fn expire(&mut self) {
+        if self.pending() > 0 {
+            let place = self.first + self.owed.len() as u64;
+            self.owed.push_back(None);
+            self.reject(place, "the command took too long");
+        }
+        (self.closing, self.silent) = (true, true);
+    }
+
+    /// Whether the client took too long over a command.
+    pub fn silent(&self) -> bool {
+        self.silent
+    }
+
+    /// Whether a whole command has ever come.
+    pub fn asked(&self) -> bool {
+        self.asked > 0
+    }
+
     /// Reads nothing more; see [`Session::finished`].
     pub fn close(&mut self) {
         self.closing = true;
--- a/proxy/src/wire/driver/client.rs
+++ b/proxy/src/wire/driver/client.rs
@@ -15,7 +15,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Answers that one connection may be owed before no more of it is read.
 const MOST_OWED: usize = 64;
@@ -26,9 +26,25 @@
 const NO_ROOM: Duration = Duration::from_millis(2);
 /// A client that takes nothing off its connection for so long is cut off.
 const STALLED: Duration = Duration::from_secs(10);
-/// For so long, and for so many pieces, a connection that sent garbage is read on before it is closed.
-const LINGER: Duration = Duration::from_millis(200);
-const LINGER_READS: usize = 64;
+/// For so long a connection that was told an error is kept after it, for less while others wait for its
+/// descriptor, and so many bytes of it are read on.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_SHORT: Duration = Duration::from_millis(40);
+const LINGER_BYTES: usize = 1024 * 1024;
+/// The time that a client has for a command, from its first byte, and for its first one, from connecting. A
+/// sweep acts on it within half a second more.
+const COMMAND: Micros = 2_000_000;
+/// Where room is short, connections without an open request are closed after so long, those with half a
+/// command after less, and those that never sent a byte first: who connects to ask does so at once.
+const IDLE: Micros = 2_000_000;
+const HALF: Micros = 1_000_000;
+const NEVER_ASKED: Micros = 20_000;
+/// Where that makes no room for so long, any that has been idle for so long may go: its client opens another,
+/// and those who wait cannot even be told.
+const SHUT_OUT: Micros = 20_000;
+const IDLE_AT_LEAST: Micros = 200_000;
+/// So many may go at once: those who wait may be hundreds, and their time is short.
+const MOST_RETIRED: usize = 8;
 /// Pause after a failure to accept: the descriptor that is missing comes back when a connection ends.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -40,7 +56,10 @@
     wake: (Sender<()>, Receiver<()>),
     broken: Cell<bool>,
     retiring: Cell<bool>,
+    /// When something last came from it or was answered.
     used: Cell<Micros>,
+    /// Since when half a command is there; 0 while there is none.
+    half_since: Cell<Micros>,
     /// Bytes of answers that wait on any connection, and this one's part of them.
     unsent: Rc<Cell<usize>>,
     counted: Cell<usize>,
@@ -54,7 +73,8 @@
 
 impl Client {
     /// Gives an answer and writes as much as the socket takes.
-    pub fn answer(&self, place: u64, answer: Answer) {
+    pub fn answer(&self, now: Micros, place: u64, answer: Answer) {
+        self.used.set(now);
         self.session.borrow_mut().answer(place, answer);
         self.flush();
     }
@@ -112,7 +132,11 @@
         if self.broken.get() {
             Some(Ending::ClientLeft)
         } else if session.finished() {
-            Some(if session.malformed() { Ending::ClientMalformed } else { Ending::ClosedIdle })
+            Some(match session.malformed() {
+                true => Ending::ClientMalformed,
+                false if session.silent() => Ending::ClientSilent,
+                false => Ending::ClosedIdle,
+            })
         } else if self.retiring.get() && !session.busy() && session.pending() == 0 && self.unread() == 0 {
             Some(Ending::ClosedIdle)
         } else {
@@ -125,15 +149,18 @@
 pub async fn accept(shell: Rc<Shell>, listener: Async<TcpListener>) {
     loop {
         // A descriptor of the budget first: a connection that could not be served is left to the backlog.
+        let short_since = shell.clock.now();
         let ticket = loop {
             match shell.client_budget.take() {
                 Some(ticket) => break ticket,
                 None => {
-                    shell.retire_one();
+                    shell.short.set(true);
+                    shell.retire_some(short_since);
                     Timer::after(NO_ROOM).await;
                 }
             }
         };
+        shell.short.set(false);
         match listener.accept().await {
             Ok((io, _)) => {
                 let _ = io.get_ref().set_nodelay(true);
@@ -147,6 +174,7 @@
                     broken: Cell::new(false),
                     retiring: Cell::new(false),
                     used: Cell::new(shell.clock.now()),
+                    half_since: Cell::new(0),
                     unsent: Rc::clone(&shell.unsent),
                     counted: Cell::new(0),
                 });
@@ -171,17 +199,49 @@
 }
 
 impl Shell {
-    /// Has the client connection closed that has been idle for longest.
-    fn retire_one(&self) {
-        let clients = self.clients.borrow();
-        let idle = clients.values().filter(|c| !c.retiring.get() && !c.session.borrow().busy());
-        if let Some(client) = idle.min_by_key(|c| c.used.get()) {
+    /// Has the client connections closed that have been idle for longest, if any have been for long enough. Guards
+    /// against those who connect and stay: they must not shut others out.
+    fn retire_some(&self, short_since: Micros) {
+        let (clients, now) = (self.clients.borrow(), self.clock.now());
+        let idle = clients.values().filter(|c| {
+            let session = c.session.borrow();
+            let least = match session.pending() {
+                0 if !session.asked() => NEVER_ASKED,
+                0 if short_since + SHUT_OUT <= now => IDLE_AT_LEAST,
+                0 => IDLE,
+                _ => HALF,
+            };
+            !c.retiring.get() && !session.busy() && c.used.get() + least <= now
+        });
+        let mut idle: Vec<_> = idle.map(|c| (c.session.borrow().asked(), c.used.get(), c)).collect();
+        idle.sort_unstable_by_key(|&(asked, used, _)| (asked, used));
+        for (_, _, client) in idle.into_iter().take(MOST_RETIRED) {
             // What it has begun to send is not read yet, and it will send that once more elsewhere.
             client.session.borrow_mut().close();
             client.retire();
         }
     }
 
+    /// Ends the connections whose clients take too long over a command.
+    pub(super) fn expire_clients(&self) {
+        let now = self.clock.now();
+        for client in self.clients.borrow().values() {
+            let session = client.session.borrow();
+            let since = match client.half_since.get() {
+                0 if session.asked() || session.pending() > 0 => continue,
+                0 => client.used.get(),
+                since => since,
+            };
+            let late = session.reads() && since + COMMAND <= now;
+            drop(session);
+            if late {
+                client.session.borrow_mut().expire();
+                client.flush();
+                client.wake();
+            }
+        }
+    }
+
     /// Whether another request may be taken: each may come to hold a value of the largest size. What is not
     /// read stays in the sockets, and its clients wait.
     fn room(&self) -> bool {
@@ -192,8 +252,8 @@
 async fn serve(shell: Rc<Shell>, id: u64, client: Rc<Client>, ticket: Ticket) {
     let ending = future::or(write(&client), read(&shell, id, &client)).await;
     log::debug!("client {id}: {}", ending.name());
-    if ending == Ending::ClientMalformed {
-        linger(&client).await;
+    if matches!(ending, Ending::ClientMalformed | Ending::ClientSilent) {
+        linger(&shell, &client).await;
     }
     shell.clients.borrow_mut().remove(&id);
     shell.count_ending(ending);
@@ -207,19 +267,27 @@
 
 /// Ends the sending and reads on for a moment. Guards against a `-ERR` that the client never sees: a socket
 /// that is closed with unread bytes is reset, and what was written to it may be lost.
-async fn linger(client: &Client) {
+async fn linger(shell: &Shell, client: &Client) {
     let _ = client.io.get_ref().shutdown(Shutdown::Write);
     let drain = async {
-        let mut buffer = [0; 4096];
-        for _ in 0..LINGER_READS {
+        let (mut buffer, mut read) = (vec![0; 16 * 1024], 0);
+        while read < LINGER_BYTES {
             match client.io.read_with(|mut io| io.read(&mut buffer)).await {
-                Ok(n) if n > 0 => {}
+                Ok(n) if n > 0 => read += n,
                 _ => return,
             }
         }
+        // What is sent beyond that stays in the sockets until the client has had time to read the error.
+        future::pending().await
     };
     let late = async {
-        Timer::after(LINGER).await;
+        let until = Instant::now() + LINGER;
+        while Instant::now() < until {
+            Timer::after(LINGER_SHORT).await;
+            if shell.short.get() {
+                return;
+            }
+        }
     };
     future::or(drain, late).await;
 }
@@ -259,11 +327,18 @@
                 Timer::after(NO_ROOM).await;
             }
             let Some(ask) = client.session.borrow_mut().next_ask() else { break };
+            client.half_since.set(0);
             match ask {
                 Ask::Ping(place) => client.session.borrow_mut().pong(place, shell.ready()),
                 Ask::Call(place, call) => take(shell, client, (id, place), *call, read_at),
             }
         }
+        let half = client.session.borrow().pending() > 0;
+        client.half_since.set(match client.half_since.get() {
+            since if half && since > 0 => since,
+            _ if half => read_at,
+            _ => 0,
+        });
         client.flush();
         if !client.session.borrow().reads() {
             return future::pending().await;
--- a/proxy/src/wire/driver/delegation.rs
+++ b/proxy/src/wire/driver/delegation.rs
@@ -16,6 +16,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// A reply that has begun comes on without such a pause. Guards against lengths that promise more than will
+/// ever come: the request would wait for it until its client gives up.
+const STALLED: Duration = Duration::from_millis(100);
+/// A connection rests so long after a reply before it takes another command. Guards against what comes right
+/// behind a reply, such as a second copy of it: read too early it would be taken for the next one's.
+const REST: Micros = 2_000;
 /// No descriptor is left to the process, to the system; no port is left.
 const EMFILE: i32 = 24;
 const ENFILE: i32 = 23;
@@ -48,6 +54,13 @@
         }
     }
 
+    fn begun(&self) -> bool {
+        match self {
+            Decoder::Worker(decoder) => decoder.begun(),
+            Decoder::Origin(decoder) => decoder.begun(),
+        }
+    }
+
     fn closed(&mut self) -> Reply {
         let whole = match self {
             Decoder::Worker(_) => None,
@@ -140,7 +153,10 @@
 ) -> Result<Connection, Ending> {
     loop {
         let now = shell.clock.now();
-        let Some(connection) = shell.pools.borrow_mut().take(now, server) else { break };
+        let Some((since, connection)) = shell.pools.borrow_mut().take(now, server) else { break };
+        if since + REST > now {
+            Timer::at(shell.clock.instant(since + REST)).await;
+        }
         if connection.alive() {
             shell.proxy.borrow_mut().counters.reused += 1;
             return Ok(connection);
@@ -206,8 +222,16 @@
             }
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                if connection.io.readable().await.is_err() {
-                    return Reply::bare(Ending::BrokenSent);
+                let stalled = async {
+                    match decoder.begun() {
+                        true => Timer::after(STALLED).await,
+                        false => future::pending().await,
+                    };
+                    Some(Ending::Garbled)
+                };
+                let readable = async { connection.io.readable().await.err().map(|_| Ending::BrokenSent) };
+                if let Some(ending) = future::or(readable, stalled).await {
+                    return Reply::bare(ending);
                 }
             }
             Err(_) => return Reply::bare(Ending::BrokenSent),
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -49,6 +49,8 @@
     registry: Cell<SocketAddr>,
     client_budget: Budget,
     delegated_budget: Budget,
+    /// Whether clients wait for a descriptor.
+    short: Cell<bool>,
     most_taken: usize,
     /// Bytes of answers that clients have not taken yet.
     unsent: Rc<Cell<usize>>,
@@ -87,6 +89,7 @@
             registry: Cell::new(config.registry),
             client_budget: Budget::new(config.most_clients),
             delegated_budget: Budget::new(config.most_delegated),
+            short: Cell::new(false),
             most_taken: config.most_taken,
             unsent: Rc::default(),
             armed: Cell::new(Micros::MAX),
@@ -147,7 +150,7 @@
             Command::Answer((client, place), answer) => {
                 let client = self.clients.borrow().get(&client).map(Rc::clone);
                 if let Some(client) = client {
-                    client.answer(place, answer);
+                    client.answer(self.clock.now(), place, answer);
                 }
             }
             Command::Watch => {
@@ -200,6 +203,7 @@
             Timer::after(SWEEP).await;
             let now = self.clock.now();
             self.pools.borrow_mut().sweep(now, Connection::alive);
+            self.expire_clients();
         }
     }
 
--- a/proxy/src/wire/http.rs
+++ b/proxy/src/wire/http.rs
@@ -14,6 +14,8 @@
         status: u16,
         /// The other side says that the request never ran.
         rejected: bool,
+        /// How long the body says that it is.
+        length: Option<u64>,
     },
     /// A piece of the body.
     Data(Vec<u8>),
@@ -67,6 +69,11 @@
         Ok(parts)
     }
 
+    /// Whether bytes of an answer wait for more.
+    pub fn begun(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// The other side has closed the connection: the end of an answer that has no other.
     pub fn closed(&mut self) -> Option<Part> {
         matches!(self.state, State::UntilClose).then(|| {
@@ -194,7 +201,7 @@
             None => State::UntilClose,
         };
         self.take(n);
-        Ok(Some(Part::Head { status, rejected }))
+        Ok(Some(Part::Head { status, rejected, length }))
     }
 }
 
@@ -213,7 +220,7 @@
         parts.extend(decoder.closed());
         for part in parts {
             match part {
-                Part::Head { status, rejected } => (seen.0, seen.1) = (status, rejected),
+                Part::Head { status, rejected, .. } => (seen.0, seen.1) = (status, rejected),
                 Part::Data(data) => seen.2.extend(data),
                 Part::End { reusable } => seen.3 = Some(reusable),
             }
--- a/proxy/src/wire/origin.rs
+++ b/proxy/src/wire/origin.rs
@@ -42,6 +42,11 @@
 }
 
 impl Decoder {
+    /// Whether a reply has begun to come.
+    pub fn begun(&self) -> bool {
+        self.status != 0 || self.http.begun()
+    }
+
     /// Takes what has come in; a reply once it is whole.
     pub fn feed(&mut self, bytes: &[u8]) -> Option<Reply> {
         match self.http.feed(bytes) {
@@ -58,9 +63,10 @@
 
     fn part(&mut self, part: Part) -> Option<Reply> {
         match part {
-            Part::Head { status, rejected } => {
+            Part::Head { status, rejected, length } => {
                 (self.status, self.rejected) = (status, rejected);
-                None
+                // What claims to be larger than any value is not waited for.
+                (length > Some(MAX_VALUE as u64)).then(|| Reply::bare(Ending::Garbled))
             }
             Part::Data(data) => {
                 self.body.extend_from_slice(&data);
@@ -116,6 +122,7 @@
             ("HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", Ending::TurnedAway),
             ("HTTP/1.1 504 x\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", Ending::TurnedAway),
             ("+OK\r\n", Ending::Garbled),
+            ("HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\n", Ending::Garbled),
             (&large, Ending::Garbled),
         ];
         for (text, ending) in cases {
--- a/proxy/src/wire/worker.rs
+++ b/proxy/src/wire/worker.rs
@@ -42,6 +42,11 @@
 }
 
 impl Decoder {
+    /// Whether a reply has begun to come.
+    pub fn begun(&self) -> bool {
+        self.reader.pending() > 0
+    }
+
     /// Takes what has come in; a reply once it is whole.
     pub fn feed(&mut self, bytes: &[u8]) -> Option<Reply> {
         self.reader.feed(bytes);
--- a/proxy/tests/rules.rs
+++ b/proxy/tests/rules.rs
@@ -5,6 +5,8 @@
 use notchdoor_proxy::wire::resp::Value;
 use std::io::Write;
 use std::process::Command;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// A worker that answers each read with the id it came with.
@@ -326,3 +328,78 @@
     let (good, log) = proxy.wait();
     assert!(good && log.contains("a restart is needed for limits.memory_mb\n"), "{log}");
 }
+
+/// Guards against those who connect and say nothing, or half a command, and hold a descriptor for good.
+#[test]
+fn a_client_has_only_so_long_for_a_command() {
+    let (registry, worker, origin) = (Registry::start(), echo(), origin());
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    let (mut silent, mut half, mut later, mut good) =
+        (proxy.client(), proxy.client(), proxy.client(), proxy.client());
+    half.stream.write_all(b"*4\r\n$7\r\nOBJ.GET\r\n$1\r").unwrap();
+    assert_eq!(later.get("k", "id1", 2000), bulk("id1"));
+    later.stream.write_all(b"*4\r\n").unwrap();
+    assert_eq!(good.get("k", "id2", 2000), bulk("id2"));
+    let late = Some(Value::Error(b"ERR the command took too long".to_vec()));
+    assert_eq!((half.next(), half.next()), (late.clone(), None));
+    assert_eq!((later.next(), later.next()), (late, None));
+    assert_eq!(silent.next(), None);
+    assert_eq!(good.get("k", "id3", 2000), bulk("id3"), "who has asked may stay");
+}
+
+/// Guards against values that are read on for as long as their client sends, and against a reset that takes
+/// the error line with it.
+#[test]
+fn a_value_that_is_too_large_is_told_so_by_its_length() {
+    let (registry, worker, origin) = (Registry::start(), echo(), origin());
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    let mut bad = proxy.client();
+    let head = "*5\r\n$7\r\nOBJ.SET\r\n$1\r\nk\r\n$3\r\nid1\r\n$12\r\nc=close,d=90\r\n$60000000\r\n";
+    bad.stream.write_all(&[head.as_bytes(), &[b'x'; 400_000]].concat()).unwrap();
+    assert_eq!(bad.next(), Some(Value::Error(b"ERR Protocol error: too large".to_vec())));
+    assert_eq!(bad.next(), None);
+    assert!(worker.seen().is_empty() && origin.seen().is_empty());
+}
+
+/// Guards against a request that waits until its client gives up for the rest of an answer that never comes.
+#[test]
+fn an_answer_that_stops_half_way_is_asked_for_again() {
+    let asked = AtomicUsize::new(0);
+    let worker = Peer::worker(Box::new(move |words| match asked.fetch_add(1, Ordering::Relaxed) {
+        0 => Some(b"*3\r\n$90\r\nshort\r\n$3\r\nhit\r\n$-1\r\n".to_vec()),
+        _ => value(&words[2]),
+    }));
+    let (registry, origin) = (Registry::start(), origin());
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    assert_eq!(proxy.client().get("k", "id1", 2000), bulk("id1"));
+    assert_eq!((worker.seen().len(), origin.seen().len()), (2, 0));
+}
+
+/// Guards against a second copy that comes right behind an answer and is taken for the next command's: no
+/// connection takes another command at once.
+#[test]
+fn a_connection_rests_after_an_answer() {
+    let gaps = Arc::new(Mutex::new((None::<Instant>, Vec::new())));
+    let told = Arc::clone(&gaps);
+    let worker = Peer::worker(Box::new(move |words| {
+        let mut gaps = told.lock().unwrap();
+        if let Some(before) = gaps.0 {
+            gaps.1.push(before.elapsed());
+        }
+        gaps.0 = Some(Instant::now());
+        value(&words[2])
+    }));
+    let (registry, origin) = (Registry::start(), origin());
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    let mut client = proxy.client();
+    for n in 0..20 {
+        let id = format!("id{n}");
+        assert_eq!(client.get("k", &id, 2000), bulk(&id));
+    }
+    let gaps = gaps.lock().unwrap();
+    assert!(gaps.1.len() == 19 && gaps.1.iter().all(|g| *g >= Duration::from_millis(2)), "{:?}", gaps.1);
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -547,7 +547,7 @@
     assert_eq!(write(&mut brain, 10, Outcome::Reset), (true, true, false));
     assert_eq!(write(&mut brain, 11, Outcome::Ok), (true, false, false), "nothing was cut: 10 is out again");
     assert_eq!(
-        write(&mut brain, 12, Outcome::Reset),
+        write(&mut brain, 12, Outcome::Error),
         (true, false, true),
         "the second among eight is a breach"
     );
