Take broken connections and errors for a breach once most attempts break

One reset in eight was still enough for a cut (brain.rs broke), and three in a row had a worker passed over (HEALTH_GAIN), though nine in ten attempts were answered as ever. Now a window follows the share of broken and failed attempts over some K of them and is cut where it is more than a half; six resets in a row, not three, make a worker failing. A server that is gone refuses connections, which counts as before. Ruled out by a probe of idle ages: young connections break as often as old ones up to 80 ms (7 %); beyond, 30 % break at once, some 300 of 7,600 attempts, which a second attempt mends.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -47,6 +47,8 @@
 const HEALTH_GAIN: f64 = 0.25;
 /// A server fails when more than half of its latest attempts did.
 const FAILING: f64 = 0.5;
+/// What a broken connection counts beside a failure: it takes six in a row for a server to be failing.
+const BROKEN: f64 = 0.65;
 /// A server is slow when it takes this many times the median server's time: beyond any mix of models.
 const SLOW_RATIO: f64 = 3.0;
 /// At most this share of the table's weight is passed over, or the rest could not carry the load.
@@ -133,8 +135,8 @@
     /// When room was last asked for, and the mean time between two such.
     wanted_at: Micros,
     gap: f64,
-    /// Completions since a connection broke.
-    since_reset: usize,
+    /// The share of the latest k attempts or so that broke or failed.
+    breaking: f64,
     /// Over all caches: a few slow ones must not close it, so it goes by the median of k.
     pooled: bool,
     /// Aimed at what all balancers jam together, the origin or the caches as a whole: W may fall below one.
@@ -161,7 +163,7 @@
             sent_at: 0,
             wanted_at: 0,
             gap: 0.0,
-            since_reset: 0,
+            breaking: 1.0,
             pooled: false,
             shared: of_slack > 0.0,
         }
@@ -227,17 +229,17 @@
         self.calm = false;
     }
 
-    /// A connection broke. Whether that is a breach: it is alone among k completions where the other side only
-    /// closed it as the command went out, and seldom where a server is in trouble.
-    fn broke(&mut self) -> bool {
-        std::mem::take(&mut self.since_reset) < K || self.sparse()
+    /// One more attempt broke or failed, or did not. Whether most do, which is a breach: single ones only tell
+    /// of connections that the other side closed as the command went out.
+    fn broke(&mut self, broke: bool) -> bool {
+        self.breaking += (f64::from(u8::from(broke)) - self.breaking) / K as f64;
+        broke && (self.breaking > 0.5 || self.sparse())
     }
 
     /// One fetch or write has ended: Equation 2, in its one place.
     fn complete(&mut self, now: Micros, sent: Micros, delay: Micros, breach: bool, told: bool) {
         let in_use = f64::from(self.out) >= self.w / 2.0;
         self.out = self.out.saturating_sub(1);
-        self.since_reset = self.since_reset.saturating_add(1);
         // Guards against one jam cutting many times over: what was sent before a cut tells of the time
         // before it, and neither cuts nor regrows the window.
         if sent < self.cut_at || !told {
@@ -333,8 +335,8 @@
         self.latency += gain * (took - self.latency);
     }
 
-    fn outcome(&mut self, failed: bool) {
-        self.failing += HEALTH_GAIN * (f64::from(u8::from(failed)) - self.failing);
+    fn outcome(&mut self, failed: f64) {
+        self.failing += HEALTH_GAIN * (failed - self.failing);
     }
 }
 
@@ -817,7 +819,10 @@
             // A full server works: ejecting it would only move its whole load to the next one.
             Outcome::Full | Outcome::Cancelled | Outcome::Moot => return,
         };
-        health.outcome(failed);
+        // Guards against servers that are passed over for connections that broke: those of one that is gone
+        // are refused next.
+        let broke = if outcome == Outcome::Reset { BROKEN } else { 1.0 };
+        health.outcome(if failed { broke } else { 0.0 });
         // A miss costs a server little and says nothing of how long an answer takes.
         if answered && outcome != Outcome::Miss {
             health.answered(took);
@@ -1168,7 +1173,8 @@
         let cut_short =
             outcome == Outcome::Timeout && ((now - sent) as f64) < patience.unwrap_or(self.window.aim);
         let window = if fetch { &mut self.window } else { &mut self.servers[i].window };
-        let lone = matches!(outcome, Outcome::Reset | Outcome::Error) && !window.broke();
+        let broke = matches!(outcome, Outcome::Reset | Outcome::Error);
+        let lone = !window.broke(broke) && broke;
         let breach = breach && !cut_short && !lone;
         let told = !cut_short && !matches!(outcome, Outcome::Cancelled | Outcome::Moot);
         if fetch {
