--- a/proxy/src/ending.rs
+++ b/proxy/src/ending.rs
@@ -23,6 +23,8 @@
     BrokenSent,
     /// What came back after the command was written is no answer.
     Garbled,
+    /// A large answer began to come and there was no room for it.
+    NoRoom,
     /// No answer by the time set, and the command was written whole.
     TimedOutSent,
     /// The time set ran out before the command was written whole.
@@ -49,7 +51,7 @@
 
 impl Ending {
     /// All of them, in the order of the counters.
-    pub const ALL: [Ending; 20] = [
+    pub const ALL: [Ending; 21] = [
         Ending::Served,
         Ending::Missed,
         Ending::Errored,
@@ -59,6 +61,7 @@
         Ending::BrokenUnsent,
         Ending::BrokenSent,
         Ending::Garbled,
+        Ending::NoRoom,
         Ending::TimedOutSent,
         Ending::TimedOutUnsent,
         Ending::Cancelled,
@@ -85,7 +88,7 @@
             Ending::TurnedAway => Outcome::Full,
             Ending::ConnectRefused | Ending::ConnectTimedOut | Ending::BrokenUnsent => Outcome::ConnectFailed,
             Ending::BrokenSent => Outcome::Reset,
-            Ending::Garbled => Outcome::Spoilt,
+            Ending::Garbled | Ending::NoRoom => Outcome::Spoilt,
             Ending::TimedOutSent => Outcome::Timeout,
             Ending::Cancelled => Outcome::Cancelled,
             // The client's time was shorter than a connection may take: that says nothing of the worker.
@@ -112,6 +115,7 @@
             Ending::BrokenUnsent => "broken_unsent",
             Ending::BrokenSent => "broken_sent",
             Ending::Garbled => "garbled",
+            Ending::NoRoom => "no_room",
             Ending::TimedOutSent => "timed_out_sent",
             Ending::TimedOutUnsent => "timed_out_unsent",
             Ending::Cancelled => "cancelled",
--- a/proxy/src/lifecycle/config.rs
+++ b/proxy/src/lifecycle/config.rs
@@ -42,6 +42,8 @@
     pub most_delegated: usize,
     /// The most requests that are taken and not answered whole.
     pub most_taken: usize,
+    /// The most bytes of answers that are read at once, beyond one value's size each.
+    pub most_large: usize,
     /// The list as this proxy had it last.
     pub known: Option<Update>,
     /// The deployment's settings.
@@ -159,6 +161,7 @@
             most_clients,
             most_delegated: sockets - most_clients,
             most_taken: (values as usize).min(most_held).max(1),
+            most_large: (file.limits.memory_mb * 1024.0 * 1024.0 / 8.0) as usize,
             known: file.known,
             settings: file.settings,
         })
--- a/proxy/src/wire/driver/delegation.rs
+++ b/proxy/src/wire/driver/delegation.rs
@@ -22,6 +22,29 @@
 /// A connection rests so long after a reply before it takes another command. Guards against what comes right
 /// behind a reply, such as a second copy of it: read too early it would be taken for the next one's.
 const REST: Micros = 2_000;
+/// The part of the room for large answers that one delegation uses.
+struct Large<'a> {
+    shell: &'a Shell,
+    bytes: usize,
+}
+
+impl Large<'_> {
+    /// Counts what has come so far, beyond what is reckoned for any value. False if there is no room for it.
+    fn grown(&mut self, got: usize) -> bool {
+        let bytes = got.saturating_sub(MAX_VALUE);
+        let all = self.shell.large.get() - self.bytes + bytes;
+        self.bytes = bytes;
+        self.shell.large.set(all);
+        all <= self.shell.most_large || bytes == 0
+    }
+}
+
+impl Drop for Large<'_> {
+    fn drop(&mut self) {
+        self.shell.large.set(self.shell.large.get() - self.bytes);
+    }
+}
+
 /// No descriptor is left to the process, to the system; no port is left.
 const EMFILE: i32 = 24;
 const ENFILE: i32 = 23;
@@ -136,7 +159,7 @@
         return Reply::bare(ending);
     }
     drop(bytes);
-    let reply = read(&connection, &mut decoder).await;
+    let reply = read(shell, &connection, &mut decoder).await;
     if reply.reusable {
         let now = shell.clock.now();
         shell.pools.borrow_mut().put(now, server, generation, connection);
@@ -210,12 +233,17 @@
     Ok(())
 }
 
-async fn read(connection: &Connection, decoder: &mut Decoder) -> Reply {
+async fn read(shell: &Shell, connection: &Connection, decoder: &mut Decoder) -> Reply {
     let mut buffer = vec![0; MAX_VALUE / 4];
+    let (mut got, mut large) = (0, Large { shell, bytes: 0 });
     loop {
         match connection.io.get_ref().read(&mut buffer) {
             Ok(0) => return decoder.closed(),
             Ok(n) => {
+                got += n;
+                if !large.grown(got) {
+                    return Reply::bare(Ending::NoRoom);
+                }
                 if let Some(reply) = decoder.feed(buffer.get(..n).unwrap_or_default()) {
                     return reply;
                 }
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -54,6 +54,9 @@
     most_taken: usize,
     /// Bytes of answers that clients have not taken yet.
     unsent: Rc<Cell<usize>>,
+    /// Bytes of answers that are being read, beyond one value's size each, and how many there may be.
+    large: Cell<usize>,
+    most_large: usize,
     /// When the timer task wakes next.
     armed: Cell<Micros>,
     rearm: (Sender<()>, Receiver<()>),
@@ -92,6 +95,8 @@
             short: Cell::new(false),
             most_taken: config.most_taken,
             unsent: Rc::default(),
+            large: Cell::new(0),
+            most_large: config.most_large,
             armed: Cell::new(Micros::MAX),
             rearm: async_channel::bounded(1),
             heard: Cell::new(false),
--- a/proxy/src/wire/origin.rs
+++ b/proxy/src/wire/origin.rs
@@ -3,7 +3,7 @@
 use super::call::Call;
 use super::http::{self, Part};
 use super::worker::Reply;
-use super::MAX_VALUE;
+use super::MAX_ANSWER;
 use crate::ending::Ending;
 
 /// `GET /KEY`, or `PUT /KEY` with the value, with the id and the list of names and values as it came.
@@ -66,11 +66,11 @@
             Part::Head { status, rejected, length } => {
                 (self.status, self.rejected) = (status, rejected);
                 // What claims to be larger than any value is not waited for.
-                (length > Some(MAX_VALUE as u64)).then(|| Reply::bare(Ending::Garbled))
+                (length > Some(MAX_ANSWER as u64)).then(|| Reply::bare(Ending::Garbled))
             }
             Part::Data(data) => {
                 self.body.extend_from_slice(&data);
-                (self.body.len() > MAX_VALUE).then(|| Reply::bare(Ending::Garbled))
+                (self.body.len() > MAX_ANSWER).then(|| Reply::bare(Ending::Garbled))
             }
             Part::End { reusable } => {
                 let ending = match self.status {
@@ -112,7 +112,8 @@
 
     #[test]
     fn only_what_is_marked_as_rejected_never_ran() {
-        let large = format!("HTTP/1.1 200 x\r\nContent-Length: 65537\r\n\r\n{}", "x".repeat(65_537));
+        let large = format!("HTTP/1.1 200 x\r\n\r\n{}", "x".repeat(MAX_ANSWER + 1));
+        let whole = format!("HTTP/1.1 200 x\r\nContent-Length: 400000\r\n\r\n{}", "x".repeat(400_000));
         let cases: &[(&str, Ending)] = &[
             ("HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nvv", Ending::Served),
             ("HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", Ending::Errored),
@@ -124,6 +125,7 @@
             ("+OK\r\n", Ending::Garbled),
             ("HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\n", Ending::Garbled),
             (&large, Ending::Garbled),
+            (&whole, Ending::Served),
         ];
         for (text, ending) in cases {
             let reply = Decoder::default().feed(text.as_bytes());
--- a/proxy/src/wire/resp.rs
+++ b/proxy/src/wire/resp.rs
@@ -8,8 +8,8 @@
 const MAX_DEPTH: usize = 4;
 /// The longest line, which holds a length, a status or an error.
 const MAX_LINE: usize = 1024;
-/// The longest message: one value and what goes round it.
-const MAX_MESSAGE: usize = MAX_VALUE + 16 * 1024;
+/// What goes round the one large value of the longest message.
+const MAX_AROUND: usize = 16 * 1024;
 
 /// A value as RESP2 has it.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,15 +31,23 @@
 pub struct Malformed(pub &'static str);
 
 /// Takes bytes as they come and gives values once they are whole.
-#[derive(Default)]
 pub struct Reader {
+    /// The longest string.
+    most: usize,
     buffer: Vec<u8>,
     read: usize,
     /// A value cannot be whole before the buffer holds so many bytes beyond `read`.
     wanted: usize,
 }
 
+impl Default for Reader {
+    fn default() -> Self {
+        Reader::with_most(MAX_VALUE)
+    }
+}
+
 struct Cursor<'a> {
+    most: usize,
     bytes: &'a [u8],
     at: usize,
 }
@@ -95,7 +103,7 @@
             b'+' => Value::Simple(line.to_vec()),
             b'-' => Value::Error(line.to_vec()),
             b':' => Value::Int(Self::number(line)?),
-            b'$' => Value::Bulk(match Self::length(line, MAX_VALUE)? {
+            b'$' => Value::Bulk(match Self::length(line, self.most)? {
                 None => None,
                 Some(n) => {
                     let end = self.at + n;
@@ -118,6 +126,11 @@
 }
 
 impl Reader {
+    /// A reader that takes strings of so many bytes at the most.
+    pub fn with_most(most: usize) -> Self {
+        Reader { most, buffer: Vec::new(), read: 0, wanted: 0 }
+    }
+
     /// Takes what has come in.
     pub fn feed(&mut self, bytes: &[u8]) {
         if self.read > 0 {
@@ -138,7 +151,7 @@
         if bytes.len() < self.wanted.max(1) {
             return Ok(None);
         }
-        let mut cursor = Cursor { bytes, at: 0 };
+        let mut cursor = Cursor { most: self.most, bytes, at: 0 };
         match cursor.value(0) {
             Ok(value) => {
                 self.read += cursor.at;
@@ -151,7 +164,7 @@
                 }
                 Ok(Some(value))
             }
-            Err(Stop::More(wanted)) if bytes.len() <= MAX_MESSAGE && wanted <= MAX_MESSAGE => {
+            Err(Stop::More(wanted)) if bytes.len().max(wanted) <= self.most + MAX_AROUND => {
                 self.wanted = wanted;
                 Ok(None)
             }
--- a/proxy/src/wire/worker.rs
+++ b/proxy/src/wire/worker.rs
@@ -2,6 +2,7 @@
 
 use super::call::Call;
 use super::resp::{write_command, Malformed, Reader, Value};
+use super::MAX_ANSWER;
 use crate::ending::Ending;
 use notchdoor::Micros;
 
@@ -36,11 +37,16 @@
 }
 
 /// Reads one reply.
-#[derive(Default)]
 pub struct Decoder {
     reader: Reader,
 }
 
+impl Default for Decoder {
+    fn default() -> Self {
+        Decoder { reader: Reader::with_most(MAX_ANSWER) }
+    }
+}
+
 impl Decoder {
     /// Whether a reply has begun to come.
     pub fn begun(&self) -> bool {
@@ -117,6 +123,12 @@
                 assert_eq!(decoder.feed(&bytes[at..]), Some(expected), "{bytes:?} split at {at}");
             }
         }
+        let large = [b"*3\r\n$400000\r\n".as_slice(), &[b'v'; 400_000], b"\r\n$3\r\nhit\r\n$-1\r\n"].concat();
+        assert_eq!(Decoder::default().feed(&large).map(|r| r.value.map(|v| v.len())), Some(Some(400_000)));
+        assert_eq!(
+            Decoder::default().feed(b"*3\r\n$3000000000\r\n").map(|r| r.ending),
+            Some(Ending::Garbled)
+        );
         assert_eq!(Decoder::default().feed(b"HTTP").map(|r| r.ending), Some(Ending::Garbled));
         let behind = b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n+late\r\n";
         assert_eq!(
