Judge servers by the time to an answer's first byte, and by none on new connections

A probe of every cut: delays of 100 to 200 ms among 20 ms ones, answers of some hundred KB that take long to come over. At fault: brain.rs took now - sent for the delay, the connecting, the handshake and the transfer included. Test: a_delay_that_is_not_the_servers_own_cuts_nothing fails with the old lines.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -234,7 +234,7 @@
                         id,
                         attempt: e.attempt,
                         outcome,
-                        took: micros(e.took),
+                        took: Some(micros(e.took)),
                         last: e.last,
                         being_fetched: e.info == 3,
                     })
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -49,6 +49,18 @@
     pub call: C,
 }
 
+/// What a delegation brought beside its ending.
+#[derive(Debug, Default)]
+pub struct Brought {
+    /// The value or the receipt, where it was served.
+    pub value: Option<Vec<u8>>,
+    /// Another fetch of the missed key is out.
+    pub being_fetched: bool,
+    /// From the command to the first byte of its answer; `None` on a new connection, whose first command pays
+    /// for the handshake.
+    pub took: Option<Micros>,
+}
+
 /// What the driver has to do, in this order.
 pub enum Command<C> {
     /// Begin a delegation; [`Proxy::ended`] is owed for it.
@@ -192,33 +204,29 @@
     }
 
     /// A delegation has ended.
-    pub fn ended(
-        &mut self,
-        now: Micros,
-        delegation: DelegationId,
-        ending: Ending,
-        value: Option<Vec<u8>>,
-        being_fetched: bool,
-    ) {
+    pub fn ended(&mut self, now: Micros, delegation: DelegationId, ending: Ending, reply: Brought) {
         // What was called off has ended already: its late answer is nobody's.
         let Some((id, n)) = self.delegations.remove(&delegation) else { return };
         self.counters.ended(ending);
         let outcome = ending.outcome().unwrap_or(Outcome::Reset);
-        let (mut took, mut last) = (0, true);
+        let (mut waited, mut last) = (0, true);
         if let Some(held) = self.held.get_mut(&id) {
             if let Some(attempt) = held.attempts.get_mut(n as usize) {
                 attempt.out = false;
-                took = now.saturating_sub(attempt.sent);
+                waited = now.saturating_sub(attempt.sent);
             }
             if outcome == Outcome::Ok && !held.over {
                 held.over = true;
                 self.places.remove(&held.place);
                 self.counters.served += 1;
-                let answer = Answer::Served(value.unwrap_or_default());
+                let answer = Answer::Served(reply.value.unwrap_or_default());
                 self.commands.push(Command::Answer(held.place, answer));
             }
             last = held.over;
         }
+        let answered = matches!(ending, Ending::Served | Ending::Missed | Ending::Garbled | Ending::NoRoom);
+        let took = if answered { reply.took } else { Some(waited) };
+        let being_fetched = reply.being_fetched;
         self.feed(now, Event::Ended { id, attempt: n, outcome, took, last, being_fetched });
         self.forget(id);
     }
@@ -310,7 +318,7 @@
         self.delegations.remove(&attempt.delegation);
         self.commands.push(Command::Cancel(attempt.delegation));
         self.counters.ended(Ending::Cancelled);
-        let took = now.saturating_sub(attempt.sent);
+        let took = Some(now.saturating_sub(attempt.sent));
         let (outcome, last) = (Ending::Cancelled.outcome().unwrap_or(Outcome::Cancelled), held.over);
         let event = Event::Ended { id, attempt: n, outcome, took, last, being_fetched: false };
         self.inputs.push_back(event);
@@ -433,7 +441,7 @@
         let out = take(&mut proxy, 0, T);
         assert_eq!(proxy.taken(T, request(0, "read", T)), Err("id in use"));
         assert!(proxy.take_commands().is_empty(), "the first is not disturbed");
-        proxy.ended(T + 10, out[0], Ending::Served, Some(b"v".to_vec()), false);
+        proxy.ended(T + 10, out[0], Ending::Served, served());
         assert_eq!(answers(proxy.take_commands()), [((1, 0), Answer::Served(b"v".to_vec()))]);
         assert!(proxy.open.is_empty());
     }
@@ -446,6 +454,10 @@
         commands.into_iter().filter_map(delegation).collect()
     }
 
+    fn served() -> Brought {
+        Brought { value: Some(b"v".to_vec()), ..Brought::default() }
+    }
+
     fn answers(commands: Vec<Command<()>>) -> Vec<(Place, Answer)> {
         let answer = |c: Command<()>| match c {
             Command::Answer(place, answer) => Some((place, answer)),
@@ -460,10 +472,10 @@
         let out = take(&mut proxy, 0, T);
         assert_eq!((out.len(), proxy.owed()), (1, 1));
         assert!(!proxy.timers.is_empty());
-        proxy.ended(T + 10, out[0], Ending::Served, Some(b"v".to_vec()), false);
+        proxy.ended(T + 10, out[0], Ending::Served, served());
         let served = vec![((1, 0), Answer::Served(b"v".to_vec()))];
         assert_eq!(answers(proxy.take_commands()), served);
-        proxy.ended(T + 20, out[0], Ending::Served, Some(b"late".to_vec()), false);
+        proxy.ended(T + 20, out[0], Ending::Served, Brought::default());
         assert!(proxy.take_commands().is_empty(), "an ending that was told already is nobody's");
         assert_eq!((proxy.owed(), proxy.held.len(), proxy.timers.len()), (0, 0, 0));
     }
--- a/proxy/src/wire/driver/delegation.rs
+++ b/proxy/src/wire/driver/delegation.rs
@@ -2,7 +2,7 @@
 
 use super::Shell;
 use crate::ending::Ending;
-use crate::proxy::DelegationId;
+use crate::proxy::{Brought, DelegationId};
 use crate::state::pool::Ticket;
 use crate::wire::call::Call;
 use crate::wire::worker::{self, Reply};
@@ -98,6 +98,8 @@
 struct Trace {
     connected: Micros,
     new: bool,
+    written: Micros,
+    first: Micros,
 }
 
 /// Runs one delegation and tells the proxy how it ended.
@@ -118,16 +120,22 @@
     };
     let reply = future::or(attempt(&shell, server, &call, give_up_at, &sent, &mut trace), given_up).await;
     log::debug!(
-        "delegation {delegation} to {server}: {}, {} us, of these {} for a connection, new={}",
+        "delegation {delegation} to {server}: {}, {} us, of these {} for a connection, {} to the first byte, new={}",
         reply.ending.name(),
         shell.clock.now() - begun,
         trace.connected.saturating_sub(begun),
+        trace.first.saturating_sub(trace.written),
         trace.new
     );
     if let Some(task) = shell.delegations.borrow_mut().remove(&delegation) {
         task.detach();
     }
-    shell.drive(|proxy, now| proxy.ended(now, delegation, reply.ending, reply.value, reply.being_fetched));
+    let brought = Brought {
+        value: reply.value,
+        being_fetched: reply.being_fetched,
+        took: trace.first.checked_sub(trace.written).filter(|_| !trace.new),
+    };
+    shell.drive(|proxy, now| proxy.ended(now, delegation, reply.ending, brought));
 }
 
 async fn attempt(
@@ -159,7 +167,8 @@
         return Reply::bare(ending);
     }
     drop(bytes);
-    let reply = read(shell, &connection, &mut decoder).await;
+    trace.written = shell.clock.now();
+    let reply = read(shell, &connection, &mut decoder, trace).await;
     if reply.reusable {
         let now = shell.clock.now();
         shell.pools.borrow_mut().put(now, server, generation, connection);
@@ -233,13 +242,16 @@
     Ok(())
 }
 
-async fn read(shell: &Shell, connection: &Connection, decoder: &mut Decoder) -> Reply {
+async fn read(shell: &Shell, connection: &Connection, decoder: &mut Decoder, trace: &mut Trace) -> Reply {
     let mut buffer = vec![0; MAX_VALUE / 4];
     let (mut got, mut large) = (0, Large { shell, bytes: 0 });
     loop {
         match connection.io.get_ref().read(&mut buffer) {
             Ok(0) => return decoder.closed(),
             Ok(n) => {
+                if got == 0 {
+                    trace.first = shell.clock.now();
+                }
                 got += n;
                 if !large.grown(got) {
                     return Reply::bare(Ending::NoRoom);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -498,8 +498,8 @@
             Event::ListError => self.ask_later(actions),
             Event::Arrived(request) => self.arrived(now, request, actions),
             Event::Started { id, attempt } => self.started(id, attempt, actions),
-            Event::Ended { id, attempt, outcome, last, .. } => {
-                self.ended(now, id, attempt as usize, outcome, last, actions);
+            Event::Ended { id, attempt, outcome, took, last, .. } => {
+                self.ended(now, id, attempt as usize, (outcome, took), last, actions);
             }
             Event::Left(id) => {
                 self.close(id, actions);
@@ -808,7 +808,7 @@
     }
 
     /// What an attempt at a cache tells of its health.
-    fn observe(&mut self, now: Micros, i: usize, outcome: Outcome, took: f64) {
+    fn observe(&mut self, now: Micros, i: usize, outcome: Outcome, took: Option<f64>) {
         let late = self.window.aim * LATE;
         let health = &mut self.servers[i].health;
         let (failed, answered) = match outcome {
@@ -824,11 +824,11 @@
         let broke = if outcome == Outcome::Reset { BROKEN } else { 1.0 };
         health.outcome(if failed { broke } else { 0.0 });
         // A miss costs a server little and says nothing of how long an answer takes.
-        if answered && outcome != Outcome::Miss {
+        if let Some(took) = took.filter(|_| answered && outcome != Outcome::Miss) {
             health.answered(took);
         }
         if health.ejected {
-            if !failed && took < late {
+            if !failed && took.is_none_or(|took| took < late) {
                 health.good_trials += 1;
                 if health.good_trials >= TRIALS_TO_RETURN {
                     *health = Health::default();
@@ -837,7 +837,7 @@
                 health.good_trials = 0;
                 health.trial_pause = (health.trial_pause * 2).min(TRIAL_MOST);
             }
-        } else if outcome == Outcome::Ok {
+        } else if let Some(took) = took.filter(|_| outcome == Outcome::Ok) {
             self.timed(self.servers[i].member.kind, took);
             let (mean, dev) = &mut self.read_latency;
             *dev += 0.05 * ((took - *mean).abs() - *dev);
@@ -1142,7 +1142,7 @@
         now: Micros,
         id: RequestId,
         n: usize,
-        outcome: Outcome,
+        (outcome, took): (Outcome, Option<Micros>),
         last: bool,
         actions: &mut Vec<Action>,
     ) {
@@ -1177,18 +1177,22 @@
         let lone = !window.broke(broke) && broke;
         let breach = breach && !cut_short && !lone;
         let told = !cut_short && !matches!(outcome, Outcome::Cancelled | Outcome::Moot);
+        // Guards against large values and new connections that pass for a jam: what counts is the server's own
+        // time, where it can be told. A time-out took as long as was waited.
+        let answered = matches!(outcome, Outcome::Ok | Outcome::Miss | Outcome::Spoilt);
+        let delay = took.filter(|_| answered).unwrap_or(now - sent);
+        let timed = told && !lone && (took.is_some() || !answered);
         if fetch {
-            self.window.complete(now, sent, now - sent, breach, told && !lone);
+            self.window.complete(now, sent, delay, breach, timed);
         } else {
-            let timed = told && !lone && outcome != Outcome::Miss;
             // A miss takes a cache next to no time: it frees the slot and teaches nothing.
-            self.servers[i].window.complete(now, sent, now - sent, breach, timed);
-            let took = now - sent;
-            let late = self.pool.limit(K).map_or(took, |limit| took.max(limit as Micros));
-            self.pool.complete(now, sent, if breach { late } else { took }, false, timed);
+            let timed = timed && outcome != Outcome::Miss;
+            self.servers[i].window.complete(now, sent, delay, breach, timed);
+            let late = self.pool.limit(K).map_or(delay, |limit| delay.max(limit as Micros));
+            self.pool.complete(now, sent, if breach { late } else { delay }, false, timed);
             self.answers += u32::from(matches!(outcome, Outcome::Ok | Outcome::Miss));
             if told {
-                self.observe(now, i, outcome, (now - sent) as f64);
+                self.observe(now, i, outcome, took.map(|t| t as f64));
             }
         }
         if last && !was_over {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -223,8 +223,9 @@
         attempt: u32,
         /// How it ended.
         outcome: Outcome,
-        /// The time since it was sent.
-        took: Micros,
+        /// How long the server took over it; `None` where nothing tells that from what went before, such as the
+        /// handshake that a new connection's first command pays for.
+        took: Option<Micros>,
         /// Whether the request is over, by this outcome or before it.
         last: bool,
         /// The server says that another request is out to fetch the key that was missed.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -83,7 +83,7 @@
     took: Micros,
 ) -> Vec<Action> {
     let last = outcome == Outcome::Ok;
-    handle(brain, now, Event::Ended { id, attempt, outcome, took, last, being_fetched: false })
+    handle(brain, now, Event::Ended { id, attempt, outcome, took: Some(took), last, being_fetched: false })
 }
 
 /// The servers that the actions send to.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -564,3 +564,28 @@
         assert_eq!((!sent(&actions).is_empty(), refused(&actions)), (goes, !goes), "{left}");
     }
 }
+
+/// Guards against large values and new connections that pass for a jam: their answers take long to come over,
+/// and the server had begun them at once.
+#[test]
+fn a_delay_that_is_not_the_servers_own_cuts_nothing() {
+    let mut brain = brain(settings(), &members(6));
+    let mut now = START;
+    for id in 1..200 {
+        let request = Request { write: true, class: Some(3), ..read(id, id, now) };
+        assert_eq!(sent(&arrive(&mut brain, now, request)), [ORIGIN], "{id}");
+        // From the hundredth on every answer takes a second, of which the server had 30 ms, or nobody knows.
+        let elapsed = if id < 100 { 30 * MS } else { S };
+        let took = (id % 2 == 0).then_some(30 * MS);
+        now += elapsed;
+        let ended =
+            Event::Ended { id, attempt: 0, outcome: Outcome::Ok, took, last: true, being_fetched: false };
+        handle(&mut brain, now, ended);
+        let second = Request { write: true, class: Some(3), ..read(1000 + id, id, now) };
+        assert_eq!(sent(&arrive(&mut brain, now, second)), [ORIGIN], "{id}: room for two");
+        let third = Request { write: true, class: Some(3), ..read(2000 + id, id, now) };
+        assert_eq!(sent(&arrive(&mut brain, now, third)), [ORIGIN], "{id}: room for two");
+        end(&mut brain, now, 1000 + id, 0, Outcome::Cancelled, 0);
+        end(&mut brain, now, 2000 + id, 0, Outcome::Cancelled, 0);
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -143,7 +143,7 @@
                         self.answers += 1;
                     }
                     let last = seen.answered;
-                    let took = at - sent;
+                    let took = Some(at - sent);
                     self.tell(Event::Ended { id, attempt, outcome, took, last, being_fetched: false });
                 }
             }
