Try a refused connection to the origin again and cut no window for a single one

Full answers cut at once. Test: one_refused_connection_to_the_origin_is_tried_again fails with the old lines.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1173,7 +1173,7 @@
         let cut_short =
             outcome == Outcome::Timeout && ((now - sent) as f64) < patience.unwrap_or(self.window.aim);
         let window = if fetch { &mut self.window } else { &mut self.servers[i].window };
-        let broke = matches!(outcome, Outcome::Reset | Outcome::Error | Outcome::Timeout) && !cut_short;
+        let broke = breach && !cut_short && outcome != Outcome::Full;
         let lone = !window.broke(broke) && broke;
         let breach = breach && !cut_short && !lone;
         let told = !cut_short && !matches!(outcome, Outcome::Cancelled | Outcome::Moot);
@@ -1236,7 +1236,7 @@
                     self.give_up(now, id, actions);
                 }
             }
-            Outcome::Spoilt | Outcome::Reset => self.fetch(now, id, actions),
+            Outcome::Spoilt | Outcome::Reset | Outcome::ConnectFailed => self.fetch(now, id, actions),
             _ => self.give_up(now, id, actions),
         }
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -589,3 +589,24 @@
         end(&mut brain, now, 2000 + id, 0, Outcome::Cancelled, 0);
     }
 }
+
+/// Guards against a window cut, and writes that end, for single connections that the origin refuses: what never
+/// ran may be sent again whatever its class.
+#[test]
+fn one_refused_connection_to_the_origin_is_tried_again() {
+    let mut brain = brain(settings(), &members(6));
+    let mut now = START;
+    for id in 1..60 {
+        let request = Request { write: true, class: Some(3), ..read(id, id, now) };
+        assert_eq!(sent(&arrive(&mut brain, now, request)), [ORIGIN], "{id}");
+        now += 30 * MS;
+        if id > 20 && id % 10 == 0 {
+            assert_eq!(sent(&end(&mut brain, now, id, 0, Outcome::ConnectFailed, 30 * MS)), [ORIGIN]);
+            end(&mut brain, now, id, 1, Outcome::Ok, 0);
+            // Room for two shows that nothing was cut.
+            assert!(write(&mut brain, 100 + id, now, 0, Outcome::Ok));
+        } else {
+            end(&mut brain, now, id, 0, Outcome::Ok, 30 * MS);
+        }
+    }
+}
