Let those who asked once and stay give way before others are shut out

A probe at each shortage: 210 of 211 client descriptors held by connections that had asked once 0.5 to 1 s ago, 0 to 16 with an open request, 300 newcomers a second. At fault: client.rs accept began the 20 ms of SHUT_OUT anew after every accept, and closed eight at a time. Now the shortage lasts until nobody has come for 20 ms, those who asked once may go after 0.1 s, those who ask on only after 2 s, or 0.1 s once others have been shut out for 0.2 s. Refusals remain. Test: who_asked_once_gives_way_before_who_asks_on fails without it.

--- a/proxy/src/wire/acceptor.rs
+++ b/proxy/src/wire/acceptor.rs
@@ -170,9 +170,9 @@
         self.silent
     }
 
-    /// Whether a whole command has ever come.
-    pub fn asked(&self) -> bool {
-        self.asked > 0
+    /// How many whole commands have come.
+    pub fn asked(&self) -> u64 {
+        self.asked
     }
 
     /// Reads nothing more; see [`Session::finished`].
--- a/proxy/src/wire/driver/client.rs
+++ b/proxy/src/wire/driver/client.rs
@@ -39,10 +39,12 @@
 const IDLE: Micros = 2_000_000;
 const HALF: Micros = 1_000_000;
 const NEVER_ASKED: Micros = 20_000;
-/// Where that makes no room for so long, any that has been idle for so long may go: its client opens another,
-/// and those who wait cannot even be told.
+/// Where that makes no room for so long, any that asked once may go after a short time, and where that does not
+/// help for ten times as long, any: its client opens another, and those who wait cannot even be told.
 const SHUT_OUT: Micros = 20_000;
-const IDLE_AT_LEAST: Micros = 200_000;
+const IDLE_AT_LEAST: Micros = 100_000;
+/// Room is short until nobody has come for so long.
+const CALM: Micros = 20_000;
 /// So many may go at once: those who wait may be hundreds, and their time is short.
 const MOST_RETIRED: usize = 8;
 /// Pause after a failure to accept: the descriptor that is missing comes back when a connection ends.
@@ -147,22 +149,26 @@
 
 /// Accepts connections until the task is dropped.
 pub async fn accept(shell: Rc<Shell>, listener: Async<TcpListener>) {
+    // Since when room is short. Guards against a crowd of which each has to wait as the first one did.
+    let mut short_since = None;
     loop {
         // A descriptor of the budget first: a connection that could not be served is left to the backlog.
-        let short_since = shell.clock.now();
         let ticket = loop {
             match shell.client_budget.take() {
                 Some(ticket) => break ticket,
                 None => {
                     shell.short.set(true);
-                    shell.retire_some(short_since);
+                    let now = shell.clock.now();
+                    shell.retire_some(now.saturating_sub(*short_since.get_or_insert(now)));
                     Timer::after(NO_ROOM).await;
                 }
             }
         };
         shell.short.set(false);
+        let free_since = shell.clock.now();
         match listener.accept().await {
             Ok((io, _)) => {
+                short_since = short_since.filter(|_| free_since + CALM > shell.clock.now());
                 let _ = io.get_ref().set_nodelay(true);
                 shell.proxy.borrow_mut().counters.accepted += 1;
                 let id = shell.next_client.get();
@@ -201,19 +207,20 @@
 impl Shell {
     /// Has the client connections closed that have been idle for longest, if any have been for long enough. Guards
     /// against those who connect and stay: they must not shut others out.
-    fn retire_some(&self, short_since: Micros) {
+    fn retire_some(&self, short_for: Micros) {
         let (clients, now) = (self.clients.borrow(), self.clock.now());
         let idle = clients.values().filter(|c| {
             let session = c.session.borrow();
-            let least = match session.pending() {
-                0 if !session.asked() => NEVER_ASKED,
-                0 if short_since + SHUT_OUT <= now => IDLE_AT_LEAST,
-                0 => IDLE,
+            let least = match (session.pending(), session.asked()) {
+                (0, 0) => NEVER_ASKED,
+                (0, 1) if short_for >= SHUT_OUT => IDLE_AT_LEAST,
+                (0, _) if short_for >= 10 * SHUT_OUT => IDLE_AT_LEAST,
+                (0, _) => IDLE,
                 _ => HALF,
             };
             !c.retiring.get() && !session.busy() && c.used.get() + least <= now
         });
-        let mut idle: Vec<_> = idle.map(|c| (c.session.borrow().asked(), c.used.get(), c)).collect();
+        let mut idle: Vec<_> = idle.map(|c| (c.session.borrow().asked().min(2), c.used.get(), c)).collect();
         idle.sort_unstable_by_key(|&(asked, used, _)| (asked, used));
         for (_, _, client) in idle.into_iter().take(MOST_RETIRED) {
             // What it has begun to send is not read yet, and it will send that once more elsewhere.
@@ -228,7 +235,7 @@
         for client in self.clients.borrow().values() {
             let session = client.session.borrow();
             let since = match client.half_since.get() {
-                0 if session.asked() || session.pending() > 0 => continue,
+                0 if session.asked() > 0 || session.pending() > 0 => continue,
                 0 => client.used.get(),
                 since => since,
             };
--- a/proxy/tests/rules.rs
+++ b/proxy/tests/rules.rs
@@ -403,3 +403,27 @@
     let gaps = gaps.lock().unwrap();
     assert!(gaps.1.len() == 19 && gaps.1.iter().all(|g| *g >= Duration::from_millis(2)), "{:?}", gaps.1);
 }
+
+/// Guards against a crowd of clients that ask once and stay: they give way, and not those who go on asking.
+#[test]
+fn who_asked_once_gives_way_before_who_asks_on() {
+    let (registry, worker, origin) = (Registry::start(), echo(), origin());
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::with_sockets(&registry, &list, 96);
+    let mut regular = proxy.client();
+    for id in ["a", "b"] {
+        assert_eq!(regular.get("k", id, 2000), bulk(id));
+    }
+    let mut crowd = Vec::new();
+    for n in 0..100 {
+        crowd.push(proxy.client());
+        let id = format!("id{n}");
+        assert_eq!(crowd[n].get("k", &id, 2000), bulk(&id));
+        // What asked once is idle for long enough; who asks on would not be.
+        if n == 36 {
+            std::thread::sleep(Duration::from_millis(300));
+        }
+    }
+    assert_eq!(regular.get("k", "c", 2000), bulk("c"));
+    assert_eq!(crowd[0].next(), None);
+}
