Close connections that asked once and stay when half of the clients' room is used

A guess measured before building on it: the clients' side has a limit of its own on connections, and those that asked once and stay fill it. At fault: client.rs closed idle connections only where the last descriptor was taken. Ruled out: refusals of the module (4 of 1,220), connections closed with a request unread. Test: who_asked_once_gives_way_when_half_of_the_room_is_used fails without it.

--- a/proxy/src/wire/driver/client.rs
+++ b/proxy/src/wire/driver/client.rs
@@ -165,6 +165,11 @@
             }
         };
         shell.short.set(false);
+        // Guards against a front whose own room for connections is full of those that stay, before ours is: it
+        // cannot open another one then, and its clients are turned away without a word from here.
+        if shell.client_budget.used() * 2 > shell.most_clients {
+            shell.retire_some(SHUT_OUT);
+        }
         let free_since = shell.clock.now();
         match listener.accept().await {
             Ok((io, _)) => {
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -52,6 +52,7 @@
     /// Whether clients wait for a descriptor.
     short: Cell<bool>,
     most_taken: usize,
+    most_clients: usize,
     /// Bytes of answers that clients have not taken yet.
     unsent: Rc<Cell<usize>>,
     /// Bytes of answers that are being read, beyond one value's size each, and how many there may be.
@@ -94,6 +95,7 @@
             delegated_budget: Budget::new(config.most_delegated),
             short: Cell::new(false),
             most_taken: config.most_taken,
+            most_clients: config.most_clients,
             unsent: Rc::default(),
             large: Cell::new(0),
             most_large: config.most_large,
--- a/proxy/tests/rules.rs
+++ b/proxy/tests/rules.rs
@@ -427,3 +427,21 @@
     assert_eq!(regular.get("k", "c", 2000), bulk("c"));
     assert_eq!(crowd[0].next(), None);
 }
+
+/// Guards against a front that may hold fewer connections than there is room for here: those that asked once and
+/// stay are closed when half of the room is used, not when the last of it is.
+#[test]
+fn who_asked_once_gives_way_when_half_of_the_room_is_used() {
+    let (registry, worker, origin) = (Registry::start(), echo(), origin());
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    // Room for 38 clients.
+    let proxy = Proxy::with_sockets(&registry, &list, 96);
+    let mut crowd: Vec<Client> = (0..24).map(|_| proxy.client()).collect();
+    for (n, client) in crowd.iter_mut().enumerate() {
+        assert_eq!(client.get("k", &format!("id{n}"), 2000), bulk(&format!("id{n}")));
+    }
+    std::thread::sleep(Duration::from_millis(150));
+    let mut late = [proxy.client(), proxy.client()];
+    assert_eq!(late[1].get("k", "id99", 2000), bulk("id99"));
+    assert_eq!(crowd[0].next(), None);
+}
