--- /dev/null
+++ b/model/src/lib.rs
@@ -0,0 +1,32 @@
+//! A model of the platform that the proxies serve: the other side of every decision.
+//!
+//! Each part is a state machine that is told the time with each call and does no I/O. None knows whether the
+//! time is real: the lab drives them in virtual time, and stand-ins on sockets can drive them by the clock.
+//! Nothing here knows the decision module.
+//!
+//! - [`station`]: cores shared by the requests in work, with a waiting room; a worker's and the origin's heart.
+//! - [`memory`]: what a worker keeps, and which kept copies are void.
+//! - [`overload`]: whether more was sent, over a window of time, than could be borne.
+//! - [`worker`] and [`origin`]: the machines. [`report`]: what they tell of their load, late and noisily.
+//! - [`registry`]: the list of workers, as it is told: late, in turn, or not at all.
+//! - [`network`]: zones, links that may be cut, connections. [`front`]: which proxy a client reaches.
+//! - [`clients`]: who asks for what, when, for how long, and how often again.
+//! - [`faults`]: what goes wrong, as data, and random days of it.
+//! - [`spec`]: the figures of a whole world.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+pub mod clients;
+pub mod faults;
+pub mod front;
+pub mod memory;
+pub mod network;
+pub mod origin;
+pub mod overload;
+pub mod registry;
+pub mod report;
+pub mod spec;
+pub mod station;
+pub mod time;
+pub mod worker;
--- /dev/null
+++ b/model/src/network.rs
@@ -0,0 +1,171 @@
+//! Zones and links, machines that fall silent, and the connections of proxies to servers.
+
+use crate::time::{Time, NEVER};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHashMap;
+use std::collections::BTreeSet;
+
+/// Delays between zones, and which links are cut.
+pub struct Network {
+    same: Time,
+    cross: Vec<Vec<Time>>,
+    jitter: f64,
+    cut: BTreeSet<(u32, u32)>,
+}
+
+impl Network {
+    /// Zones with these one-way delays: within one, and between each two (drawn from the range).
+    pub fn new(zones: u32, same: Time, cross: (Time, Time), jitter: f64, rng: &mut ChaCha8Rng) -> Self {
+        let n = zones as usize;
+        let mut delays = vec![vec![same; n]; n];
+        for (a, b) in (0..n).flat_map(|a| (a + 1..n).map(move |b| (a, b))) {
+            let delay = rng.random_range(cross.0..=cross.1.max(cross.0));
+            delays[a][b] = delay;
+            delays[b][a] = delay;
+        }
+        Network { same, cross: delays, jitter, cut: BTreeSet::new() }
+    }
+
+    /// Cuts a zone off from all others, or heals it.
+    pub fn cut_zone(&mut self, zone: u32, cut: bool) {
+        for other in (0..self.cross.len() as u32).filter(|&o| o != zone) {
+            let link = (zone.min(other), zone.max(other));
+            if cut {
+                self.cut.insert(link);
+            } else {
+                self.cut.remove(&link);
+            }
+        }
+    }
+
+    /// Whether what is sent from one zone to another arrives.
+    pub fn linked(&self, a: u32, b: u32) -> bool {
+        a == b || !self.cut.contains(&(a.min(b), a.max(b)))
+    }
+
+    /// The usual one-way delay.
+    pub fn usual(&self, a: u32, b: u32) -> Time {
+        self.cross.get(a as usize).and_then(|row| row.get(b as usize)).copied().unwrap_or(self.same)
+    }
+
+    /// The one-way delay of one message.
+    pub fn delay(&self, a: u32, b: u32, rng: &mut ChaCha8Rng) -> Time {
+        let usual = self.usual(a, b) as f64;
+        (usual * (1.0 + self.jitter * rng.random::<f64>())) as Time
+    }
+}
+
+/// How a request gets a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Connection {
+    /// One with room is open.
+    Open,
+    /// A new one has to be opened.
+    New,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Pool {
+    open: u32,
+    busy: u32,
+    used: Time,
+}
+
+/// The pooled connections of proxies to servers. Each carries so many requests at a time; one that nothing
+/// was sent on for the idle time is closed by the server.
+pub struct Connections {
+    streams: u32,
+    idle: Time,
+    pools: FxHashMap<(u32, u32), Pool>,
+}
+
+impl Connections {
+    /// Connections that carry `streams` requests each and close after `idle`.
+    pub fn new(streams: u32, idle: Time) -> Self {
+        Connections { streams: streams.max(1), idle, pools: FxHashMap::default() }
+    }
+
+    /// A request takes its place on a connection. Says whether that is a new one, and how many were found
+    /// closed by the server for idleness.
+    pub fn take(&mut self, now: Time, proxy: u32, machine: u32) -> (Connection, u32) {
+        let pool = self.pools.entry((proxy, machine)).or_default();
+        let mut closed = 0;
+        if pool.busy == 0 && pool.open > 0 && now.saturating_sub(pool.used) >= self.idle {
+            closed = std::mem::take(&mut pool.open);
+        }
+        pool.busy += 1;
+        pool.used = now;
+        if pool.busy <= pool.open.saturating_mul(self.streams) {
+            return (Connection::Open, closed);
+        }
+        pool.open += 1;
+        (Connection::New, closed)
+    }
+
+    /// A request's place is free again; `closed` if its connection was given up with it.
+    pub fn give_back(&mut self, now: Time, proxy: u32, machine: u32, closed: bool) {
+        if let Some(pool) = self.pools.get_mut(&(proxy, machine)) {
+            pool.busy = pool.busy.saturating_sub(1);
+            pool.open -= u32::from(closed && pool.open > 0);
+            pool.used = now;
+        }
+    }
+
+    /// A server's process has ended: all connections to it are gone.
+    pub fn drop_machine(&mut self, machine: u32) {
+        self.pools.retain(|(_, m), _| *m != machine);
+    }
+
+    /// A proxy's process has ended. Gives back the machines that lost connections, and how many each, in order.
+    pub fn drop_proxy(&mut self, proxy: u32) -> Vec<(u32, u32)> {
+        let mut lost: Vec<(u32, u32)> = Vec::new();
+        self.pools.retain(|(p, m), pool| {
+            if *p == proxy {
+                lost.push((*m, pool.open));
+            }
+            *p != proxy
+        });
+        lost.sort_unstable();
+        lost
+    }
+
+    /// Requests on connections of this proxy to this machine.
+    pub fn busy(&self, proxy: u32, machine: u32) -> u32 {
+        self.pools.get(&(proxy, machine)).map_or(0, |p| p.busy)
+    }
+
+    /// Pools kept.
+    pub fn pools(&self) -> usize {
+        self.pools.len()
+    }
+}
+
+/// Machines that say nothing while they are cut off, and until when.
+#[derive(Default)]
+pub struct Silence {
+    until: FxHashMap<u32, Time>,
+}
+
+impl Silence {
+    /// The machine is silent until `until`.
+    pub fn begin(&mut self, machine: u32, until: Time) {
+        let entry = self.until.entry(machine).or_insert(0);
+        *entry = (*entry).max(until);
+    }
+
+    /// The machine can be heard again.
+    pub fn end(&mut self, machine: u32) {
+        self.until.remove(&machine);
+    }
+
+    /// Whether the machine is silent.
+    pub fn is_silent(&self, machine: u32, now: Time) -> bool {
+        self.until.get(&machine).copied().unwrap_or(0) > now
+    }
+
+    /// Whether it will be silent for ever.
+    pub fn for_ever(&self, machine: u32) -> bool {
+        self.until.get(&machine) == Some(&NEVER)
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -7,6 +7,9 @@
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
+mod look;
+pub use look::Look;
+
 // ---- Constants -----------------------------------------------------------------------------------------
 
 /// k of Equation 2: enough to average out single slow fetches, few enough to see a jam within k fetches.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,5 +5,5 @@
 mod brain;
 pub mod interface;
 
-pub use brain::Brain;
+pub use brain::{Brain, Look};
 pub use interface::*;
