--- /dev/null
+++ b/lab/src/broken.rs
@@ -0,0 +1,138 @@
+//! The decision module, broken on purpose in one way each: what the referee has to catch.
+
+use crate::policy::{Load, Policy, Sight};
+use notchdoor::{Action, Brain, Effect, Event, Micros, Outcome, RequestId, ServerId, ServerState, Settings};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// One way to be broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Break {
+    /// Repeats an at-most-once class after a time-out or a broken connection.
+    Repeats,
+    /// Forgets to answer a request now and then.
+    Forgets,
+    /// Goes on sending to a worker that drains.
+    IgnoresDrains,
+    /// Sends everything to whichever worker started last.
+    Stampedes,
+    /// Loses count of an attempt now and then.
+    Miscounts,
+}
+
+impl Break {
+    /// All of them.
+    pub const ALL: &'static [Break] =
+        &[Break::Repeats, Break::Forgets, Break::IgnoresDrains, Break::Stampedes, Break::Miscounts];
+
+    /// Its name as a policy.
+    pub fn name(self) -> &'static str {
+        match self {
+            Break::Repeats => "broken-repeats",
+            Break::Forgets => "broken-forgets",
+            Break::IgnoresDrains => "broken-ignores-drains",
+            Break::Stampedes => "broken-stampedes",
+            Break::Miscounts => "broken-miscounts",
+        }
+    }
+}
+
+/// A proxy whose decisions are broken in one way.
+pub struct Broken {
+    how: Break,
+    brain: Brain,
+    settings: Settings,
+    /// Open requests of at-most-once classes, with where they went last.
+    unsafe_ones: BTreeMap<RequestId, (ServerId, Micros)>,
+    drained: BTreeSet<ServerId>,
+    newest: Option<(Micros, ServerId)>,
+    refusals: u32,
+    lost: u64,
+}
+
+impl Broken {
+    /// A broken proxy.
+    pub fn new(how: Break, settings: Settings, seed: u64, now: Micros) -> Self {
+        Broken {
+            how,
+            brain: Brain::new(settings.clone(), seed, now),
+            settings,
+            unsafe_ones: BTreeMap::new(),
+            drained: BTreeSet::new(),
+            newest: None,
+            refusals: 0,
+            lost: 0,
+        }
+    }
+
+    fn note(&mut self, event: &Event<'_>) {
+        match event {
+            Event::Arrived(request) => {
+                let class = request.class.and_then(|c| self.settings.classes.get(c as usize));
+                if class.is_some_and(|c| c.effect == Effect::AtMostOnce) {
+                    self.unsafe_ones.insert(request.id, (0, request.due));
+                }
+            }
+            Event::WholeList(members) | Event::ListChange(members) => {
+                for m in members.iter().filter(|m| Some(m.kind) != self.settings.origin_kind) {
+                    if m.state == ServerState::Draining {
+                        self.drained.insert(m.server);
+                    }
+                    if m.state == ServerState::Serving && m.up_since > self.newest.map_or(0, |n| n.0) {
+                        self.newest = Some((m.up_since, m.server));
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn spoil(&mut self, actions: &mut Vec<Action>) {
+        for action in actions.iter_mut() {
+            if let Action::Send { id, server, .. } = action {
+                if let Some(last) = self.unsafe_ones.get_mut(id) {
+                    last.0 = *server;
+                } else if let (Break::Stampedes, Some((_, newest))) = (self.how, self.newest) {
+                    *server = newest;
+                } else if let (Break::IgnoresDrains, Some(drained)) = (self.how, self.drained.first()) {
+                    *server = *drained;
+                }
+            }
+        }
+        if self.how == Break::Forgets {
+            let refusals = &mut self.refusals;
+            actions.retain(|a| {
+                let last = matches!(a, Action::Refuse { .. } | Action::Fail { .. });
+                *refusals += u32::from(last);
+                !last || !refusals.is_multiple_of(16)
+            });
+        }
+    }
+}
+
+impl Policy for Broken {
+    fn handle(&mut self, now: Micros, event: Event<'_>, _: &dyn Sight, actions: &mut Vec<Action>) {
+        self.note(&event);
+        let ended = match event {
+            Event::Ended { id, outcome, last, .. } if !last => Some((id, outcome)),
+            _ => None,
+        };
+        self.brain.handle(now, event, actions);
+        if let (Break::Repeats, Some((id, Outcome::Reset | Outcome::Timeout))) = (self.how, ended) {
+            if let Some((server, due)) = self.unsafe_ones.get(&id).copied().filter(|(_, due)| now < *due) {
+                let answers = |a: &Action| matches!(a, Action::Fail { id: i } | Action::Refuse { id: i, .. } if *i == id);
+                actions.retain(|a| !answers(a));
+                actions.push(Action::Send { id, server, give_up_at: due });
+            }
+        }
+        if self.how == Break::Miscounts && ended.is_some() {
+            self.lost += 1;
+        }
+        self.spoil(actions);
+    }
+
+    fn load(&self) -> Option<Load> {
+        let (held, out) = self.brain.load();
+        // Broken as it is, what it holds is off in ways of its own; only this break is about counts.
+        (self.how == Break::Miscounts).then_some(Load { held, out: out + self.lost })
+    }
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,20 @@
+//! The lab: days of a whole fleet in virtual time, and experiments on them.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+pub mod baselines;
+pub mod broken;
+mod day;
+pub mod policy;
+pub mod record;
+pub mod rules;
+
+pub use day::play;
+pub mod charts;
+pub mod compare;
+pub mod experiment;
+pub mod report;
+pub mod scenario;
+pub mod search;
+pub mod stats;
