--- /dev/null
+++ b/cli/src/lab.rs
@@ -0,0 +1,360 @@
+//! `notchdoor lab`: days of a whole fleet in virtual time.
+
+use crate::{Exit, Outcome};
+use clap::{Args, Subcommand};
+use notchdoor_lab::policy::{Kind, USUAL};
+use notchdoor_lab::record::Day;
+use notchdoor_lab::scenario::{self, Scenario, BUILT_IN};
+use notchdoor_lab::search::Budget;
+use notchdoor_lab::{compare, experiment, report, search};
+use notchdoor_model::faults;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Play a scenario with several policies on several seeds; print a table, leave results and charts.
+    #[command(after_help = "Examples:
+  notchdoor lab run calm --out results/calm
+  notchdoor lab run payday flush --seeds 10 --policies notchdoor,rendezvous
+  notchdoor lab run calm --set load.share=0.3,0.5,0.7 --set workers.count=20")]
+    Run(Run),
+    /// Play random days until a rule is broken or the budget ends; what is found is shrunk and written down.
+    #[command(after_help = "Examples:
+  notchdoor lab search --days 2000 --out found
+  notchdoor lab search --days 100000 --minutes 10 --first")]
+    Search(Search),
+    /// Make a day on which a rule is broken as small as it can be.
+    #[command(
+        after_help = "Example:\n  notchdoor lab shrink lab/scenarios/found/drain.toml --out small.toml"
+    )]
+    Shrink(Shrink),
+    /// Compare two results day by day, and say whether they differ by more than noise.
+    #[command(after_help = "Examples:
+  notchdoor lab compare results/before results/after
+  notchdoor lab compare results/calm results/calm --a rendezvous --b notchdoor")]
+    Compare(Compare),
+    /// List the built-in scenarios, the policies and the kinds of fault.
+    List {
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+#[derive(Args)]
+pub struct Run {
+    /// Built-in scenarios by name, or files.
+    #[arg(required = true)]
+    scenarios: Vec<String>,
+    /// A folder for result.json, summary.md and the charts; made if need be.
+    #[arg(long, value_name = "DIR")]
+    out: Option<PathBuf>,
+    /// The first seed; the scenario's own where it is not given.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// How many seeds, from the first one on.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Policies to compare, by name: see `lab list`.
+    #[arg(long, value_delimiter = ',')]
+    policies: Vec<String>,
+    /// A field to change, as PATH=VALUE; several values with commas make a grid. May be given again.
+    #[arg(long, value_name = "PATH=VALUE")]
+    set: Vec<String>,
+    #[command(flatten)]
+    how: How,
+}
+
+#[derive(Args)]
+struct How {
+    /// Threads; as many as there are cores for 0. The results are the same for any number.
+    #[arg(long, default_value_t = 0)]
+    threads: usize,
+    /// Print JSON instead of tables.
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Args)]
+pub struct Search {
+    /// A scenario whose figures the random days start from.
+    #[arg(long, default_value = "calm")]
+    base: String,
+    /// Days at most.
+    #[arg(long, default_value_t = 2000)]
+    days: u64,
+    /// Begin no further day after so many minutes.
+    #[arg(long)]
+    minutes: Option<f64>,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Stop at the first broken rule.
+    #[arg(long)]
+    first: bool,
+    /// The policy.
+    #[arg(long, default_value = "notchdoor")]
+    policy: String,
+    /// A folder for the days found, each as a scenario file; made if need be.
+    #[arg(long, value_name = "DIR")]
+    out: Option<PathBuf>,
+    /// Shrink the first so many days of each rule that is broken.
+    #[arg(long, default_value_t = 1)]
+    shrink: usize,
+    #[command(flatten)]
+    how: How,
+}
+
+#[derive(Args)]
+pub struct Shrink {
+    /// The scenario file.
+    scenario: String,
+    /// The seed; the file's own where it is not given.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// The policy.
+    #[arg(long, default_value = "notchdoor")]
+    policy: String,
+    /// Where the small day goes; standard output where it is not given.
+    #[arg(long, value_name = "FILE")]
+    out: Option<PathBuf>,
+}
+
+#[derive(Args)]
+pub struct Compare {
+    /// A result: a folder of `lab run`, or its result.json.
+    a: PathBuf,
+    /// Another.
+    b: PathBuf,
+    /// The policy of A that is compared.
+    #[arg(long = "a", value_name = "POLICY", default_value = "notchdoor")]
+    of_a: String,
+    /// The policy of B that is compared.
+    #[arg(long = "b", value_name = "POLICY", default_value = "notchdoor")]
+    of_b: String,
+    /// Print JSON instead of a table.
+    #[arg(long)]
+    json: bool,
+}
+
+pub fn run(command: &Command) -> Outcome {
+    match command {
+        Command::Run(run) => play(run),
+        Command::Search(search) => find(search),
+        Command::Shrink(shrink) => make_small(shrink),
+        Command::Compare(compare) => hold_against(compare),
+        Command::List { json } => {
+            list(*json);
+            Ok(Exit::Good)
+        }
+    }
+}
+
+fn json(value: &impl serde::Serialize) {
+    println!("{}", serde_json::to_string(value).expect("results can always be written"));
+}
+
+/// The scenarios that a command names, with every choice of its grid.
+fn scenarios(names: &[String], set: &[String]) -> Result<Vec<Scenario>, String> {
+    let mut all = Vec::new();
+    let mut wrong = Vec::new();
+    for name in names {
+        for choice in scenario::grid(set) {
+            match scenario::load(name, &choice) {
+                Ok(scenario) => all.push(scenario),
+                Err(why) => wrong.push(why),
+            }
+        }
+    }
+    if wrong.is_empty() {
+        Ok(all)
+    } else {
+        Err(wrong.join("\n"))
+    }
+}
+
+fn play(run: &Run) -> Outcome {
+    let scenarios = scenarios(&run.scenarios, &run.set)?;
+    let policies: Vec<Kind> = if run.policies.is_empty() {
+        USUAL.to_vec()
+    } else {
+        run.policies.iter().map(|name| Kind::parse(name)).collect::<Result<_, _>>()?
+    };
+    let mut plans = Vec::new();
+    for scenario in &scenarios {
+        let first = run.seed.unwrap_or(scenario.spec.seed);
+        let seeds: Vec<u64> = (first..first.saturating_add(run.seeds.max(1))).collect();
+        plans.extend(experiment::plans(std::slice::from_ref(scenario), &policies, &seeds));
+    }
+    let days = experiment::run(&plans, run.how.threads, run.how.json)?;
+    if let Some(out) = &run.out {
+        experiment::write(&days, out)?;
+    }
+    if run.how.json {
+        days.iter().for_each(|day| json(day));
+    } else {
+        println!("{}", report::table(&days));
+        if let Some(out) = &run.out {
+            println!("result.json, summary.md and the charts are in {}", out.display());
+        }
+    }
+    let broken = report::broken(&days);
+    for day in &broken {
+        eprintln!("{}", report::breach(day).unwrap_or_default());
+    }
+    Ok(if broken.is_empty() { Exit::Good } else { Exit::Lost })
+}
+
+fn write(path: &Path, text: &str) -> Result<(), String> {
+    std::fs::write(path, text).map_err(|e| format!("{}: cannot write: {e}", path.display()))
+}
+
+/// A scenario file of a day that breaks a rule, headed by what it shows.
+fn found_file(day: &Day, spec: &notchdoor_model::spec::Spec) -> String {
+    let told: String = report::breach(day)
+        .unwrap_or_default()
+        .lines()
+        .take_while(|line| !line.contains("what led to it"))
+        .map(|line| format!("# {}\n", line.trim()))
+        .collect();
+    format!("{told}{}", scenario::write(spec))
+}
+
+fn find(options: &Search) -> Outcome {
+    let base = scenario::load(&options.base, &[])?;
+    let policy = Kind::parse(&options.policy)?;
+    let time = options.minutes.map(|m| Duration::from_secs_f64((m * 60.0).clamp(0.0, 1e6)));
+    let budget = Budget { days: options.days, time, first: options.first };
+    let found =
+        search::search(&base.spec, policy, options.seed, budget, options.how.threads, options.how.json)?;
+    let mut shrunk: Vec<(String, search::Shrunk)> = Vec::new();
+    for day in &found.found {
+        let rule = format!("{:?}", day.breach.rule);
+        if shrunk.iter().filter(|s| s.0 == rule).count() < options.shrink {
+            shrunk.extend(search::shrink(&day.spec, policy).map(|s| (rule, s)));
+        }
+    }
+    if let Some(out) = &options.out {
+        std::fs::create_dir_all(out).map_err(|e| format!("{}: cannot make: {e}", out.display()))?;
+        for (rule, small) in &shrunk {
+            let path = out.join(format!("{}-{}.toml", rule.to_lowercase(), small.spec.seed));
+            write(&path, &found_file(&small.day, &small.spec))?;
+        }
+    }
+    if options.how.json {
+        json(&serde_json::json!({
+            "days": found.days, "requests": found.requests, "faults": found.faults,
+            "took_s": found.took.as_secs_f64(),
+            "found": found.found.iter()
+                .map(|f| serde_json::json!({"seed": f.spec.seed, "breach": f.breach})).collect::<Vec<_>>(),
+        }));
+    } else {
+        println!(
+            "{} random days, {} requests, {} faults in {:.1} s: {} with a broken rule",
+            found.days,
+            found.requests,
+            found.faults,
+            found.took.as_secs_f64(),
+            found.found.len()
+        );
+        for day in &found.found {
+            println!("  seed {}: {}", day.spec.seed, day.breach.what);
+        }
+        for (rule, small) in &shrunk {
+            println!(
+                "\n{rule}, seed {}, shrunk in {} days to {} faults, {} workers, {} proxies:",
+                small.spec.seed,
+                small.tries,
+                small.spec.faults.len(),
+                small.spec.workers.count,
+                small.spec.proxies
+            );
+            print!("{}", report::breach(&small.day).unwrap_or_default());
+        }
+        if let Some(out) = options.out.as_ref().filter(|_| !shrunk.is_empty()) {
+            println!("the scenario files are in {}", out.display());
+        }
+    }
+    Ok(if found.found.is_empty() { Exit::Good } else { Exit::Lost })
+}
+
+fn make_small(options: &Shrink) -> Outcome {
+    let mut scenario = scenario::load(&options.scenario, &[])?;
+    scenario.spec.seed = options.seed.unwrap_or(scenario.spec.seed);
+    let policy = Kind::parse(&options.policy)?;
+    let Some(small) = search::shrink(&scenario.spec, policy) else {
+        return Err(format!("{}: breaks no rule on seed {}", options.scenario, scenario.spec.seed));
+    };
+    let text = found_file(&small.day, &small.spec);
+    match &options.out {
+        Some(path) => write(path, &text)?,
+        None => print!("{text}"),
+    }
+    eprintln!(
+        "{} days played; {} faults, {} workers, {} proxies are left",
+        small.tries,
+        small.spec.faults.len(),
+        small.spec.workers.count,
+        small.spec.proxies
+    );
+    eprint!("{}", report::breach(&small.day).unwrap_or_default());
+    Ok(Exit::Lost)
+}
+
+fn hold_against(options: &Compare) -> Outcome {
+    let of = |path: &Path, policy: &str| -> Result<Vec<Day>, String> {
+        let days = experiment::read(path)?;
+        let days: Vec<Day> = days.into_iter().filter(|d| d.policy == policy).collect();
+        if days.is_empty() {
+            return Err(format!("{}: holds no day of the policy '{policy}'", path.display()));
+        }
+        Ok(days)
+    };
+    let (a, b) = (of(&options.a, &options.of_a)?, of(&options.b, &options.of_b)?);
+    let lines = compare::compare(&a, &b)?;
+    let lost = compare::lost(&a, &b, &lines);
+    if options.json {
+        json(&serde_json::json!({"lines": lines, "lost": lost}));
+    } else {
+        println!(
+            "A: {} ({}), B: {} ({})",
+            options.a.display(),
+            options.of_a,
+            options.b.display(),
+            options.of_b
+        );
+        println!("{}", compare::table(&lines));
+    }
+    Ok(if lost { Exit::Lost } else { Exit::Good })
+}
+
+fn list(as_json: bool) {
+    let about = |text: &str| {
+        let spec = scenario::parse("built in", text).expect("built-in scenarios are tested");
+        spec.about
+    };
+    if as_json {
+        json(&serde_json::json!({
+            "scenarios": BUILT_IN.iter().map(|(n, t)| (*n, about(t))).collect::<std::collections::BTreeMap<_, _>>(),
+            "policies": Kind::all().iter().map(|k| k.name()).collect::<Vec<_>>(),
+            "faults": faults::Kind::ALL.iter().map(|k| (k.name(), k.meaning()))
+                .collect::<std::collections::BTreeMap<_, _>>(),
+        }));
+        return;
+    }
+    println!("Scenarios:");
+    for (name, text) in BUILT_IN {
+        println!("  {name:16} {}", about(text));
+    }
+    println!("\nPolicies:");
+    for kind in Kind::all() {
+        println!("  {}", kind.name());
+    }
+    println!("\nKinds of fault, with their figures and usual values:");
+    for kind in faults::Kind::ALL {
+        let figures: Vec<String> =
+            kind.figures().iter().map(|f| format!("{}={}", f.field.name(), f.usual)).collect();
+        println!("  {:16} {}\n  {:16} {}", kind.name(), kind.meaning(), "", figures.join(" "));
+    }
+}
--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,116 @@
+//! The program `notchdoor`: sub-commands, help and exit codes. What they do is in the libraries.
+
+#![forbid(unsafe_code)]
+
+mod check;
+mod lab;
+
+use clap::{CommandFactory, Parser, Subcommand};
+use notchdoor_proxy::lifecycle::log::Format;
+use notchdoor_proxy::lifecycle::serve::serve;
+use std::process::ExitCode;
+
+/// How a command ended, as a script can see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// All is well: 0.
+    Good,
+    /// A rule was broken, or a comparison lost: 1.
+    Lost,
+}
+
+/// What a command comes to; the error is wrong use or a wrong file, and exits with 2.
+pub type Outcome = Result<Exit, String>;
+
+const CODES: &str = "Exit codes:
+  0  all is well
+  1  a rule was broken, or a comparison lost
+  2  wrong use, or a file that is wrong
+
+Without a command, `notchdoor` serves.";
+
+/// A proxy for cache fleets with one slow origin, and the tools round it.
+#[derive(Parser)]
+#[command(name = "notchdoor", version, after_help = CODES, disable_help_subcommand = true)]
+struct Line {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve as a proxy: what EDGE_CONFIG, EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY say.
+    #[command(after_help = "Example:\n  EDGE_CONFIG=config.json notchdoor serve --log-format json")]
+    Serve {
+        /// How the log is written: text or json. NOTCHDOOR_LOG_FORMAT where this is not given.
+        #[arg(long, value_name = "FORMAT")]
+        log_format: Option<Format>,
+        /// The least level that is logged: error, warn, info or debug. NOTCHDOOR_LOG where this is not given.
+        #[arg(long, value_name = "LEVEL")]
+        log_level: Option<String>,
+    },
+    /// Check a file without using it.
+    #[command(subcommand)]
+    Check(check::Command),
+    /// Play days of a whole fleet in virtual time, and experiment with them.
+    #[command(subcommand)]
+    Lab(lab::Command),
+    /// Print what a shell needs to complete this program's commands.
+    #[command(
+        after_help = "Example:\n  notchdoor completions bash > ~/.local/share/bash-completion/completions/notchdoor"
+    )]
+    Completions {
+        /// The shell: bash, elvish, fish, powershell or zsh.
+        shell: clap_complete::Shell,
+    },
+}
+
+fn serve_with(format: Option<Format>, level: Option<String>) -> Outcome {
+    let format = match (format, std::env::var("NOTCHDOOR_LOG_FORMAT")) {
+        (Some(format), _) => format,
+        (None, Ok(text)) => text.parse().map_err(|e| format!("NOTCHDOOR_LOG_FORMAT: {e}"))?,
+        (None, Err(_)) => Format::Text,
+    };
+    let level = level.or_else(|| std::env::var("NOTCHDOOR_LOG").ok());
+    serve(format, level.as_deref()).map(|()| Exit::Good)
+}
+
+fn run() -> Outcome {
+    // A bare start is what the platform does a thousand times: it needs no parser.
+    if std::env::args_os().len() <= 1 {
+        return serve_with(None, None);
+    }
+    match Line::parse().command {
+        None => serve_with(None, None),
+        Some(Command::Serve { log_format, log_level }) => serve_with(log_format, log_level),
+        Some(Command::Check(command)) => check::run(&command),
+        Some(Command::Lab(command)) => lab::run(&command),
+        Some(Command::Completions { shell }) => {
+            clap_complete::generate(shell, &mut Line::command(), "notchdoor", &mut std::io::stdout());
+            Ok(Exit::Good)
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(Exit::Good) => ExitCode::SUCCESS,
+        Ok(Exit::Lost) => ExitCode::from(1),
+        Err(message) => {
+            for line in message.lines() {
+                eprintln!("notchdoor: {line}");
+            }
+            ExitCode::from(2)
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_command_line_is_sound() {
+        Line::command().debug_assert();
+    }
+}
--- a/proxy/src/lifecycle/log.rs
+++ b/proxy/src/lifecycle/log.rs
@@ -1,41 +1,122 @@
-//! The log: one line a record on standard error.
+//! The log: one line a record on standard error, as text or as JSON.
+//!
+//! A record's text is what docs/oncall.md lists. As JSON, the figures within it stand beside it under names of
+//! their own, from the record's key-values.
 
-use log::{LevelFilter, Log, Metadata, Record};
+use env_logger::{Builder, Target, WriteStyle};
+use log::kv::{Error, Key, Value, VisitSource};
+use log::{LevelFilter, Record};
+use serde_json::{Map, Value as Json};
 use std::io::Write;
+use std::str::FromStr;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-struct Logger {
-    name: String,
+/// How records are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Format {
+    /// Unix time in seconds, level, the proxy's name, text.
+    #[default]
+    Text,
+    /// One JSON object a line: `ts`, `level`, `name`, `msg`, and the record's key-values.
+    Json,
 }
 
-impl Log for Logger {
-    fn enabled(&self, metadata: &Metadata) -> bool {
-        metadata.level() <= log::max_level() && metadata.target().starts_with("notchdoor")
-    }
+impl FromStr for Format {
+    type Err = String;
 
-    fn log(&self, record: &Record) {
-        if self.enabled(record.metadata()) {
-            let t = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-            let line = format!(
-                "{}.{:03} {} {} {}\n",
-                t.as_secs(),
-                t.subsec_millis(),
-                record.level(),
-                self.name,
-                record.args()
-            );
-            // A log that cannot be written must not stop the proxy.
-            let _ = std::io::stderr().write_all(line.as_bytes());
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "text" => Ok(Format::Text),
+            "json" => Ok(Format::Json),
+            other => Err(format!("'{other}' is no log format: text and json are")),
         }
     }
+}
+
+struct Fields<'a>(&'a mut Map<String, Json>);
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let json = match (value.to_u64(), value.to_bool()) {
+            (Some(n), _) => Json::from(n),
+            (_, Some(b)) => Json::from(b),
+            _ => Json::from(value.to_string()),
+        };
+        self.0.insert(key.as_str().to_owned(), json);
+        Ok(())
+    }
+}
 
-    fn flush(&self) {}
+/// A record as one JSON object. The names that every record has go before a key-value's of the same name.
+fn json(record: &Record<'_>, name: &str, seconds: f64) -> Json {
+    let mut fields = Map::new();
+    // Visiting only fails where the visitor does, and this one does not.
+    let _ = record.key_values().visit(&mut Fields(&mut fields));
+    fields.insert("ts".to_owned(), Json::from(seconds));
+    fields.insert("level".to_owned(), Json::from(record.level().as_str()));
+    fields.insert("name".to_owned(), Json::from(name));
+    fields.insert("msg".to_owned(), Json::from(record.args().to_string()));
+    Json::Object(fields)
 }
 
-/// Starts the log for the proxy of this name, at the level that `NOTCHDOOR_LOG` names, `info` otherwise.
-pub fn start(name: &str) {
-    let level = std::env::var("NOTCHDOOR_LOG").ok().and_then(|l| l.parse().ok());
-    log::set_max_level(level.unwrap_or(LevelFilter::Info));
+/// Starts the log for the proxy of this name. `level` is what `--log-level` or `NOTCHDOOR_LOG` says; where it
+/// is no level, `info` is taken and the log says so.
+pub fn start(name: &str, format: Format, level: Option<&str>) {
+    let wanted = level.map(|l| (l, l.parse::<LevelFilter>()));
+    let filter = match wanted {
+        Some((_, Ok(level))) => level,
+        _ => LevelFilter::Info,
+    };
+    let name = name.to_owned();
+    let write = move |out: &mut env_logger::fmt::Formatter, record: &Record<'_>| {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        match format {
+            Format::Text => {
+                let (s, ms) = (now.as_secs(), now.subsec_millis());
+                writeln!(out, "{s}.{ms:03} {} {name} {}", record.level(), record.args())
+            }
+            Format::Json => {
+                let seconds = now.as_millis() as f64 / 1e3;
+                writeln!(out, "{}", json(record, &name, seconds))
+            }
+        }
+    };
     // Fails only where a log was started before, and then that one stays.
-    let _ = log::set_boxed_logger(Box::new(Logger { name: name.to_owned() }));
+    let _ = Builder::new()
+        .filter_module("notchdoor", filter)
+        .target(Target::Stderr)
+        .write_style(WriteStyle::Never)
+        .format(write)
+        .try_init();
+    if let Some((text, Err(_))) = wanted {
+        log::warn!("log: '{text}' is no level: error, warn, info, debug and off are; info is taken");
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_record_as_json_has_its_text_its_figures_and_what_every_record_has() {
+        let pairs = [("version", Value::from(41u64)), ("all", Value::from(true)), ("name", Value::from("x"))];
+        let json = json(
+            &Record::builder()
+                .args(format_args!("registry: version 41, \"quoted\"\nand broken"))
+                .level(log::Level::Info)
+                .key_values(&pairs)
+                .build(),
+            "n3",
+            12.5,
+        );
+        let text = json.to_string();
+        assert!(!text.contains('\n'), "one line a record: {text}");
+        assert_eq!(
+            json,
+            serde_json::json!({"ts": 12.5, "level": "INFO", "name": "n3", "version": 41, "all": true,
+                "msg": "registry: version 41, \"quoted\"\nand broken"})
+        );
+        assert_eq!("json".parse(), Ok(Format::Json));
+        assert!("xml".parse::<Format>().is_err_and(|e| e.contains("xml") && e.contains("json")));
+    }
 }
--- a/proxy/src/lifecycle/mod.rs
+++ b/proxy/src/lifecycle/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod clock;
 pub mod config;
-pub mod logger;
+pub mod log;
+pub mod serve;
 pub mod signals;
--- a/proxy/src/lifecycle/signals.rs
+++ b/proxy/src/lifecycle/signals.rs
@@ -46,7 +46,7 @@
 fn reload(shell: &Rc<Shell>, source: &Source) {
     match source.reread() {
         Ok(Reload { registry, wants_restart }) => {
-            log::info!("configuration read again, registry at {registry}");
+            log::info!(registry:%; "configuration read again, registry at {registry}");
             if !wants_restart.is_empty() {
                 log::warn!("configuration: a restart is needed for {}", wants_restart.join(", "));
             }
@@ -79,7 +79,7 @@
     }
     let (clients, owed) = (shell.clients_open(), shell.owed());
     if owed > 0 {
-        log::error!("stopped with {owed} requests unanswered on {clients} connections");
+        log::error!(owed, clients; "stopped with {owed} requests unanswered on {clients} connections");
     } else {
         log::info!("stopped with every request answered");
     }
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -236,7 +236,7 @@
         self.counters.registry_updates += 1;
         let rev = update.rev;
         let Some(applied) = self.registry.apply(update) else {
-            log::warn!("registry: changes up to {rev} came after {}", self.registry.rev());
+            log::warn!(version = rev; "registry: changes up to {rev} came after {}", self.registry.rev());
             return;
         };
         for server in applied.dropped {
--- a/proxy/src/state/counters.rs
+++ b/proxy/src/state/counters.rs
@@ -2,7 +2,6 @@
 
 use crate::ending::Ending;
 use std::collections::HashMap;
-use std::fmt;
 
 /// Counts since the start.
 #[derive(Clone, Debug, Default)]
@@ -48,29 +47,25 @@
     }
 }
 
-impl fmt::Display for Counters {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "taken={} rejected={} served={} refused={} failed={} left={} sent={} accepted={} opened={} reused={} \
-             registry_updates={} watches={} accept_errors={}",
-            self.taken,
-            self.rejected,
-            self.served,
-            self.refused,
-            self.failed,
-            self.left,
-            self.sent,
-            self.accepted,
-            self.opened,
-            self.reused,
-            self.registry_updates,
-            self.watches,
-            self.accept_errors
-        )?;
-        for ending in Ending::ALL {
-            write!(f, " ending_{}={}", ending.name(), self.endings(ending))?;
-        }
-        Ok(())
+impl Counters {
+    /// Every count with its name, in the order in which they are printed.
+    pub fn figures(&self) -> Vec<(String, u64)> {
+        let named = [
+            ("taken", self.taken),
+            ("rejected", self.rejected),
+            ("served", self.served),
+            ("refused", self.refused),
+            ("failed", self.failed),
+            ("left", self.left),
+            ("sent", self.sent),
+            ("accepted", self.accepted),
+            ("opened", self.opened),
+            ("reused", self.reused),
+            ("registry_updates", self.registry_updates),
+            ("watches", self.watches),
+            ("accept_errors", self.accept_errors),
+        ];
+        let endings = Ending::ALL.iter().map(|e| (format!("ending_{}", e.name()), self.endings(*e)));
+        named.into_iter().map(|(name, n)| (name.to_owned(), n)).chain(endings).collect()
     }
 }
--- a/proxy/src/state/registry.rs
+++ b/proxy/src/state/registry.rs
@@ -138,16 +138,16 @@
     fn line(&mut self, target: Target, dropped: &mut Vec<ServerId>) -> Option<Member> {
         let server = server_id(&target.uid);
         let Ok(endpoint) = target.endpoint.parse::<SocketAddr>() else {
-            log::error!("registry: {} has no usable endpoint: {:?}", target.uid, target.endpoint);
+            log::error!(worker = target.uid.as_str(); "registry: {} has no usable endpoint: {:?}", target.uid, target.endpoint);
             return None;
         };
         // Guards against two workers that the module would take for one.
         if let Some(other) = self.workers.get(&server).filter(|w| w.uid != target.uid) {
-            log::error!("registry: {} and {} share the number {server}", target.uid, other.uid);
+            log::error!(worker = target.uid.as_str(), server; "registry: {} and {} share the number {server}", target.uid, other.uid);
             return None;
         }
         if !self.workers.contains_key(&server) && self.workers.len() >= MOST_WORKERS {
-            log::error!("registry: no room for {}", target.uid);
+            log::error!(worker = target.uid.as_str(); "registry: no room for {}", target.uid);
             return None;
         }
         let gone = target.state == Readiness::Terminated;
--- a/proxy/src/wire/driver/client.rs
+++ b/proxy/src/wire/driver/client.rs
@@ -203,7 +203,7 @@
                     counters.accept_errors
                 };
                 if errors.is_power_of_two() {
-                    log::warn!("acceptor: cannot accept ({errors} times so far): {error}");
+                    log::warn!(errors; "acceptor: cannot accept ({errors} times so far): {error}");
                 }
                 Timer::after(ACCEPT_AGAIN).await;
             }
@@ -267,7 +267,7 @@
 
 async fn serve(shell: Rc<Shell>, id: u64, client: Rc<Client>, ticket: Ticket) {
     let ending = future::or(write(&client), read(&shell, id, &client)).await;
-    log::debug!("client {id}: {}", ending.name());
+    log::debug!(client = id, ending = ending.name(); "client {id}: {}", ending.name());
     if matches!(ending, Ending::ClientMalformed | Ending::ClientSilent) {
         linger(&shell, &client).await;
     }
--- a/proxy/src/wire/driver/delegation.rs
+++ b/proxy/src/wire/driver/delegation.rs
@@ -120,6 +120,7 @@
     };
     let reply = future::or(attempt(&shell, server, &call, give_up_at, &sent, &mut trace), given_up).await;
     log::debug!(
+        delegation, server, ending = reply.ending.name();
         "delegation {delegation} to {server}: {}, {} us, of these {} for a connection, {} to the first byte, new={}",
         reply.ending.name(),
         shell.clock.now() - begun,
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -247,15 +247,26 @@
         }
     }
 
-    /// Writes the counters to the log.
+    /// Writes the counters to the log: `name=n` in its text, and each under its name beside it.
     pub fn report(&self, what: &str) {
         let proxy = self.proxy.borrow();
-        log::info!(
-            "{what}: {} owed={} clients={} delegated={}",
-            proxy.counters,
-            proxy.owed(),
-            self.client_budget.used(),
-            self.delegated_budget.used()
+        let mut figures = proxy.counters.figures();
+        for (name, n) in [
+            ("owed", proxy.owed()),
+            ("clients", self.client_budget.used()),
+            ("delegated", self.delegated_budget.used()),
+        ] {
+            figures.push((name.to_owned(), n as u64));
+        }
+        let text: Vec<String> = figures.iter().map(|(name, n)| format!("{name}={n}")).collect();
+        log::logger().log(
+            &log::Record::builder()
+                .level(log::Level::Info)
+                .target(module_path!())
+                .module_path(Some(module_path!()))
+                .args(format_args!("{what}: {}", text.join(" ")))
+                .key_values(&figures)
+                .build(),
         );
     }
 
--- a/proxy/src/wire/driver/watch.rs
+++ b/proxy/src/wire/driver/watch.rs
@@ -19,7 +19,7 @@
 /// Watches until the watch ends, and tells the proxy how it did.
 pub async fn run(shell: Rc<Shell>) {
     let (ending, why) = watch(&shell).await;
-    log::warn!("registry: watch ended, {}: {why}", ending.name());
+    log::warn!(ending = ending.name(); "registry: watch ended, {}: {why}", ending.name());
     if let Some(task) = shell.watch.borrow_mut().take() {
         task.detach();
     }
@@ -68,7 +68,7 @@
             // A beat that changes nothing is no news.
             let level = if update.targets.is_empty() { log::Level::Debug } else { log::Level::Info };
             let (rev, lines) = (update.rev, update.targets.len());
-            log::log!(level, "registry: version {rev}, {lines} lines, all={}", update.all);
+            log::log!(level, version = rev, lines, all = update.all; "registry: version {rev}, {lines} lines, all={}", update.all);
             shell.drive(|proxy, now| proxy.update(now, update));
         }
         // A beat will do: the registry is there and has nothing that the list held lacks.
