Rank a large fleet over a compact table, with few logarithms; weigh it less often

Change: hashes and weights in one table, rebuilt when the fleet is weighed; -ln(u) >= 1 - u rules nearly all of a large fleet out; the origin's places are kept; a fleet of more than 256 is weighed less often in proportion. Fleets of up to 63 caches are ranked as before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -75,8 +75,10 @@
 const HOT_LEAST_SPARSE: u32 = 2;
 /// An epoch also lasts until so many reads for each server were counted.
 const HOT_SPAN: usize = 1;
-/// So many ranks are kept in order; beyond them any cache is as good as another.
+/// So many ranks are kept in order, and of a large fleet twice as many in all: the rest is as good as any.
 const RANKED: usize = 16;
+/// A fleet of more servers is weighed less often in proportion: it takes the same time however many there are.
+const WEIGHED: u64 = 256;
 /// Length of an epoch in which keys are counted.
 const EPOCH: Micros = 1_000_000;
 /// A cold server's budget beside what warm ones of its weight answer: chance, not load, may use it up. It is
@@ -105,11 +107,10 @@
     }
 }
 
-/// How well a server ranks for a key: weighted rendezvous hashing, the same at every balancer. A weight
-/// that grows only draws keys to its server, never between others.
-fn rank(key: Key, server: ServerId, weight: f64) -> f64 {
-    let u = ((mix(key ^ mix(u64::from(server).wrapping_add(1))) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-    weight / -u.ln()
+/// What a key draws at a server, from 0 to 1: the same at every balancer. It ranks there by weight / -ln(draw),
+/// weighted rendezvous hashing: a weight that grows only draws keys to its server, never between others.
+fn draw(key: Key, hash: u64) -> f64 {
+    ((mix(key ^ hash) >> 11) as f64 + 0.5) / (1u64 << 53) as f64
 }
 
 // ---- Window: Equation 2 --------------------------------------------------------------------------------
@@ -427,6 +428,9 @@
     /// The window on what is out at all caches together.
     pool: Window,
     servers: Vec<Server>,
+    /// The caches that serve, as hash, weight and place among `servers`; and the origin's places.
+    table: Vec<(u64, f64, usize)>,
+    origins: Vec<usize>,
     index: BTreeMap<ServerId, usize>,
     held: BTreeMap<RequestId, Held>,
     flights: BTreeMap<(Key, usize), Flight>,
@@ -465,6 +469,8 @@
             settings,
             rng: Rng(seed),
             servers: Vec::new(),
+            table: Vec::new(),
+            origins: Vec::new(),
             index: BTreeMap::new(),
             held: BTreeMap::new(),
             flights: BTreeMap::new(),
@@ -638,15 +644,27 @@
             self.servers[i].weight = weight;
             self.weight_sum += weight;
         }
+        let hash = |s: &Server| mix(u64::from(s.member.server).wrapping_add(1));
+        let caches = self.servers.iter().enumerate().filter(|(_, s)| s.weight > 0.0);
+        self.table = caches.map(|(i, s)| (hash(s), s.weight, i)).collect();
+        self.origins = (0..self.servers.len()).filter(|&i| self.is_origin(&self.servers[i])).collect();
         self.judge(now);
     }
 
     /// The servers for a key, best first.
     fn ranked(&self, key: Key) -> Vec<usize> {
-        let mut ranks: Vec<(f64, usize)> = (0..self.servers.len())
-            .filter(|&i| self.servers[i].weight > 0.0)
-            .map(|i| (rank(key, self.servers[i].member.server, self.servers[i].weight), i))
-            .collect();
+        let (mut ranks, mut least) = (Vec::with_capacity(4 * RANKED), 0.0);
+        for &(hash, weight, i) in &self.table {
+            let u = draw(key, hash);
+            // Nearly all of a large fleet ranks too low, and needs no logarithm to tell: -ln(u) >= 1 - u.
+            if weight > least * (1.0 - u) {
+                ranks.push((weight / -u.ln(), i));
+            }
+            if ranks.len() == 4 * RANKED {
+                least = ranks.select_nth_unstable_by(2 * RANKED - 1, |a, b| b.0.total_cmp(&a.0)).1 .0;
+                ranks.truncate(2 * RANKED);
+            }
+        }
         // A read looks at the first few; sorting the whole fleet for each would cost most of the CPU.
         if ranks.len() > RANKED {
             ranks.select_nth_unstable_by(RANKED, |a, b| b.0.total_cmp(&a.0));
@@ -658,8 +676,8 @@
     }
 
     fn origin(&self) -> Option<usize> {
-        let serving = |s: &Server| s.member.state == ServerState::Serving && self.is_origin(s);
-        (0..self.servers.len()).filter(|&i| serving(&self.servers[i])).min_by_key(|&i| self.servers[i].out)
+        let serving = |i: &usize| self.servers[*i].member.state == ServerState::Serving;
+        self.origins.iter().copied().filter(serving).min_by_key(|&i| self.servers[i].out)
     }
 
     /// Whether own delays of one cache never come together while they are news.
@@ -854,7 +872,7 @@
     fn arrived(&mut self, now: Micros, request: Request, actions: &mut Vec<Action>) {
         let id = request.id;
         self.count(now, &request);
-        if now.saturating_sub(self.weights_at) >= EPOCH / 10 {
+        if now.saturating_sub(self.weights_at) >= EPOCH / 10 * (self.servers.len() as u64).div_ceil(WEIGHED) {
             self.weigh(now);
         }
         let (due, write) = (request.due, request.write);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -293,3 +293,28 @@
     // With budgets that start at nothing no balancer would earn a send while the server is cold.
     assert!(all >= 1, "the cold server is left out");
 }
+
+/// Guards the shortcut by which a large fleet is ranked: the server that a key has must be the best of all.
+#[test]
+fn a_key_of_a_large_fleet_goes_to_the_best_of_all_its_servers() {
+    fn mix(mut x: u64) -> u64 {
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^ (x >> 31)
+    }
+    for n in [20u32, 63, 64, 65, 3_000] {
+        let list: Vec<Member> =
+            (100..100 + n).map(|s| Member { size: 1.0 + f64::from(s % 3), ..member(s) }).collect();
+        let mut brain = brain(settings(), &[&list[..], &[member(ORIGIN)]].concat());
+        for key in 0..200u64 {
+            let rank = |m: &Member| {
+                let u = (mix(key ^ mix(u64::from(m.server) + 1)) >> 11) as f64 + 0.5;
+                m.size / -(u / (1u64 << 53) as f64).ln()
+            };
+            let best = list.iter().max_by(|a, b| rank(a).total_cmp(&rank(b))).unwrap();
+            let actions = arrive(&mut brain, START, read(key + 1, key, START));
+            assert_eq!(sent(&actions), [best.server], "{n} servers, key {key}");
+            end(&mut brain, START, key + 1, 0, Outcome::Ok, 10 * MS);
+        }
+    }
+}
