--- a/lab/src/charts.rs
+++ b/lab/src/charts.rs
@@ -45,7 +45,7 @@
 }
 
 /// Draws curves over the seconds of a day.
-fn curves(path: &Path, title: &str, unit: &str, most: Option<f64>, curves: &[Curve]) -> Drawn {
+fn curves(path: &Path, title: &str, (unit, most): (&str, Option<f64>), day: &Day, curves: &[Curve]) -> Drawn {
     let area = SVGBackend::new(path, SIZE).into_drawing_area();
     area.fill(&WHITE).map_err(told)?;
     // The names stand in a column of their own: over the curves they would hide some of them.
@@ -64,13 +64,26 @@
         .map_err(told)?;
     chart
         .configure_mesh()
-        .x_desc("seconds of the day")
+        .x_desc("seconds of the scored part; before 0 memories fill; grey: a fault")
         .y_desc(unit)
         .light_line_style(WHITE)
         .label_style(("sans-serif", 14))
         .axis_desc_style(("sans-serif", 15))
         .draw()
         .map_err(told)?;
+    for fault in &day.faults {
+        // What is over at once is a line still wide enough to be seen.
+        let length = fault.length_s.max((until - from) / 300.0);
+        let band = [(fault.at_s, 0.0), ((fault.at_s + length).min(until), top)];
+        chart.draw_series([Rectangle::new(band, BLACK.mix(0.08).filled())]).map_err(told)?;
+    }
+    for (i, fault) in day.faults.iter().enumerate() {
+        // Beneath one another, so that faults of about one time can be told apart.
+        let (x, y) = chart.backend_coord(&(fault.at_s, top));
+        let place = (x + 3, y + 3 + 14 * (i as i32 % 6));
+        let style = ("sans-serif", 12).into_font().color(&BLACK.mix(0.6));
+        left.draw(&Text::new(fault.kind.name(), place, style)).map_err(told)?;
+    }
     for curve in curves {
         let style = COLOURS[curve.colour % COLOURS.len()].stroke_width(2);
         chart.draw_series(LineSeries::new(curve.points.iter().copied(), style)).map_err(told)?;
@@ -153,8 +166,11 @@
 
 fn points(day: &Day, of: impl Fn(&Second) -> Option<f64>) -> Vec<(f64, f64)> {
     let last = day.seconds.len().saturating_sub(1);
-    let points: Vec<(f64, f64)> =
-        day.seconds[..last].iter().enumerate().filter_map(|(i, s)| of(s).map(|y| (i as f64, y))).collect();
+    let points: Vec<(f64, f64)> = day.seconds[..last]
+        .iter()
+        .enumerate()
+        .filter_map(|(i, s)| of(s).map(|y| (i as f64 + 0.5 - day.warm_up_s, y)))
+        .collect();
     smooth(&points)
 }
 
@@ -193,6 +209,8 @@
         let prefix = if scenarios.len() > 1 { format!("{plain}-") } else { String::new() };
         let of: Vec<_> = all.iter().filter(|g| g.scenario == *scenario).collect();
         let title = |what: &str| format!("{what} ({scenario})");
+        // Charts by class, by tenant and of windows are of the first policy's day.
+        let first = of[0].days[0];
         for (file, what, unit, most, figure) in BY_SECOND {
             let name = format!("{prefix}{file}");
             let lines: Vec<Curve> = of
@@ -204,11 +222,9 @@
                     colour: k,
                 })
                 .collect();
-            curves(&folder.join(&name), &title(what), unit, *most, &lines)?;
+            curves(&folder.join(&name), &title(what), (unit, *most), first, &lines)?;
             names.push(name);
         }
-        // The first policy's day by class, by tenant and its windows.
-        let first = of[0].days[0];
         let share = |asked: f64, earned: f64| (asked > 0.0).then(|| earned / asked);
         let by = |names: Vec<String>, of: &dyn Fn(&Second, usize) -> Option<f64>| -> Vec<Curve> {
             names
@@ -250,7 +266,7 @@
         ] {
             let name = format!("{prefix}{file}");
             let title = format!("{what}: {} ({scenario})", first.policy);
-            curves(&folder.join(&name), &title, unit, most, &lines)?;
+            curves(&folder.join(&name), &title, (unit, most), first, &lines)?;
             names.push(name);
         }
         let figure = |g: &crate::report::Group<'_>, f: fn(&Day) -> f64| {
--- a/lab/src/day/world.rs
+++ b/lab/src/day/world.rs
@@ -69,6 +69,8 @@
 
 /// While memories fill, the origin is so many times as wide: a day begins with what was asked for lately.
 pub const WIDE: f64 = 20.0;
+/// And for so much of the warm-up: the rest is for the policies to find out what it can really do.
+pub const WIDE_FOR: f64 = 0.6;
 /// The zone of the origin.
 pub const ORIGIN_ZONE: u32 = 0;
 
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -2,6 +2,7 @@
 
 use crate::rules::Breach;
 use hdrhistogram::Histogram;
+use notchdoor_model::faults::Fault;
 use notchdoor_model::spec::Spec;
 use notchdoor_model::time::{Time, S};
 use serde::{Deserialize, Serialize};
@@ -115,6 +116,10 @@
     pub seed: u64,
     /// Fields that were set beside the scenario's own.
     pub set: Vec<String>,
+    /// Seconds before the scored part.
+    pub warm_up_s: f64,
+    /// What went wrong, by schedule.
+    pub faults: Vec<Fault>,
     /// A hash over every event and action of the day, in order.
     pub digest: String,
     /// What it is judged by.
--- a/lab/tests/days.rs
+++ b/lab/tests/days.rs
@@ -11,6 +11,8 @@
 fn day(faults: &[Fault]) -> Spec {
     let mut spec = Spec { length_s: 24.0, warm_up_s: 8.0, ..Spec::default() };
     spec.load.share = 0.5;
+    // Enough sign-offs that some are out whenever something happens.
+    spec.classes[2].share = 0.3;
     spec.faults = faults.to_vec();
     spec
 }
--- a/model/src/station.rs
+++ b/model/src/station.rs
@@ -106,6 +106,8 @@
     in_work: usize,
     waiting: VecDeque<(Job, f64)>,
     held: FxHashMap<Job, Held>,
+    /// Requests beyond what it takes since it was made smaller; they are done all the same.
+    over: usize,
     tally: Tally,
 }
 
@@ -124,6 +126,7 @@
             in_work: 0,
             waiting: VecDeque::new(),
             held: FxHashMap::default(),
+            over: 0,
             tally: Tally::default(),
         }
     }
@@ -148,9 +151,9 @@
         self.tally
     }
 
-    /// The most that it may ever hold.
+    /// The most that it may hold now.
     pub fn bound(&self) -> usize {
-        self.figures.slots + self.figures.room
+        self.figures.slots + self.figures.room + self.over
     }
 
     /// Work that each request in work is given in a microsecond.
@@ -199,10 +202,16 @@
         }
     }
 
+    /// Requests beyond slots and waiting room.
+    fn beyond(&self) -> usize {
+        self.held.len().saturating_sub(self.figures.slots + self.figures.room)
+    }
+
     fn leave(&mut self, job: Job, at: Time) -> Option<Held> {
         let held = self.held.remove(&job)?;
         self.in_work -= usize::from(held.running);
         self.tally.sojourn += u128::from(at - held.offered);
+        self.over = self.over.min(self.beyond());
         Some(held)
     }
 
@@ -278,6 +287,7 @@
     pub fn resize(&mut self, cores: f64, slots: usize) {
         self.figures.cores = cores;
         self.figures.slots = slots;
+        self.over = self.beyond();
         self.begin_next();
     }
 
--- a/model/tests/machines.rs
+++ b/model/tests/machines.rs
@@ -5,7 +5,7 @@
 use notchdoor_model::network::{Connection, Connections, Network, Silence};
 use notchdoor_model::registry::{self, Line, Listed, Registry, Telling, Told};
 use notchdoor_model::report::Reporter;
-use notchdoor_model::station::{self, Crowding};
+use notchdoor_model::station::{self, Crowding, Offer, Station};
 use notchdoor_model::time::{rng, Purpose, Time, MS, S};
 use notchdoor_model::worker::{Figures, OnCancel, State, Taken, Worker};
 
@@ -264,3 +264,21 @@
     front.set_died(2, None);
     assert_eq!(picks(&front, 9 * S, 0), [Some(2)]);
 }
+
+/// Guards a bound that random days found broken: an origin that has just been made smaller holds more than fits.
+#[test]
+fn a_station_made_smaller_finishes_what_it_has_and_takes_nothing_more() {
+    let figures = station::Figures { cores: 8.0, slots: 8, room: 2, crowding: Crowding::default() };
+    let mut s = Station::new(figures, 1.0, 0);
+    assert!((0..10).all(|job| s.offer(0, job, 1_000.0) == Offer::Taken));
+    assert!(s.held() <= s.bound() && s.offer(0, 10, 1.0) == Offer::Full);
+    s.resize(1.0, 1);
+    assert_eq!((s.held(), s.bound()), (10, 10));
+    assert_eq!(s.offer(0, 11, 1.0), Offer::Full);
+    let mut done = Vec::new();
+    while let Some(at) = s.wake_at() {
+        s.advance(at, &mut done);
+        assert!(s.held() <= s.bound() && s.bound() >= 3);
+    }
+    assert_eq!((done.len(), s.bound()), (10, 3), "the bound is the new one once they are done");
+}
