--- a/model/src/station.rs
+++ b/model/src/station.rs
@@ -252,7 +252,8 @@
     /// Offers a request of `work` microseconds of a standard core. Call [`Station::advance`] to `now` first.
     pub fn offer(&mut self, now: Time, job: Job, work: f64) -> Offer {
         debug_assert!(now == self.now, "offered at {now}, advanced to {}", self.now);
-        if self.in_work >= self.figures.slots && self.waiting.len() >= self.figures.room {
+        let waits = self.in_work >= self.figures.slots;
+        if waits && (self.waiting.len() >= self.figures.room || self.held() >= self.bound()) {
             self.tally.turned_away += 1;
             return Offer::Full;
         }
--- a/model/tests/machines.rs
+++ b/model/tests/machines.rs
@@ -269,16 +269,18 @@
 #[test]
 fn a_station_made_smaller_finishes_what_it_has_and_takes_nothing_more() {
     let figures = station::Figures { cores: 8.0, slots: 8, room: 2, crowding: Crowding::default() };
-    let mut s = Station::new(figures, 1.0, 0);
-    assert!((0..10).all(|job| s.offer(0, job, 1_000.0) == Offer::Taken));
-    assert!(s.held() <= s.bound() && s.offer(0, 10, 1.0) == Offer::Full);
-    s.resize(1.0, 1);
-    assert_eq!((s.held(), s.bound()), (10, 10));
-    assert_eq!(s.offer(0, 11, 1.0), Offer::Full);
-    let mut done = Vec::new();
-    while let Some(at) = s.wake_at() {
-        s.advance(at, &mut done);
-        assert!(s.held() <= s.bound() && s.bound() >= 3);
+    // With somebody waiting when it is made smaller, and with nobody.
+    for held in [10, 8] {
+        let mut s = Station::new(figures, 1.0, 0);
+        assert!((0..held).all(|job| s.offer(0, job, 1_000.0) == Offer::Taken));
+        s.resize(1.0, 1);
+        assert_eq!((s.held(), s.bound()), (held as usize, held as usize));
+        assert_eq!(s.offer(0, 11, 1.0), Offer::Full);
+        let mut done = Vec::new();
+        while let Some(at) = s.wake_at() {
+            s.advance(at, &mut done);
+            assert!(s.held() <= s.bound() && s.bound() >= 3);
+        }
+        assert_eq!((done.len(), s.bound()), (held as usize, 3), "the bound is the new one once they are done");
     }
-    assert_eq!((done.len(), s.bound()), (10, 3), "the bound is the new one once they are done");
 }
