--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -2,14 +2,17 @@
 //! Instances share nothing but the numbered lists that the wire itself shares.
 
 use crate::wire::{self, Output};
-use notchdoor::{key_hash, Action, Brain, Event, Member, Micros, Outcome, Request, RequestId};
+use notchdoor::{key_hash, Action, Decide, Event, Member, Micros, Outcome, Request, RequestId};
+use notchdoor_limits::file;
+use notchdoor_limits::stack::Stack;
 use notchdoor_settings::{micros, position, BootInfo, Millis, Names};
 use serde::Deserialize;
 use std::collections::HashMap;
+use std::sync::Arc;
 
 /// One balancer: its decisions, and the names that the library knows as numbers.
 struct Instance {
-    brain: Brain,
+    stack: Stack,
     names: Names,
     numbers: HashMap<String, RequestId>,
     tickets: HashMap<RequestId, Ticket>,
@@ -31,6 +34,7 @@
     batch: Option<u64>,
     now: Micros,
     actions: Vec<Action>,
+    policy: Option<String>,
 }
 
 fn millis(t: Micros) -> Millis {
@@ -60,14 +64,20 @@
 }
 
 impl Instance {
-    fn new(boot: &BootInfo, seed: u64, now: Micros) -> Self {
-        Instance {
-            brain: Brain::new(boot.settings(), seed, now),
+    /// `policy` is the text of a policy file; the settings that it is checked against come with the instance.
+    fn new(boot: &BootInfo, policy: Option<&str>, seed: u64, now: Micros) -> Result<Self, String> {
+        let policy = match policy.map(|text| file::parse("NOTCHDOOR_POLICY", text, &boot.facts())) {
+            Some(Err(problems)) => return Err(problems.iter().map(|p| format!("{p}\n")).collect()),
+            Some(Ok(policy)) => Some(Arc::new(policy)),
+            None => None,
+        };
+        Ok(Instance {
+            stack: Stack::new(boot.settings(), policy, seed, now),
             names: boot.names(),
             numbers: HashMap::new(),
             tickets: HashMap::new(),
             next: 1,
-        }
+        })
     }
 
     fn members(&self, entries: &[wire::Entry]) -> Vec<Member> {
@@ -97,6 +107,7 @@
             class: position(&self.names.classes, &r.band),
             tenant,
             key: r.item.as_ref().map(|k| key_hash(k.as_bytes())),
+            group: r.item.as_ref().map_or(0, |k| self.stack.group(k.as_bytes())),
             write: r.state_bits & 4 != 0,
             due: micros(r.due),
             cost_hint: if r.state_bits & 1 != 0 { r.weight_hint } else { None },
@@ -151,6 +162,11 @@
 }
 
 impl Host {
+    /// A host whose instances all have this policy file's limits.
+    pub fn with_policy(policy: Option<String>) -> Self {
+        Host { policy, ..Host::default() }
+    }
+
     /// Takes one line. True when the batch is complete and `reply` holds its answer.
     pub fn line(&mut self, line: &[u8], reply: &mut Vec<u8>) -> Result<bool, String> {
         let head: wire::Head = parse(line, "?", self.batch)?;
@@ -192,7 +208,7 @@
         match m {
             "enlist" => {
                 let e: wire::Enlist = parse(line, m, batch)?;
-                let instance = Instance::new(&e.boot_info, e.init_seed, self.now);
+                let instance = Instance::new(&e.boot_info, self.policy.as_deref(), e.init_seed, self.now)?;
                 self.instances.insert(e.who.into_owned(), instance);
             }
             "down" => {
@@ -278,7 +294,7 @@
     ) -> Result<(), String> {
         let instance = self.instances.get_mut(who).ok_or_else(|| unknown(round, m, who))?;
         if let Some(event) = event(instance) {
-            instance.brain.handle(self.now, event, &mut self.actions);
+            instance.stack.handle(self.now, event, &mut self.actions);
             for action in self.actions.drain(..) {
                 instance.write(who, action, self.now, reply);
             }
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -12,7 +12,12 @@
 fn run() -> Result<(), String> {
     let mut input = std::io::stdin().lock();
     let mut output = std::io::BufWriter::with_capacity(1 << 16, std::io::stdout().lock());
-    let mut host = host::Host::default();
+    // The operators' limits, where there is a file of them: the same that a proxy takes.
+    let policy = match std::env::var("NOTCHDOOR_POLICY") {
+        Ok(path) => Some(std::fs::read_to_string(&path).map_err(|e| format!("{path}: cannot read: {e}"))?),
+        Err(_) => None,
+    };
+    let mut host = host::Host::with_policy(policy);
     let mut reply = Vec::new();
     let mut line = Vec::new();
     loop {
--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -2,9 +2,14 @@
 
 use crate::{Exit, Outcome};
 use clap::Subcommand;
+use notchdoor::Request;
 use notchdoor_lab::scenario;
+use notchdoor_limits::explain;
+use notchdoor_limits::file::{self, Facts};
+use notchdoor_limits::policy::Policy;
 use notchdoor_proxy::lifecycle::config::Config;
-use std::path::PathBuf;
+use notchdoor_settings::BootInfo;
+use std::path::{Path, PathBuf};
 
 #[derive(Subcommand)]
 pub enum Command {
@@ -14,6 +19,21 @@
         /// The file.
         file: PathBuf,
     },
+    /// A file of limits by route and class, against a deployment's settings; all that is wrong with it, at once.
+    #[command(after_help = "Examples:
+  notchdoor check policy deploy/policy.example.toml --settings config.json
+  notchdoor check policy policy.toml --settings config.json --explain class=close-week,tenant=acme,key=sheet/7")]
+    Policy {
+        /// The file.
+        file: PathBuf,
+        /// The settings: a proxy's configuration, or its `settings` alone.
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+        /// Say which route takes a request, and its worst case: class=NAME[,tenant=NAME][,key=TEXT][,d=TIME]
+        /// [,access=read|write].
+        #[arg(long, value_name = "REQUEST")]
+        explain: Option<String>,
+    },
     /// Scenario files of the lab.
     #[command(after_help = "Example:\n  notchdoor check scenario my-day.toml lab/scenarios/found/*.toml")]
     Scenario {
@@ -23,8 +43,88 @@
     },
 }
 
+/// Reads and checks a file of limits; the error has every problem, each with its line of the file.
+pub fn policy(path: &Path, facts: &Facts) -> Result<Policy, String> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: cannot read: {e}"))?;
+    file::parse(&name, &text, facts).map_err(|problems| {
+        let told: Vec<String> = problems.iter().map(|p| format!("{p}\n{}", p.shown())).collect();
+        told.join("\n")
+    })
+}
+
+/// The settings of a deployment: a proxy's configuration, or its `settings` alone.
+fn settings(path: &Path) -> Result<Facts, String> {
+    let name = path.display();
+    let text = std::fs::read(path).map_err(|e| format!("{name}: cannot read: {e}"))?;
+    let mut json: serde_json::Value = serde_json::from_slice(&text).map_err(|e| format!("{name}: {e}"))?;
+    let settings = json.get_mut("settings").map(serde_json::Value::take).unwrap_or(json);
+    let boot: BootInfo = serde_json::from_value(settings).map_err(|e| format!("{name}: settings: {e}"))?;
+    Ok(boot.facts())
+}
+
+fn explain(policy: &Policy, facts: &Facts, of: &str) -> Result<(), String> {
+    let (mut class, mut tenant, mut key, mut patience, mut write) = (None, None, String::new(), None, None);
+    for pair in of.split(',') {
+        let (name, value) =
+            pair.split_once('=').ok_or_else(|| format!("--explain: '{pair}' should be NAME=VALUE"))?;
+        let place = |names: &[String], kind: &str| {
+            let place = names.iter().position(|n| n == value).map(|i| i as u32);
+            place.ok_or_else(|| {
+                format!("--explain: no {kind} is called '{value}'; there are {}", names.join(", "))
+            })
+        };
+        match name {
+            "class" => class = Some(place(&facts.classes, "class")?),
+            "tenant" => tenant = Some(place(&facts.tenants, "tenant")?),
+            "key" => key = value.to_owned(),
+            "d" => {
+                patience = Some(file::time(value).ok_or_else(|| format!("--explain: '{value}' is no time"))?)
+            }
+            "access" => write = Some(value == "write"),
+            other => return Err(format!("--explain: '{other}' is none of class, tenant, key, d, access")),
+        }
+    }
+    let class = class.ok_or("--explain: class=NAME is missing")?;
+    let safe = facts.settings.classes[class as usize].effect == notchdoor::Effect::Idempotent;
+    let request = Request {
+        id: 1,
+        class: Some(class),
+        tenant,
+        key: None,
+        group: policy.group(key.as_bytes()),
+        write: write.unwrap_or(!safe),
+        due: 0,
+        cost_hint: None,
+    };
+    let deadline = facts.deadlines[class as usize];
+    let patience = patience.unwrap_or(deadline).min(deadline);
+    let (route, passed) = explain::route(policy, &request);
+    println!("route '{}' takes it", route.name);
+    for line in passed {
+        println!("  passed over {line}");
+    }
+    println!("worst case, for a client that waits {}:", file::told(patience));
+    for step in explain::timetable(route, facts, class, patience) {
+        println!("  {:>8}  {}", file::told(step.at), step.what);
+    }
+    for line in explain::limits(route, policy) {
+        println!("{line}");
+    }
+    Ok(())
+}
+
 pub fn run(command: &Command) -> Outcome {
     match command {
+        Command::Policy { file, settings: of, explain: wanted } => {
+            let facts = settings(of)?;
+            let policy = policy(file, &facts)?;
+            let (routes, budgets) = (policy.routes.len(), policy.budgets.len());
+            println!("{}: good: {routes} routes, the default included, {budgets} budgets", file.display());
+            if let Some(of) = wanted {
+                explain(&policy, &facts, of)?;
+            }
+        }
         Command::Config { file } => {
             let name = file.display();
             let text = std::fs::read(file).map_err(|e| format!("{name}: cannot read: {e}"))?;
--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -9,6 +9,7 @@
 use notchdoor_lab::{compare, experiment, report, search};
 use notchdoor_model::faults;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::Duration;
 
 #[derive(Subcommand)]
@@ -17,7 +18,8 @@
     #[command(after_help = "Examples:
   notchdoor lab run calm --out results/calm
   notchdoor lab run payday flush --seeds 10 --policies notchdoor,rendezvous
-  notchdoor lab run calm --set load.share=0.3,0.5,0.7 --set workers.count=20")]
+  notchdoor lab run calm --set load.share=0.3,0.5,0.7 --set workers.count=20
+  notchdoor lab run origin-stop --policy deploy/policy.example.toml --seeds 10")]
     Run(Run),
     /// Play random days until a rule is broken or the budget ends; what is found is shrunk and written down.
     #[command(after_help = "Examples:
@@ -59,6 +61,9 @@
     /// Policies to compare, by name: see `lab list`.
     #[arg(long, value_delimiter = ',')]
     policies: Vec<String>,
+    /// A file of limits (see `check policy`), to try before it is taken into service: adds the policy 'limited'.
+    #[arg(long, value_name = "FILE")]
+    policy: Option<PathBuf>,
     /// A field to change, as PATH=VALUE; several values with commas make a grid. May be given again.
     #[arg(long, value_name = "PATH=VALUE")]
     set: Vec<String>,
@@ -176,16 +181,28 @@
 
 fn play(run: &Run) -> Outcome {
     let scenarios = scenarios(&run.scenarios, &run.set)?;
-    let policies: Vec<Kind> = if run.policies.is_empty() {
+    let mut policies: Vec<Kind> = if run.policies.is_empty() {
         USUAL.to_vec()
     } else {
         run.policies.iter().map(|name| Kind::parse(name)).collect::<Result<_, _>>()?
     };
+    if run.policy.is_some() && !policies.contains(&Kind::Limited) {
+        policies.insert(policies.len().min(1), Kind::Limited);
+    }
+    if run.policy.is_none() && policies.contains(&Kind::Limited) {
+        return Err("the policy 'limited' needs a file: give --policy FILE".to_owned());
+    }
     let mut plans = Vec::new();
     for scenario in &scenarios {
         let first = run.seed.unwrap_or(scenario.spec.seed);
         let seeds: Vec<u64> = (first..first.saturating_add(run.seeds.max(1))).collect();
-        plans.extend(experiment::plans(std::slice::from_ref(scenario), &policies, &seeds));
+        let limits = match &run.policy {
+            Some(path) => Some(Arc::new(crate::check::policy(path, &notchdoor_lab::facts(&scenario.spec))?)),
+            None => None,
+        };
+        let mut of = experiment::plans(std::slice::from_ref(scenario), &policies, &seeds);
+        of.iter_mut().for_each(|plan| plan.limits.clone_from(&limits));
+        plans.extend(of);
     }
     let days = experiment::run(&plans, run.how.threads, run.how.json)?;
     if let Some(out) = &run.out {
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -48,6 +48,9 @@
         /// The least level that is logged: error, warn, info or debug. NOTCHDOOR_LOG where this is not given.
         #[arg(long, value_name = "LEVEL")]
         log_level: Option<String>,
+        /// A file of limits by route and class. NOTCHDOOR_POLICY where this is not given; none by default.
+        #[arg(long, value_name = "FILE")]
+        policy: Option<String>,
     },
     /// Check a file without using it.
     #[command(subcommand)]
@@ -65,24 +68,25 @@
     },
 }
 
-fn serve_with(format: Option<Format>, level: Option<String>) -> Outcome {
+fn serve_with(format: Option<Format>, level: Option<String>, policy: Option<String>) -> Outcome {
     let format = match (format, std::env::var("NOTCHDOOR_LOG_FORMAT")) {
         (Some(format), _) => format,
         (None, Ok(text)) => text.parse().map_err(|e| format!("NOTCHDOOR_LOG_FORMAT: {e}"))?,
         (None, Err(_)) => Format::Text,
     };
     let level = level.or_else(|| std::env::var("NOTCHDOOR_LOG").ok());
-    serve(format, level.as_deref()).map(|()| Exit::Good)
+    let policy = policy.or_else(|| std::env::var("NOTCHDOOR_POLICY").ok());
+    serve(format, level.as_deref(), policy).map(|()| Exit::Good)
 }
 
 fn run() -> Outcome {
     // A bare start is what the platform does a thousand times: it needs no parser.
     if std::env::args_os().len() <= 1 {
-        return serve_with(None, None);
+        return serve_with(None, None, None);
     }
     match Line::parse().command {
-        None => serve_with(None, None),
-        Some(Command::Serve { log_format, log_level }) => serve_with(log_format, log_level),
+        None => serve_with(None, None, None),
+        Some(Command::Serve { log_format, log_level, policy }) => serve_with(log_format, log_level, policy),
         Some(Command::Check(command)) => check::run(&command),
         Some(Command::Lab(command)) => lab::run(&command),
         Some(Command::Completions { shell }) => {
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -1,4 +1,6 @@
 //! What the socket tests share: the program as a process, and peers that do what a test says.
+// Each test file uses what it needs.
+#![allow(dead_code)]
 
 use notchdoor_proxy::wire::resp::{write_command, Reader, Value};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -175,6 +177,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.path);
+        let _ = std::fs::remove_file(self.path.with_extension("policy.toml"));
     }
 }
 
@@ -207,6 +210,11 @@
 
     /// The same with another limit on descriptors.
     pub fn with_sockets(registry: &Registry, lines: &[String], sockets: u32) -> Proxy {
+        Proxy::with(registry, lines, sockets, None)
+    }
+
+    /// The same with a file of limits, if any.
+    pub fn with(registry: &Registry, lines: &[String], sockets: u32, policy: Option<&str>) -> Proxy {
         // An address of this process's own and a port below those that the system hands out: one that is
         // asked for and given back could be taken by another test's connection.
         static NEXT: AtomicU16 = AtomicU16::new(10_000);
@@ -216,7 +224,13 @@
         let path =
             std::env::temp_dir().join(format!("notchdoor-test-{}-{}", std::process::id(), listen.port()));
         std::fs::write(&path, config(registry, listen, lines, sockets)).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_notchdoor"))
+        let policy_path = path.with_extension("policy.toml");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_notchdoor"));
+        if let Some(text) = policy {
+            std::fs::write(&policy_path, text).unwrap();
+            command.args(["serve", "--policy"]).arg(&policy_path);
+        }
+        let mut child = command
             .env("EDGE_CONFIG", &path)
             .env("EDGE_DISCOVERY", registry.endpoint.to_string())
             .stderr(Stdio::piped())
@@ -244,6 +258,12 @@
         proxy
     }
 
+    /// Puts another text in the policy file's place and sends SIGHUP.
+    pub fn reload_policy(&self, text: &str) {
+        std::fs::write(self.path.with_extension("policy.toml"), text).unwrap();
+        self.signal("HUP");
+    }
+
     /// Puts another text in the configuration's place and sends SIGHUP.
     pub fn reload(&self, text: &str) {
         std::fs::write(&self.path, text).unwrap();
--- a/lab/src/baselines.rs
+++ b/lab/src/baselines.rs
@@ -284,7 +284,7 @@
                     self.finish(id, actions);
                 }
             }
-            Event::Started { .. } => {}
+            Event::Started { .. } | Event::Late(_) => {}
         }
     }
 }
--- a/lab/src/day/clients.rs
+++ b/lab/src/day/clients.rs
@@ -106,6 +106,7 @@
         let p = &mut self.proxies[proxy as usize];
         p.held += 1;
         p.open.insert(id);
+        let group = p.policy.group(want.key);
         if !want.write {
             let share = self.world.cold_share(self.now, self.spec);
             if share > 0.0 {
@@ -121,6 +122,7 @@
                 class: Some(want.class),
                 tenant: Some(want.tenant),
                 key: Some(want.key),
+                group,
                 write: want.write,
                 due,
                 cost_hint: None,
--- a/lab/src/day/mod.rs
+++ b/lab/src/day/mod.rs
@@ -11,9 +11,10 @@
 pub mod world;
 
 use crate::policy::{Kind, Policy};
-use crate::record::{Claim, Day as Played, Recorder};
+use crate::record::{Claim, Day as Played, Limited, Recorder};
 use crate::rules::{Breach, Finding, Referee, Rule, Sent, Telltale};
 use notchdoor::{Action, Event, Settings};
+use notchdoor_limits::policy::Policy as Limits;
 use notchdoor_model::clients::{Demand, Heard, Manners, Want};
 use notchdoor_model::front::Front;
 use notchdoor_model::registry::{Registry, ServerId, Telling};
@@ -24,6 +25,7 @@
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 use world::{Agenda, Next, World};
 
 /// Lines of what happened that are kept for a breach.
@@ -132,6 +134,7 @@
 pub struct Day<'a> {
     spec: &'a Spec,
     kind: Kind,
+    limits: &'a [Arc<Limits>],
     seed: u64,
     now: Time,
     end: Time,
@@ -175,8 +178,20 @@
 
 /// Plays a day. `trace` keeps what happened, so that a breach can tell what led to it; it costs time.
 pub fn play(spec: &Spec, scenario: &str, seed: u64, kind: Kind, trace: bool) -> Played {
+    play_with(spec, scenario, seed, (kind, &[]), trace)
+}
+
+/// Plays a day with limits round the module: of [`Kind::Limited`], those of the first file; where there are more,
+/// every proxy takes the next one up every second, beginning again after the last, as after a reload by signal.
+pub fn play_with(
+    spec: &Spec,
+    scenario: &str,
+    seed: u64,
+    (kind, limits): (Kind, &[Arc<Limits>]),
+    trace: bool,
+) -> Played {
     let began = std::time::Instant::now();
-    let mut day = Day::new(spec, seed, kind, trace);
+    let mut day = Day::new(spec, seed, (kind, limits), trace);
     day.run();
     let mut played = day.finish(scenario);
     played.took_s = began.elapsed().as_secs_f64();
@@ -184,7 +199,7 @@
 }
 
 impl<'a> Day<'a> {
-    fn new(spec: &'a Spec, seed: u64, kind: Kind, tracing: bool) -> Self {
+    fn new(spec: &'a Spec, seed: u64, (kind, limits): (Kind, &'a [Arc<Limits>]), tracing: bool) -> Self {
         let world = World::new(spec, seed);
         let settings = world::settings(spec);
         let zones = spec.zones.len() as u32;
@@ -193,6 +208,7 @@
         let mut day = Day {
             spec,
             kind,
+            limits,
             seed,
             now: 0,
             end,
@@ -239,7 +255,7 @@
                 zone: p % zones,
                 up: true,
                 process: 0,
-                policy: kind.start(&day.settings, seed, 0),
+                policy: kind.start(&day.settings, limits.first(), seed, 0),
                 told: Telltale::default(),
                 held: 0,
                 out: 0,
@@ -452,6 +468,7 @@
         at.window = window;
         at.origin_held = held;
         at.origin_busy = origin_busy;
+        self.reload_limits();
         self.deem_told();
         self.check_bounds();
         if self.now < self.end {
@@ -459,6 +476,17 @@
         }
     }
 
+    /// Every proxy takes up the next file of limits, if there are several.
+    fn reload_limits(&mut self) {
+        if self.limits.len() < 2 || self.kind != Kind::Limited {
+            return;
+        }
+        let next = &self.limits[(self.now / S) as usize % self.limits.len()];
+        for p in self.proxies.iter_mut().filter(|p| p.up) {
+            p.policy.reload(Arc::clone(next), self.now);
+        }
+    }
+
     fn check_bounds(&mut self) {
         let over = self.world.machines.iter().find(|m| {
             let (used, room) = m.worker.memory().used();
@@ -508,6 +536,10 @@
     fn finish(mut self, scenario: &str) -> Played {
         self.digest.update(&self.undigested);
         let broken = self.breach_count > 0;
+        let mut limited = Limited::default();
+        for (done, opened) in self.proxies.iter().filter_map(|p| p.policy.limited()) {
+            limited.add(&done, opened);
+        }
         let summed = self.record.sum_up(self.spec, broken);
         Played {
             scenario: scenario.to_owned(),
@@ -523,6 +555,7 @@
             tenants: summed.tenants,
             waste: summed.waste,
             imbalance: summed.imbalance,
+            limited,
             stops: self.stops,
             falls: self.falls,
             breaches: self.breaches,
--- a/lab/src/day/proxies.rs
+++ b/lab/src/day/proxies.rs
@@ -40,6 +40,7 @@
         }
         Event::Left(id) => (16, *id, 0),
         Event::Timer(token) => (17, *token, 0),
+        Event::Late(id) => (18, *id, 0),
     }
 }
 
@@ -77,7 +78,7 @@
             ),
             Event::Left(id) => (Some(*id), "its client left".to_owned()),
             // Timers say little, and there are many.
-            Event::Started { .. } | Event::Timer(_) => return,
+            Event::Started { .. } | Event::Timer(_) | Event::Late(_) => return,
         };
         self.note(Some(proxy), request, None, || what);
     }
@@ -534,7 +535,7 @@
         let seed = self.module_rng.random();
         self.note(Some(proxy), None, None, || "starts".to_owned());
         self.digest(31, &[u64::from(proxy)]);
-        let policy = self.kind.start(&self.settings, seed, self.now);
+        let policy = self.kind.start(&self.settings, self.limits.first(), seed, self.now);
         let p = &mut self.proxies[proxy as usize];
         p.up = true;
         p.process += 1;
--- a/lab/src/day/world.rs
+++ b/lab/src/day/world.rs
@@ -2,6 +2,7 @@
 
 use crate::policy::Sight;
 use notchdoor::{Class, Discovery, Key, Scope, ServerId, Settings, Tenant};
+use notchdoor_limits::file::Facts;
 use notchdoor_model::memory::Truth;
 use notchdoor_model::network::{Connections, Network, Silence};
 use notchdoor_model::origin::{self, Origin};
@@ -288,6 +289,7 @@
         aim: ms(c.aim_ms),
         worth: c.worth,
         late_share: c.late_worth,
+        window_share: 1.0,
         effect: match c.effect() {
             Effect::Safe => notchdoor::Effect::Idempotent,
             Effect::Keyed { window } => notchdoor::Effect::Deduplicated { scope: Scope::All, window },
@@ -315,6 +317,16 @@
     }
 }
 
+/// What a policy file is checked against on a day of this spec.
+pub fn facts(spec: &Spec) -> Facts {
+    Facts {
+        settings: settings(spec),
+        classes: spec.classes.iter().map(|c| c.name.clone()).collect(),
+        deadlines: spec.classes.iter().map(|c| ms(c.deadline_ms)).collect(),
+        tenants: spec.tenants.iter().map(|t| t.name.clone()).collect(),
+    }
+}
+
 /// Requests a second that count as within each tenant's share.
 pub fn quotas(spec: &Spec) -> Vec<f64> {
     let all = spec.rules.quota_of_capacity * spec.rate_at(1.0);
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -3,11 +3,13 @@
 use crate::policy::Kind;
 use crate::record::Day;
 use crate::scenario::Scenario;
-use crate::{charts, play, report};
+use crate::{charts, play_with, report};
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
+use notchdoor_limits::policy::Policy as Limits;
 use rayon::prelude::*;
 use std::io::Write;
 use std::path::Path;
+use std::sync::Arc;
 
 /// One day to be played.
 #[derive(Clone, Debug)]
@@ -16,6 +18,8 @@
     pub scenario: Scenario,
     /// The policy.
     pub policy: Kind,
+    /// The limits of [`Kind::Limited`].
+    pub limits: Option<Arc<Limits>>,
     /// The seed.
     pub seed: u64,
 }
@@ -46,7 +50,7 @@
     for scenario in scenarios {
         for &policy in policies {
             for &seed in seeds {
-                plans.push(Plan { scenario: scenario.clone(), policy, seed });
+                plans.push(Plan { scenario: scenario.clone(), policy, limits: None, seed });
             }
         }
     }
@@ -61,10 +65,12 @@
             .par_iter()
             .map(|plan| {
                 let s = &plan.scenario;
-                let mut day = play(&s.spec, &s.name, plan.seed, plan.policy, false);
+                let limits: &[Arc<Limits>] = plan.limits.as_slice();
+                let play = |trace| play_with(&s.spec, &s.name, plan.seed, (plan.policy, limits), trace);
+                let mut day = play(false);
                 // The same day again tells what led to it; keeping that for every day would cost a third.
                 if day.breach_count > 0 && plan.policy.must_keep_rules() {
-                    day = play(&s.spec, &s.name, plan.seed, plan.policy, true);
+                    day = play(true);
                 }
                 day.set.clone_from(&s.set);
                 bar.inc(1);
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -10,7 +10,8 @@
 pub mod record;
 pub mod rules;
 
-pub use day::play;
+pub use day::world::facts;
+pub use day::{play, play_with};
 pub mod charts;
 pub mod compare;
 pub mod experiment;
--- a/lab/src/policy.rs
+++ b/lab/src/policy.rs
@@ -2,7 +2,11 @@
 
 use crate::baselines::{Choice, Plain};
 use crate::broken::{Break, Broken};
-use notchdoor::{Action, Brain, Event, Key, Micros, ServerId, Settings};
+use notchdoor::{Action, Decide, Event, Key, Micros, ServerId, Settings};
+use notchdoor_limits::layer::Done;
+use notchdoor_limits::policy::Policy as LimitsFile;
+use notchdoor_limits::stack::Stack;
+use std::sync::Arc;
 
 /// What a policy that sees everything may look at. The decision module looks at none of it.
 pub trait Sight {
@@ -33,6 +37,21 @@
     /// Takes one event and appends what is to be done at once.
     fn handle(&mut self, now: Micros, event: Event<'_>, sight: &dyn Sight, actions: &mut Vec<Action>);
 
+    /// The group of a key; see [`notchdoor::Request::group`]. A key's text here is its number in hex.
+    fn group(&self, _key: Key) -> u32 {
+        0
+    }
+
+    /// What limits round it have done, and how often their breakers opened; `None` where there are none.
+    fn limited(&self) -> Option<(Done, u64)> {
+        None
+    }
+
+    /// Takes up another file of limits; false if it cannot.
+    fn reload(&mut self, _limits: Arc<LimitsFile>, _now: Micros) -> bool {
+        false
+    }
+
     /// What it holds; `None` if it does not say.
     fn load(&self) -> Option<Load> {
         None
@@ -49,24 +68,40 @@
     }
 }
 
-impl Policy for Brain {
+impl Policy for Stack {
     fn handle(&mut self, now: Micros, event: Event<'_>, _: &dyn Sight, actions: &mut Vec<Action>) {
-        Brain::handle(self, now, event, actions);
+        Decide::handle(self, now, event, actions);
+    }
+
+    fn group(&self, key: Key) -> u32 {
+        match self {
+            Stack::Plain(_) => 0,
+            Stack::Limited(limits) => limits.group(format!("{key:016x}").as_bytes()),
+        }
+    }
+
+    fn limited(&self) -> Option<(Done, u64)> {
+        match self {
+            Stack::Plain(_) => None,
+            Stack::Limited(limits) => Some((limits.done(), limits.opened())),
+        }
+    }
+
+    fn reload(&mut self, limits: Arc<LimitsFile>, now: Micros) -> bool {
+        Stack::reload(self, Some(limits), now)
     }
 
     fn load(&self) -> Option<Load> {
-        let (held, out) = Brain::load(self);
+        let (held, out) = Stack::load(self);
         Some(Load { held, out })
     }
 
     fn window(&self) -> Option<f64> {
-        Some(self.look().window)
+        Some(self.brain().look().window)
     }
 
     fn left_over(&self) -> Option<String> {
-        let look = self.look();
-        let idle = look.held == 0 && look.out == 0 && look.flights == 0 && Brain::load(self).1 == 0;
-        (!idle).then(|| format!("{look:?}"))
+        Stack::left_over(self)
     }
 }
 
@@ -75,6 +110,8 @@
 pub enum Kind {
     /// The decision module.
     Notchdoor,
+    /// The decision module with the limits of a file round it.
+    Limited,
     /// A baseline.
     Plain(Choice),
     /// The decision module, broken on purpose to see that it is caught.
@@ -92,15 +129,21 @@
 ];
 
 impl Kind {
-    /// Every policy: those of [`USUAL`] and the broken ones.
+    /// Every policy: those of [`USUAL`], the limited one and the broken ones.
     pub fn all() -> Vec<Kind> {
-        USUAL.iter().copied().chain(Break::ALL.iter().map(|b| Kind::Broken(*b))).collect()
+        USUAL
+            .iter()
+            .copied()
+            .chain([Kind::Limited])
+            .chain(Break::ALL.iter().map(|b| Kind::Broken(*b)))
+            .collect()
     }
 
     /// Its name.
     pub fn name(self) -> &'static str {
         match self {
             Kind::Notchdoor => "notchdoor",
+            Kind::Limited => "limited",
             Kind::Plain(choice) => choice.name(),
             Kind::Broken(broken) => broken.name(),
         }
@@ -119,10 +162,17 @@
         !matches!(self, Kind::Plain(_))
     }
 
-    /// One proxy's instance.
-    pub fn start(self, settings: &Settings, seed: u64, now: Micros) -> Box<dyn Policy> {
+    /// One proxy's instance; `limits` are those of [`Kind::Limited`].
+    pub fn start(
+        self,
+        settings: &Settings,
+        limits: Option<&Arc<LimitsFile>>,
+        seed: u64,
+        now: Micros,
+    ) -> Box<dyn Policy> {
         match self {
-            Kind::Notchdoor => Box::new(Brain::new(settings.clone(), seed, now)),
+            Kind::Notchdoor => Box::new(Stack::new(settings.clone(), None, seed, now)),
+            Kind::Limited => Box::new(Stack::new(settings.clone(), limits.cloned(), seed, now)),
             Kind::Plain(choice) => Box::new(Plain::new(choice, settings.clone(), seed)),
             Kind::Broken(broken) => Box::new(Broken::new(broken, settings.clone(), seed, now)),
         }
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -2,6 +2,7 @@
 
 use crate::rules::Breach;
 use hdrhistogram::Histogram;
+use notchdoor_limits::layer::Done;
 use notchdoor_model::faults::Fault;
 use notchdoor_model::spec::Spec;
 use notchdoor_model::time::{Time, S};
@@ -105,6 +106,33 @@
     pub prices: f64,
 }
 
+/// What limits round the module did.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Limited {
+    /// Requests turned away before anything was sent.
+    pub shed: u64,
+    /// Attempts withheld: the route's attempts or the retry budget were used up, a breaker was open, or there was
+    /// no time for them.
+    pub withheld: u64,
+    /// Attempts held back for a wait.
+    pub held_back: u64,
+    /// Second copies granted.
+    pub copies: u64,
+    /// Times that breakers opened.
+    pub opened: u64,
+}
+
+impl Limited {
+    /// What one proxy's limits did.
+    pub fn add(&mut self, done: &Done, opened: u64) {
+        self.shed += done.shed;
+        self.withheld += done.spent + done.unaffordable + done.broken + done.pointless;
+        self.held_back += done.held_back;
+        self.copies += done.copies;
+        self.opened += opened;
+    }
+}
+
 /// The result of a day.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Day {
@@ -134,6 +162,9 @@
     pub waste: f64,
     /// The mean over seconds of how much busier the busiest worker was than the mean one.
     pub imbalance: f64,
+    /// What limits round the module did, over all proxies.
+    #[serde(default)]
+    pub limited: Limited,
     /// Times that the origin stopped by itself, and workers fell over.
     pub stops: u32,
     /// Cold workers that fell over.
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -12,6 +12,7 @@
     ("hot-key", include_str!("../scenarios/hot-key.toml")),
     ("shrink", include_str!("../scenarios/shrink.toml")),
     ("origin-stop", include_str!("../scenarios/origin-stop.toml")),
+    ("retry-storm", include_str!("../scenarios/retry-storm.toml")),
     ("zone-cut", include_str!("../scenarios/zone-cut.toml")),
     ("churn", include_str!("../scenarios/churn.toml")),
     ("thousand", include_str!("../scenarios/thousand.toml")),
--- a/lab/tests/judgement.rs
+++ b/lab/tests/judgement.rs
@@ -14,7 +14,7 @@
 const MS: u64 = 1_000;
 
 fn referee(second_copies: bool) -> Referee {
-    let class = |effect| Class { aim: 500 * MS, worth: 1.0, late_share: 0.5, effect };
+    let class = |effect| Class { aim: 500 * MS, worth: 1.0, late_share: 0.5, effect, window_share: 1.0 };
     let keyed = |scope| class(Effect::Deduplicated { scope, window: 800 * MS });
     let settings = Settings {
         balancers: 2,
--- /dev/null
+++ b/limits/src/policy.rs
@@ -0,0 +1,212 @@
+//! What the operators' file means: routes and their limits.
+
+use crate::breaker;
+use crate::budget::Grant;
+use crate::concurrency::Bounds;
+use notchdoor::{Micros, Request};
+
+/// Which requests a route takes. What is not said matches all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Match {
+    /// The class, by its place in the settings.
+    pub class: Option<u32>,
+    /// The tenant, by its place in the settings.
+    pub tenant: Option<u32>,
+    /// How the key begins.
+    pub prefix: Vec<u8>,
+    /// Writes alone, or reads alone.
+    pub write: Option<bool>,
+}
+
+impl Match {
+    /// Whether a request is taken whose key begins so far as `prefix`, the longest that any route names.
+    pub fn takes(&self, request: &Request, prefix: &[u8]) -> bool {
+        self.class.is_none_or(|c| request.class == Some(c))
+            && self.tenant.is_none_or(|t| request.tenant == Some(t))
+            && self.write.is_none_or(|w| request.write == w)
+            && prefix.starts_with(&self.prefix)
+    }
+
+    /// How specific it is: a longer prefix goes before a class, that before a tenant, that before read or write.
+    pub fn rank(&self) -> (usize, bool, bool, bool) {
+        (self.prefix.len(), self.class.is_some(), self.tenant.is_some(), self.write.is_some())
+    }
+
+    /// Whether everything that `other` takes is taken here.
+    pub fn covers(&self, other: &Match) -> bool {
+        let same = |a: Option<u32>, b: Option<u32>| a.is_none() || a == b;
+        same(self.class, other.class)
+            && same(self.tenant, other.tenant)
+            && (self.write.is_none() || self.write == other.write)
+            && other.prefix.starts_with(&self.prefix)
+    }
+}
+
+/// Waits between attempts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Backoff {
+    /// Before the first repeat; it doubles with each.
+    pub first: Micros,
+    /// The longest.
+    pub most: Micros,
+    /// The share of a wait that is left to chance: a wait is from `(1 - jitter)` of it to the whole.
+    pub jitter: f64,
+}
+
+impl Backoff {
+    /// The longest wait before the `n`-th repeat, from 1.
+    pub fn longest(&self, n: u32) -> Micros {
+        self.first.saturating_mul(1 << (n.clamp(1, 32) - 1)).min(self.most)
+    }
+}
+
+/// Second copies of a read.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Copies {
+    /// As the decision module does by itself.
+    Module,
+    /// None.
+    Never,
+    /// After this quantile of the route's own latency, for at most this share of its requests.
+    After {
+        /// The quantile, from 0 to 1.
+        quantile: f64,
+        /// The share.
+        share: f64,
+    },
+}
+
+/// What is repeated after an attempt that may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// What the class allows.
+    Class,
+    /// Nothing.
+    Never,
+}
+
+/// A limit on requests in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Concurrency {
+    /// So many.
+    Fixed(u32),
+    /// Between bounds, by the gradient of the latency.
+    Adaptive(Bounds),
+}
+
+/// The limits of a route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// The longest that one attempt is waited for.
+    pub attempt: Option<Micros>,
+    /// The longest for the whole request.
+    pub total: Option<Micros>,
+    /// Attempts, fetches and second copies included.
+    pub attempts: Option<u32>,
+    /// Waits before repeats.
+    pub backoff: Option<Backoff>,
+    /// Second copies.
+    pub copies: Copies,
+    /// What is repeated.
+    pub repeat: Repeat,
+    /// The budget that repeats come from, by its place among [`Policy::budgets`].
+    pub budget: Option<usize>,
+    /// The share of that budget's most that this route leaves to others.
+    pub leave: f64,
+    /// Requests in flight.
+    pub concurrency: Option<Concurrency>,
+    /// When a server is left alone.
+    pub breaker: Option<breaker::Rule>,
+    /// The share of the room of [`Policy::room`] that this route leaves to those of more worth.
+    pub keep_free: f64,
+    /// What a refusal tells the client.
+    pub retry_after: Option<Micros>,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            attempt: None,
+            total: None,
+            attempts: None,
+            backoff: None,
+            copies: Copies::Module,
+            repeat: Repeat::Class,
+            budget: None,
+            leave: 0.0,
+            concurrency: None,
+            breaker: None,
+            keep_free: 0.0,
+            retry_after: None,
+        }
+    }
+}
+
+impl Limits {
+    /// The longest that all attempts and the waits between them take.
+    pub fn worst(&self, most_attempts: u32) -> Option<Micros> {
+        let attempts = self.attempts.unwrap_or(most_attempts);
+        let waits: Micros = (1..attempts).map(|n| self.backoff.map_or(0, |b| b.longest(n))).sum();
+        Some(self.attempt?.saturating_mul(u64::from(attempts)).saturating_add(waits))
+    }
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name, for messages and to keep what was learnt over a reload.
+    pub name: String,
+    /// What it takes.
+    pub takes: Match,
+    /// Its limits.
+    pub limits: Limits,
+}
+
+/// A whole file, checked.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Policy {
+    /// The routes, most specific first; the last takes what no other does.
+    pub routes: Vec<Route>,
+    /// The retry budgets: names and grants.
+    pub budgets: Vec<(String, Grant)>,
+    /// Requests in flight at this proxy over all routes.
+    pub room: Option<u32>,
+    /// The share of the origin's window that each class may use, by its place in the settings.
+    pub window: Vec<f64>,
+    /// The prefixes that routes name; a group's number is a place among them, from 1.
+    prefixes: Vec<Vec<u8>>,
+}
+
+impl Policy {
+    /// A policy of these routes, most specific first; the last takes what no other does.
+    pub fn new(
+        routes: Vec<Route>,
+        budgets: Vec<(String, Grant)>,
+        room: Option<u32>,
+        window: Vec<f64>,
+    ) -> Self {
+        let mut prefixes: Vec<Vec<u8>> = routes.iter().map(|r| r.takes.prefix.clone()).collect();
+        prefixes.retain(|p| !p.is_empty());
+        prefixes.sort();
+        prefixes.dedup();
+        Policy { routes, budgets, room, window, prefixes }
+    }
+
+    /// The group of a key, for [`Request::group`]: the longest prefix that any route names and that it begins
+    /// with, as its place among all prefixes, from 1; 0 for none.
+    pub fn group(&self, key: &[u8]) -> u32 {
+        let fits = |(_, prefix): &(usize, &Vec<u8>)| key.starts_with(prefix);
+        let longest = self.prefixes.iter().enumerate().filter(fits).max_by_key(|(_, prefix)| prefix.len());
+        longest.map_or(0, |(i, _)| i as u32 + 1)
+    }
+
+    /// The route of a request: its place. The last one takes everything.
+    pub fn route(&self, request: &Request) -> usize {
+        let prefix = match request.group.checked_sub(1) {
+            Some(group) => self.prefixes.get(group as usize).map_or(&[][..], Vec::as_slice),
+            None => &[],
+        };
+        let takes = |r: &Route| r.takes.takes(request, prefix);
+        self.routes.iter().position(takes).unwrap_or(self.routes.len().saturating_sub(1))
+    }
+}
--- a/model/tests/machines.rs
+++ b/model/tests/machines.rs
@@ -281,6 +281,10 @@
             s.advance(at, &mut done);
             assert!(s.held() <= s.bound() && s.bound() >= 3);
         }
-        assert_eq!((done.len(), s.bound()), (held as usize, 3), "the bound is the new one once they are done");
+        assert_eq!(
+            (done.len(), s.bound()),
+            (held as usize, 3),
+            "the bound is the new one once they are done"
+        );
     }
 }
--- a/proxy/src/lifecycle/config.rs
+++ b/proxy/src/lifecycle/config.rs
@@ -1,10 +1,12 @@
 //! What the platform tells a proxy: a JSON file, and variables that go before it.
 
 use crate::state::registry::Update;
+use notchdoor_limits::policy::Policy;
 use notchdoor_settings::BootInfo;
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// The platform's limit on sockets; what the file allows beyond it is not used.
 const MOST_SOCKETS: usize = 1024;
@@ -14,6 +16,7 @@
 /// Where the configuration came from and what it said: what a later reading of the file is held against.
 pub struct Source {
     path: String,
+    policy: Option<String>,
     fields: Map<String, Value>,
 }
 
@@ -24,6 +27,8 @@
     pub registry: SocketAddr,
     /// Fields that differ from those the proxy started with and that only a restart takes up.
     pub wants_restart: Vec<String>,
+    /// The policy from here on, where there is a file of one.
+    pub policy: Option<Arc<Policy>>,
 }
 
 /// A proxy's configuration.
@@ -48,6 +53,8 @@
     pub known: Option<Update>,
     /// The deployment's settings.
     pub settings: BootInfo,
+    /// The operators' limits, where there is a file of them.
+    pub policy: Option<Arc<Policy>>,
 }
 
 #[derive(Deserialize)]
@@ -84,6 +91,16 @@
     std::fs::read(path).map_err(|e| format!("EDGE_CONFIG: cannot read {path}: {e}"))
 }
 
+/// Reads the operators' limits. The error has a line for each problem.
+fn policy(path: Option<&str>, settings: &BootInfo) -> Result<Option<Arc<Policy>>, String> {
+    let Some(path) = path else { return Ok(None) };
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: cannot read the policy: {e}"))?;
+    match notchdoor_limits::file::parse(path, &text, &settings.facts()) {
+        Ok(policy) => Ok(Some(Arc::new(policy))),
+        Err(problems) => Err(problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")),
+    }
+}
+
 fn fields(text: &[u8]) -> Result<Map<String, Value>, String> {
     serde_json::from_slice(text).map_err(|e| format!("EDGE_CONFIG: {e}"))
 }
@@ -91,7 +108,13 @@
 impl Source {
     /// Reads the file again.
     pub fn reread(&self) -> Result<Reload, String> {
-        self.compare(&read(&self.path)?)
+        let text = read(&self.path)?;
+        let reload = self.compare(&text)?;
+        // Checked against the settings in force: new ones wait for a restart.
+        let settings = self.fields.get("settings").cloned().unwrap_or_default();
+        let boot: BootInfo =
+            serde_json::from_value(settings).map_err(|e| format!("EDGE_CONFIG: settings: {e}"))?;
+        Ok(Reload { policy: policy(self.policy.as_deref(), &boot)?, ..reload })
     }
 
     /// Holds a later text of the file against the one that the proxy started with. The variables went before
@@ -113,17 +136,18 @@
                 _ => {}
             }
         }
-        Ok(Reload { registry, wants_restart })
+        Ok(Reload { registry, wants_restart, policy: None })
     }
 }
 
 impl Config {
-    /// Reads the file that `EDGE_CONFIG` names, and the variables.
-    pub fn load() -> Result<(Self, Source), String> {
+    /// Reads the file that `EDGE_CONFIG` names, the variables, and the policy file if there is one.
+    pub fn load(policy_file: Option<String>) -> Result<(Self, Source), String> {
         let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG: not set".to_owned())?;
         let text = read(&path)?;
-        let config = Config::parse(&text, |name| std::env::var(name).ok())?;
-        Ok((config, Source { path, fields: fields(&text)? }))
+        let mut config = Config::parse(&text, |name| std::env::var(name).ok())?;
+        config.policy = policy(policy_file.as_deref(), &config.settings)?;
+        Ok((config, Source { path, policy: policy_file, fields: fields(&text)? }))
     }
 
     /// Takes the file's text; `variable` looks up what goes before it. The error names the field or the
@@ -164,6 +188,7 @@
             most_large: (file.limits.memory_mb * 1024.0 * 1024.0 / 8.0) as usize,
             known: file.known,
             settings: file.settings,
+            policy: None,
         })
     }
 }
@@ -212,7 +237,7 @@
 
     #[test]
     fn a_later_text_moves_the_registry_and_names_what_wants_a_restart() {
-        let source = Source { path: String::new(), fields: fields(TEXT.as_bytes()).unwrap() };
+        let source = Source { path: String::new(), policy: None, fields: fields(TEXT.as_bytes()).unwrap() };
         let compare = |pairs: &[(&str, &str)]| {
             let text = pairs.iter().fold(TEXT.to_owned(), |text, (a, b)| text.replacen(a, b, 1));
             source.compare(text.as_bytes())
--- a/proxy/src/lifecycle/signals.rs
+++ b/proxy/src/lifecycle/signals.rs
@@ -45,14 +45,24 @@
 /// wrong changes nothing.
 fn reload(shell: &Rc<Shell>, source: &Source) {
     match source.reread() {
-        Ok(Reload { registry, wants_restart }) => {
+        Ok(Reload { registry, wants_restart, policy }) => {
             log::info!(registry:%; "configuration read again, registry at {registry}");
             if !wants_restart.is_empty() {
                 log::warn!("configuration: a restart is needed for {}", wants_restart.join(", "));
             }
+            let routes = policy.as_ref().map(|p| p.routes.len());
+            if !shell.reload(policy) {
+                log::warn!("policy: a restart is needed to begin with one, or to go on without");
+            } else if let Some(routes) = routes {
+                log::info!(routes; "policy: read again, {routes} routes");
+            }
             shell.move_registry(registry);
         }
-        Err(error) => log::error!("configuration not taken, the old one stays: {error}"),
+        Err(error) => {
+            for line in error.lines() {
+                log::error!("configuration not taken, the old one stays: {line}");
+            }
+        }
     }
 }
 
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -5,10 +5,13 @@
 use crate::state::counters::Counters;
 use crate::state::registry::{Registry, Update};
 use crate::state::timers::{TimerKey, Timers};
-use notchdoor::{key_hash, Action, Brain, Event, Micros, Outcome, Request, RequestId, ServerId, Settings};
+use notchdoor::{key_hash, Action, Decide, Event, Micros, Outcome, Request, RequestId, ServerId, Settings};
+use notchdoor_limits::policy::Policy;
+use notchdoor_limits::stack::Stack;
 use notchdoor_settings::{position, Names};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Where an answer goes: a connection, and the place among its commands.
 pub type Place = (u64, u64);
@@ -101,7 +104,7 @@
 
 /// The module with what it needs round it.
 pub struct Proxy<C> {
-    brain: Brain,
+    stack: Stack,
     names: Names,
     /// The list held.
     pub registry: Registry,
@@ -122,10 +125,16 @@
 
 impl<C> Proxy<C> {
     /// A proxy that holds no list yet.
-    pub fn new(settings: Settings, names: Names, seed: u64, now: Micros) -> Self {
+    pub fn new(
+        settings: Settings,
+        names: Names,
+        policy: Option<Arc<Policy>>,
+        seed: u64,
+        now: Micros,
+    ) -> Self {
         let registry = Registry::new(names.clone(), settings.origin_kind);
         Proxy {
-            brain: Brain::new(settings, seed, now),
+            stack: Stack::new(settings, policy, seed, now),
             names,
             registry,
             held: HashMap::new(),
@@ -157,6 +166,12 @@
         self.places.len()
     }
 
+    /// Takes up another policy; requests that are open keep the limits they began with. False where that takes a
+    /// restart: limits cannot be put round a module that is at work, nor taken away from it.
+    pub fn reload(&mut self, now: Micros, policy: Option<Arc<Policy>>) -> bool {
+        self.stack.reload(policy, now)
+    }
+
     /// A request was read whole. One that cannot be carried out is not taken, and the error says why: guards
     /// against workers and the origin that are asked, and judged, for what no worker could answer.
     pub fn taken(&mut self, now: Micros, taken: Taken<C>) -> Result<(), &'static str> {
@@ -173,6 +188,7 @@
             class: Some(class),
             tenant: position(&self.names.tenants, &taken.tenant),
             key: Some(key_hash(&taken.key)),
+            group: self.stack.group(&taken.key),
             write: taken.write,
             due: taken.due,
             cost_hint: None,
@@ -247,7 +263,7 @@
         } else {
             Event::ListChange(&applied.members)
         };
-        self.brain.handle(now, event, &mut self.actions);
+        self.stack.handle(now, event, &mut self.actions);
         self.perform(now);
         self.settle(now);
     }
@@ -277,7 +293,7 @@
                 Event::Ended { id, .. } => Some(id),
                 _ => None,
             };
-            self.brain.handle(now, event, &mut self.actions);
+            self.stack.handle(now, event, &mut self.actions);
             self.perform(now);
             if let Some(id) = ended {
                 self.forget(id);
@@ -337,7 +353,7 @@
     }
 
     fn set_timer(&mut self, due: Micros, token: u64) {
-        let request = Brain::timer_request(token);
+        let request = self.stack.timer_request(token);
         // A request that has ended wants no more timers.
         if request.is_some_and(|id| !self.held.contains_key(&id)) {
             return;
@@ -375,7 +391,8 @@
     const T: Micros = 1_000 * S;
 
     fn proxy() -> Proxy<()> {
-        let class = Class { aim: S / 2, worth: 1.0, late_share: 0.5, effect: Effect::Idempotent };
+        let class =
+            Class { aim: S / 2, worth: 1.0, late_share: 0.5, effect: Effect::Idempotent, window_share: 1.0 };
         let settings = Settings {
             balancers: 1,
             classes: vec![class],
@@ -399,7 +416,7 @@
             kinds: vec!["std".into(), "origin".into()],
             ..Names::default()
         };
-        let mut proxy = Proxy::new(settings, names, 7, T);
+        let mut proxy = Proxy::new(settings, names, None, 7, T);
         let target = |uid: &str, model: &str| Target {
             uid: uid.into(),
             endpoint: "127.0.0.1:1".into(),
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -18,11 +18,13 @@
 use delegation::Connection;
 use futures_lite::future;
 use notchdoor::{Discovery, Micros};
+use notchdoor_limits::policy::Policy;
 use notchdoor_settings::Network;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// How often idle connections are looked over.
@@ -78,7 +80,7 @@
         if settings.discovery == Discovery::Pushed {
             settings.discovery = Discovery::OnRequest { ask_every: PUSHED_ASK_EVERY };
         }
-        let proxy = Proxy::new(settings, config.settings.names(), config.seed, clock.now());
+        let proxy = Proxy::new(settings, config.settings.names(), config.policy, config.seed, clock.now());
         let shell = Rc::new(Shell {
             proxy: RefCell::new(proxy),
             pools: RefCell::new(Pools::new(network.idle_close)),
@@ -247,6 +249,11 @@
         }
     }
 
+    /// Takes up another policy; false where that takes a restart.
+    pub fn reload(&self, policy: Option<Arc<Policy>>) -> bool {
+        self.proxy.borrow_mut().reload(self.clock.now(), policy)
+    }
+
     /// Writes the counters to the log: `name=n` in its text, and each under its name beside it.
     pub fn report(&self, what: &str) {
         let proxy = self.proxy.borrow();
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(missing_docs)]
 
 use notchdoor::{Class, Discovery, Effect, Micros, Scope, ServerState, Settings, Tenant};
+use notchdoor_limits::file::Facts;
 use serde::Deserialize;
 
 /// A time in milliseconds, with fractions.
@@ -188,6 +189,7 @@
             aim: micros(g.aim),
             worth: g.points,
             late_share: g.late_share,
+            window_share: 1.0,
             effect: match g.effect {
                 EffectName::Idempotent => Effect::Idempotent,
                 EffectName::AtMostOnce => Effect::AtMostOnce,
@@ -234,6 +236,21 @@
         }
     }
 
+    /// What a policy file is checked against.
+    pub fn facts(&self) -> Facts {
+        let names = self.names();
+        Facts {
+            settings: self.settings(),
+            classes: names.classes,
+            deadlines: self
+                .grades
+                .iter()
+                .map(|g| micros(if g.deadline > 0.0 { g.deadline } else { g.aim }))
+                .collect(),
+            tenants: names.tenants,
+        }
+    }
+
     /// The names, by the numbers that the module has for them.
     pub fn names(&self) -> Names {
         Names {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -174,12 +174,12 @@
     }
 
     /// Below one, W spaces what is sent in time: one for each CCT_estimation / W.
-    fn room(&self, now: Micros) -> bool {
+    fn room(&self, now: Micros, share: f64) -> bool {
         if self.w < 1.0 {
             let pause = (self.cct.unwrap_or(self.aim).min(self.aim) / self.w) as Micros;
             return self.out == 0 && now >= self.sent_at + pause;
         }
-        f64::from(self.out) + 1.0 <= self.w
+        f64::from(self.out) + 1.0 <= (self.w * share).max(1.0)
     }
 
     /// Something asks for room, whether there is any or not.
@@ -409,12 +409,6 @@
     refuse: bool,
 }
 
-/// A fetch that is out for a key that one cache missed, and the reads that wait to find it there.
-#[derive(Default)]
-struct Flight {
-    waiting: Vec<RequestId>,
-}
-
 const SILENCE: u64 = 0;
 const DUE: u64 = 1;
 const DISCOVERY: u64 = 2;
@@ -433,7 +427,8 @@
     origins: Vec<usize>,
     index: BTreeMap<ServerId, usize>,
     held: BTreeMap<RequestId, Held>,
-    flights: BTreeMap<(Key, usize), Flight>,
+    /// Fetches that are out for a key that one cache missed, and the reads that wait to find it there.
+    flights: BTreeMap<(Key, usize), Vec<RequestId>>,
     counts: [BTreeMap<Key, u32>; 2],
     totals: [u32; 2],
     epoch_at: Micros,
@@ -514,8 +509,9 @@
                 self.close(id, actions);
                 self.forget(id);
             }
+            Event::Late(id) => self.silence(now, id, true, actions),
             Event::Timer(token) => match token & 3 {
-                SILENCE => self.silence(now, token >> 2, actions),
+                SILENCE => self.silence(now, token >> 2, false, actions),
                 DUE => self.finish(now, token >> 2, actions),
                 DISCOVERY => actions.push(Action::Watch),
                 _ => self.retry(now, token >> 2, actions),
@@ -747,7 +743,8 @@
             self.servers[i].window.wanted(now);
             let server = &self.servers[i];
             // Guards against caches that jam though no balancer asks one of them twice in seconds.
-            if server.window.room(now) && (!sparse || server.window.knows(now) || self.pool.room(now)) {
+            let known = !sparse || server.window.knows(now) || self.pool.room(now, 1.0);
+            if known && server.window.room(now, 1.0) {
                 let busy = (f64::from(server.out) + self.rng.unit()) / server.weight;
                 if best.is_none_or(|(b, _)| busy < b) {
                     best = Some((busy, i));
@@ -995,7 +992,7 @@
             Pick::Nothing => return self.fetch(now, id, actions),
         };
         if let Some(flight) = key.and_then(|key| self.flights.get_mut(&(key, i))) {
-            flight.waiting.push(id);
+            flight.push(id);
             return;
         }
         if !self.send(now, id, i, false, actions) {
@@ -1045,7 +1042,7 @@
         let left = (self.settings.max_attempts as usize).saturating_sub(held.attempts.len());
         if let Some(flight) = flight.and_then(|f| self.flights.get_mut(&f)) {
             if left >= 2 {
-                flight.waiting.push(id);
+                flight.push(id);
                 return;
             }
         }
@@ -1060,7 +1057,9 @@
         // Guards against fetches that can hardly be over before the client gives up: they only take the room.
         let hopeless =
             self.window.cct.unwrap_or(0.0) / 2.0 > (self.held[&id].request.due.saturating_sub(now)) as f64;
-        let Some(target) = target.filter(|_| !hopeless && self.window.room(now)) else {
+        let class = self.held[&id].request.class.and_then(|c| self.settings.classes.get(c as usize));
+        let share = class.map_or(1.0, |c| c.window_share);
+        let Some(target) = target.filter(|_| !hopeless && self.window.room(now, share)) else {
             return self.give_up(now, id, actions);
         };
         if !self.send(now, id, target, true, actions) {
@@ -1132,11 +1131,14 @@
 
     /// A read that its cache has not answered for long. Guards against a server that takes work and never
     /// answers: its silence is told while it lasts, not when the client has given up.
-    fn silence(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
+    /// `granted` is a layer's leave to send a second copy, beside what is done unasked.
+    fn silence(&mut self, now: Micros, id: RequestId, granted: bool, actions: &mut Vec<Action>) {
         let Some(held) = self.held.get_mut(&id).filter(|h| !h.over && !h.streaming) else { return };
         let unheard = |a: &&Attempt| a.state == AttemptState::Out && !a.fetch;
         let Some(attempt) = held.attempts.iter().find(unheard) else { return };
-        self.servers[attempt.server].health.answered((now - attempt.sent) as f64);
+        if !granted {
+            self.servers[attempt.server].health.answered((now - attempt.sent) as f64);
+        }
         let class = held.request.class.and_then(|c| self.settings.classes.get(c as usize));
         let safe = class.is_some_and(|c| c.effect == Effect::Idempotent) && !held.request.write;
         let (alone, server) = (held.attempts.len() == 1, attempt.server);
@@ -1145,15 +1147,9 @@
         self.suspect(now, server);
         // Guards against slow caches where own samples are too few to tell them: the next rank is asked as
         // well, within a budget, since what it adds comes when there is least room for it.
-        if safe
-            && alone
-            && self.sparse()
-            && self.settings.second_copies
-            && light
-            && self.copy_budget >= 1.0
-            && self.pool.half_free()
-        {
-            self.copy_budget -= 1.0;
+        let unasked = self.sparse() && light && self.copy_budget >= 1.0 && self.pool.half_free();
+        if safe && alone && self.settings.second_copies && (granted || unasked) {
+            self.copy_budget -= f64::from(u8::from(!granted));
             self.read(now, id, false, actions);
         }
     }
@@ -1264,8 +1260,7 @@
 
     /// A fetch has ended: the reads that waited for it find the key in the cache, or fetch in its stead.
     fn land(&mut self, now: Micros, flight: (Key, usize), stored: bool, actions: &mut Vec<Action>) {
-        let waiting = self.flights.remove(&flight).map_or(Vec::new(), |f| f.waiting);
-        for id in waiting {
+        for id in self.flights.remove(&flight).unwrap_or_default() {
             if self.held.get(&id).is_none_or(|h| h.over) {
                 continue;
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -57,6 +57,8 @@
     pub late_share: f64,
     /// What may be repeated.
     pub effect: Effect,
+    /// The share of the origin's window that fetches for this class may use; 1 for all of it.
+    pub window_share: f64,
 }
 
 /// A tenant.
@@ -157,6 +159,9 @@
     pub tenant: Option<u32>,
     /// What it is about.
     pub key: Option<Key>,
+    /// Which of the groups of keys that a layer tells apart its key belongs to; 0 for none. The host asks
+    /// [`crate::Decide::group`].
+    pub group: u32,
     /// Whether it writes.
     pub write: bool,
     /// When the client gives up; the final answer must be out by then.
@@ -235,6 +240,8 @@
     Left(RequestId),
     /// A timer that was asked for.
     Timer(u64),
+    /// A layer has waited long enough for the one attempt that is out, and grants a second copy.
+    Late(RequestId),
 }
 
 /// What the balancer wants done, at once and in this order.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 
 mod brain;
 pub mod interface;
+mod stack;
 
 pub use brain::{Brain, Look};
 pub use interface::*;
+pub use stack::Decide;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,7 +9,7 @@
 pub const ORIGIN: ServerId = 99;
 
 pub fn settings() -> Settings {
-    let class = |effect| Class { aim: 500 * MS, worth: 1.0, late_share: 0.5, effect };
+    let class = |effect| Class { aim: 500 * MS, worth: 1.0, late_share: 0.5, effect, window_share: 1.0 };
     Settings {
         balancers: 2,
         classes: vec![
@@ -58,6 +58,7 @@
         class: Some(0),
         tenant: None,
         key: Some(key),
+        group: 0,
         write: false,
         due: now + 2 * S,
         cost_hint: None,
