Reads leave two fifths of the origin's window to writes

Change: READS_SHARE in the module, and Class::window_share by which a file may have a class leave more; tests fail without it.

--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -186,11 +186,12 @@
     } else {
         run.policies.iter().map(|name| Kind::parse(name)).collect::<Result<_, _>>()?
     };
-    if run.policy.is_some() && !policies.contains(&Kind::Limited) {
+    let needs = policies.iter().find(|kind| kind.needs_limits()).map(|kind| kind.name());
+    if run.policy.is_some() && needs.is_none() {
         policies.insert(policies.len().min(1), Kind::Limited);
     }
-    if run.policy.is_none() && policies.contains(&Kind::Limited) {
-        return Err("the policy 'limited' needs a file: give --policy FILE".to_owned());
+    if let (None, Some(name)) = (&run.policy, needs) {
+        return Err(format!("the policy '{name}' needs a file: give --policy FILE"));
     }
     let mut plans = Vec::new();
     for scenario in &scenarios {
--- a/lab/src/policy.rs
+++ b/lab/src/policy.rs
@@ -3,7 +3,7 @@
 use crate::baselines::{Choice, Plain};
 use crate::broken::{Break, Broken};
 use notchdoor::{Action, Decide, Event, Key, Micros, ServerId, Settings};
-use notchdoor_limits::layer::Done;
+use notchdoor_limits::layer::{Done, Limits};
 use notchdoor_limits::policy::Policy as LimitsFile;
 use notchdoor_limits::stack::Stack;
 use std::sync::Arc;
@@ -105,6 +105,25 @@
     }
 }
 
+impl Policy for Limits<Plain> {
+    fn handle(&mut self, now: Micros, event: Event<'_>, _: &dyn Sight, actions: &mut Vec<Action>) {
+        Decide::handle(self, now, event, actions);
+    }
+
+    fn limited(&self) -> Option<(Done, u64)> {
+        Some((self.done(), self.opened()))
+    }
+
+    fn load(&self) -> Option<Load> {
+        let (held, out) = Limits::load(self);
+        Some(Load { held, out })
+    }
+
+    fn left_over(&self) -> Option<String> {
+        Limits::left_over(self)
+    }
+}
+
 /// A policy by name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -112,6 +131,8 @@
     Notchdoor,
     /// The decision module with the limits of a file round it.
     Limited,
+    /// Rendezvous hashing with the limits of a file round it: what limits do where no windows are.
+    LimitedRendezvous,
     /// A baseline.
     Plain(Choice),
     /// The decision module, broken on purpose to see that it is caught.
@@ -134,7 +155,7 @@
         USUAL
             .iter()
             .copied()
-            .chain([Kind::Limited])
+            .chain([Kind::Limited, Kind::LimitedRendezvous])
             .chain(Break::ALL.iter().map(|b| Kind::Broken(*b)))
             .collect()
     }
@@ -144,6 +165,7 @@
         match self {
             Kind::Notchdoor => "notchdoor",
             Kind::Limited => "limited",
+            Kind::LimitedRendezvous => "limited-rendezvous",
             Kind::Plain(choice) => choice.name(),
             Kind::Broken(broken) => broken.name(),
         }
@@ -159,7 +181,12 @@
 
     /// Whether a broken rule ends its day. Baselines know nothing of some rules; theirs are counted.
     pub fn must_keep_rules(self) -> bool {
-        !matches!(self, Kind::Plain(_))
+        !matches!(self, Kind::Plain(_) | Kind::LimitedRendezvous)
+    }
+
+    /// Whether it needs a file of limits.
+    pub fn needs_limits(self) -> bool {
+        matches!(self, Kind::Limited | Kind::LimitedRendezvous)
     }
 
     /// One proxy's instance; `limits` are those of [`Kind::Limited`].
@@ -173,6 +200,11 @@
         match self {
             Kind::Notchdoor => Box::new(Stack::new(settings.clone(), None, seed, now)),
             Kind::Limited => Box::new(Stack::new(settings.clone(), limits.cloned(), seed, now)),
+            Kind::LimitedRendezvous => {
+                let plain = Plain::new(Choice::Rendezvous, settings.clone(), seed);
+                let limits = limits.cloned().unwrap_or_default();
+                Box::new(Limits::new(plain, settings.clone(), limits, seed, now))
+            }
             Kind::Plain(choice) => Box::new(Plain::new(choice, settings.clone(), seed)),
             Kind::Broken(broken) => Box::new(Broken::new(broken, settings.clone(), seed, now)),
         }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,6 +33,8 @@
 const FIRST_WINDOW: f64 = 8.0;
 /// The first threshold: slow start may double the starting window once before it turns careful.
 const FIRST_THRESHOLD: f64 = 16.0;
+/// Reads leave the rest of W, where it is more than one, to writes: one that finds no room is lost for good.
+const READS_SHARE: f64 = 0.6;
 /// Weight of the newest time in the quartile of a kind of cache, and the reads from which it is believed.
 const KIND_GAIN: f64 = 0.05;
 const KIND_SAMPLES: u32 = 16;
@@ -1058,7 +1060,7 @@
         let hopeless =
             self.window.cct.unwrap_or(0.0) / 2.0 > (self.held[&id].request.due.saturating_sub(now)) as f64;
         let class = self.held[&id].request.class.and_then(|c| self.settings.classes.get(c as usize));
-        let share = class.map_or(1.0, |c| c.window_share);
+        let share = class.map_or(1.0, |c| c.window_share).min(if write { 1.0 } else { READS_SHARE });
         let Some(target) = target.filter(|_| !hopeless && self.window.room(now, share)) else {
             return self.give_up(now, id, actions);
         };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -610,3 +610,30 @@
         }
     }
 }
+
+/// Guards against sign-offs that find the window full of reads' fetches: they are refused for good, and worth more.
+#[test]
+fn reads_leave_some_of_the_window_to_writes_and_a_layer_may_have_them_leave_more() {
+    let fetches = |share: f64| {
+        let mut settings = settings();
+        settings.classes[0].window_share = share;
+        let mut brain = brain(settings, &members(6));
+        let mut fetching = 0;
+        for id in 1..=8 {
+            let now = START + id * 2 * MS;
+            let asked = arrive(&mut brain, now, read(id, key_hash(&id.to_le_bytes()), now));
+            assert_eq!(sent(&asked).len(), 1);
+            let then = end(&mut brain, now + MS, id, 0, Outcome::Miss, MS);
+            fetching += usize::from(sent(&then) == [ORIGIN]);
+            assert!(sent(&then) == [ORIGIN] || refused(&then), "refused at once, not held");
+        }
+        let now = START + S;
+        let write = |id| Request { write: true, class: Some(3), ..read(id, id, now) };
+        let writes = (20..30).filter(|&id| !sent(&arrive(&mut brain, now, write(id))).is_empty()).count();
+        (fetching, writes)
+    };
+    // The window starts at eight: three fifths of it hold four fetches whole.
+    assert_eq!(fetches(1.0), (4, 4));
+    assert_eq!(fetches(0.25), (2, 6));
+    assert_eq!(fetches(0.01), (1, 7), "never less than one: a class must not starve");
+}
