--- a/limits/src/breaker.rs
+++ b/limits/src/breaker.rs
@@ -93,13 +93,14 @@
 
     /// An attempt has ended: whether it was a trial, failed, and how long it took. `spread` is how much longer
     /// than its rule says the breaker stays open if this opens it: hundreds of proxies whose breakers opened
-    /// together must not try a server that has just come back at one moment.
-    pub fn ended(&mut self, now: Micros, trial: bool, failed: bool, took: Micros, spread: Micros) {
+    /// together must not try a server that has just come back at one moment. `None` if it must not open now.
+    pub fn ended(&mut self, now: Micros, trial: bool, failed: bool, took: Micros, spread: Option<Micros>) {
         let slow = took > self.rule.slow_after;
         if trial {
             if let State::HalfOpen { good, .. } = self.state {
                 if failed || slow {
-                    return self.open(now, spread);
+                    // It was open before: no further one is left alone by that.
+                    return self.open(now, spread.unwrap_or(0));
                 }
                 let good = good + 1;
                 self.state = State::HalfOpen { out: false, good };
@@ -123,7 +124,7 @@
         let n = sum(|s| s.0);
         let share = |part: f64| part / n.max(1.0);
         let over = share(sum(|s| s.1)) >= self.rule.failures || share(sum(|s| s.2)) >= self.rule.slow;
-        if n >= f64::from(self.rule.least.max(1)) && over {
+        if let Some(spread) = spread.filter(|_| n >= f64::from(self.rule.least.max(1)) && over) {
             self.open(now, spread);
         }
     }
--- a/limits/src/file.rs
+++ b/limits/src/file.rs
@@ -719,7 +719,16 @@
                 self.fail(r, read, "attempt", &why);
             }
         }
+        let reads = effect == Effect::Idempotent && read.route.takes.write != Some(true);
+        if reads && attempts < 2 {
+            let why = format!("{attempts} starves '{name}': what a worker lacks could not be fetched, and a cold one would stay empty (rule 4); 2 would do");
+            self.fail(r, read, "attempts", &why);
+        }
         let aim = settings.classes[class].aim;
+        if let Some(b) = limits.breaker.filter(|b| b.slow_after.saturating_mul(4) < aim) {
+            let why = format!("{} is no slow answer to '{name}', which is wanted within {}: servers would be left alone for what is usual; slow_after = \"{}\" would do", told(b.slow_after), told(aim), told(aim / 2));
+            self.fail(r, read, "breaker", &why);
+        }
         if let Some(total) = limits.total.filter(|t| t.saturating_mul(10) < aim) {
             let why = format!("{} starves '{name}', which is wanted within {}: next to nothing could be served; \"{}\" would do", told(total), told(aim), told(aim));
             self.fail(r, read, "total", &why);
--- a/limits/src/layer.rs
+++ b/limits/src/layer.rs
@@ -30,6 +30,9 @@
 const COPY: u64 = 1;
 /// A repeat is not begun with less than this share of an attempt's time left: it could not end.
 const WORTH_STARTING: f64 = 0.25;
+/// At most this share of the servers has an open breaker at a route. Guards against a file that would leave alone
+/// all warm servers, and push the load of all onto a cold one, or the origin (rule 4).
+const MOST_OPEN: f64 = 0.4;
 /// Breakers that opened together try again one proxy after another, so far apart.
 const APART: Micros = 40_000;
 
@@ -496,6 +499,7 @@
         let (id, number, outcome, took, last, being_fetched) = event;
         let balancers = u64::from(self.settings.balancers);
         let spread = (self.rng.random::<f64>() * (balancers * APART) as f64) as Micros;
+        let serving = self.serving.values().filter(|s| s.0).count();
         let Some(held) = self.held.get_mut(&id) else {
             let ended = Event::Ended { id, attempt: number, outcome, took, last, being_fetched };
             return self.pass(now, ended, actions);
@@ -513,6 +517,8 @@
             held.risked.get_or_insert(a.sent);
         }
         let mut state = held.lane.state.borrow_mut();
+        let open = state.breakers.values().filter(|b| !b.is_closed()).count() as f64;
+        let may_open = open + 1.0 <= (MOST_OPEN * serving as f64).max(1.0);
         if let Some(breaker) = state.breakers.get_mut(&a.server) {
             let failed = matches!(
                 outcome,
@@ -538,7 +544,7 @@
                     a.trial,
                     failed,
                     took.unwrap_or(if failed { waited } else { 0 }),
-                    spread,
+                    may_open.then_some(spread),
                 ),
             }
         }
--- a/limits/tests/files.rs
+++ b/limits/tests/files.rs
@@ -135,6 +135,8 @@
         (of("fix", "attempt = '600ms'\nattempts = 3"), "p:4:11: route.r.attempt: the last repeat of 'fix' could start 1s200ms after the first attempt, but repeats are dropped for 1s only (rule 2); write repeat = \"never\" or a shorter attempt"),
         (read("total = '50ms'"), "p:4:9: route.r.total: 50ms starves 'read', which is wanted within 750ms: next to nothing could be served; \"750ms\" would do"),
         (read("attempt = '20ms'"), "p:4:11: route.r.attempt: 20ms starves 'read', which is wanted within 750ms; \"375ms\" would do"),
+        (read("attempts = 1"), "p:4:12: route.r.attempts: 1 starves 'read': what a worker lacks could not be fetched, and a cold one would stay empty (rule 4); 2 would do"),
+        (read("breaker = { failures = 0.5, slow = 0.5, slow_after = '35ms', window = '3s', open = '1s' }"), "p:4:11: route.r.breaker: 35ms is no slow answer to 'read', which is wanted within 750ms: servers would be left alone for what is usual; slow_after = \"375ms\" would do"),
         (of("close", "keep_free = 0.2"), "p:4:13: route.r.keep_free: 'close' is of the most worth, and would leave room for what is worth less; leave keep_free out of its route"),
         // Routes that nothing can come to.
         ("[[route]]\nname = 'a'\nclass = 'read'\n[[route]]\nname = 'b'\nclass = 'read'\n".into(), "p:5:8: route.b.name: takes exactly what 'a' takes, and so nothing; merge the two"),
