--- a/lab/tests/days.rs
+++ b/lab/tests/days.rs
@@ -127,3 +127,14 @@
         assert_eq!(!breaches.is_empty(), open, "{name}: {breaches:?}");
     }
 }
+
+/// Random days that once broke a rule, by their seeds: cold workers pushed over because the misses of an empty one,
+/// quickly answered and asked again, passed for what warm ones bear.
+#[test]
+fn random_days_that_were_found_stay_mended() {
+    for seed in [3_285, 6_449, 7_823] {
+        let spec = search::random_day(&Spec::default(), seed);
+        let day = play(&spec, "random", seed, Kind::Notchdoor, true);
+        assert_eq!(day.breaches, [], "seed {seed}: {:#?}", day.trace);
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1209,7 +1209,8 @@
             self.servers[i].window.complete(now, sent, delay, breach, timed);
             let late = self.pool.limit(K).map_or(delay, |limit| delay.max(limit as Micros));
             self.pool.complete(now, sent, if breach { late } else { delay }, false, timed);
-            self.answers += u32::from(matches!(outcome, Outcome::Ok | Outcome::Miss));
+            // Misses tell nothing of what warm caches bear: an empty cold one would draw the more, the more it lacks.
+            self.answers += u32::from(outcome == Outcome::Ok);
             if told {
                 self.observe(now, i, outcome, took.map(|t| t as f64));
             }
