--- a/lab/src/day/mod.rs
+++ b/lab/src/day/mod.rs
@@ -540,29 +540,20 @@
         for (done, opened) in self.proxies.iter().filter_map(|p| p.policy.limited()) {
             limited.add(&done, opened);
         }
-        let summed = self.record.sum_up(self.spec, broken);
         Played {
             scenario: scenario.to_owned(),
             policy: self.kind.name().to_owned(),
             seed: self.seed,
-            set: Vec::new(),
             warm_up_s: self.spec.warm_up_s,
             faults: self.spec.faults.clone(),
             digest: self.digest.finalize().to_hex().to_string(),
-            score: summed.score,
-            counts: summed.counts,
-            classes: summed.classes,
-            tenants: summed.tenants,
-            waste: summed.waste,
-            imbalance: summed.imbalance,
             limited,
             stops: self.stops,
             falls: self.falls,
             breaches: self.breaches,
             breach_count: self.breach_count,
             trace: self.told_trace,
-            seconds: summed.seconds,
-            took_s: 0.0,
+            ..self.record.sum_up(self.spec, broken)
         }
     }
 }
--- a/lab/src/day/world.rs
+++ b/lab/src/day/world.rs
@@ -400,15 +400,12 @@
 pub struct Agenda {
     heap: BinaryHeap<Reverse<Entry>>,
     order: u64,
-    /// The most that it ever held.
-    pub most: usize,
 }
 
 impl Agenda {
     pub fn put(&mut self, at: Time, next: Next) {
         self.order += 1;
         self.heap.push(Reverse(Entry(at, self.order, next)));
-        self.most = self.most.max(self.heap.len());
     }
 
     pub fn take(&mut self) -> Option<(Time, Next)> {
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -134,7 +134,7 @@
 }
 
 /// The result of a day.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Day {
     /// The scenario.
     pub scenario: String,
@@ -319,8 +319,8 @@
         }
     }
 
-    /// Sums the day up. `broken` if a rule was broken that had to be kept.
-    pub fn sum_up(self, spec: &Spec, broken: bool) -> Summed {
+    /// Sums the day up: the figures that are a recorder's to know. `broken` if a rule was broken.
+    pub fn sum_up(self, spec: &Spec, broken: bool) -> Day {
         let range = self.range();
         let totals = |of: fn(&Second) -> &Vec<f64>, n: usize| -> Vec<f64> {
             (0..n).map(|i| range.iter().map(|s| of(s)[i]).sum()).collect()
@@ -370,7 +370,7 @@
                 max_ms: at(1.0),
             }
         };
-        Summed {
+        Day {
             score: Score { goal, whole, worst_window, worst_class, worst_tenant, prices },
             counts,
             classes: self.latencies.iter().enumerate().map(latency).collect(),
@@ -378,28 +378,11 @@
             waste,
             imbalance: busy.iter().sum::<f64>() / busy.len().max(1) as f64,
             seconds: self.seconds,
+            ..Day::default()
         }
     }
 }
 
-/// What a [`Recorder`] sums up to.
-pub struct Summed {
-    /// What the day is judged by.
-    pub score: Score,
-    /// Counts of the scored part.
-    pub counts: Counts,
-    /// Latencies by class.
-    pub classes: Vec<Latency>,
-    /// Service by tenant.
-    pub tenants: Vec<(String, f64)>,
-    /// Work wasted beside the work asked for.
-    pub waste: f64,
-    /// How much busier the busiest worker was than the mean one.
-    pub imbalance: f64,
-    /// Every second.
-    pub seconds: Vec<Second>,
-}
-
 impl Counts {
     fn plus(&self, other: &Counts) -> Counts {
         Counts {
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -140,20 +140,6 @@
 
 fn put(table: &mut Table, path: &str, value: Value) -> Result<(), String> {
     let Some((first, rest)) = path.split_once('.') else {
-        // A whole number where a fraction is meant is no reason to turn it away.
-        let value = match value {
-            Value::Integer(n)
-                if !matches!(path, "count" | "proxies" | "seed" | "slots" | "room" | "retries") =>
-            {
-                let float = *n.value() as f64;
-                if matches!(path, "connections" | "streams" | "max_attempts" | "most_held") {
-                    Value::Integer(n)
-                } else {
-                    Value::from(float)
-                }
-            }
-            other => other,
-        };
         table.insert(path, Item::Value(value));
         return Ok(());
     };
--- a/limits/src/layer.rs
+++ b/limits/src/layer.rs
@@ -126,6 +126,8 @@
     out: u64,
     /// Servers that the list says take nothing new, of those ever listed.
     serving: FxHashMap<ServerId, (bool, Micros)>,
+    /// How many of them take what is new.
+    serves: usize,
     /// Ends that what decides within is owed.
     owed: VecDeque<(RequestId, u32, Outcome)>,
     buffer: Vec<Action>,
@@ -146,6 +148,7 @@
             in_flight: 0,
             out: 0,
             serving: FxHashMap::default(),
+            serves: 0,
             owed: VecDeque::new(),
             buffer: Vec::new(),
             done: Done::default(),
@@ -499,7 +502,6 @@
         let (id, number, outcome, took, last, being_fetched) = event;
         let balancers = u64::from(self.settings.balancers);
         let spread = (self.rng.random::<f64>() * (balancers * APART) as f64) as Micros;
-        let serving = self.serving.values().filter(|s| s.0).count();
         let Some(held) = self.held.get_mut(&id) else {
             let ended = Event::Ended { id, attempt: number, outcome, took, last, being_fetched };
             return self.pass(now, ended, actions);
@@ -518,7 +520,7 @@
         }
         let mut state = held.lane.state.borrow_mut();
         let open = state.breakers.values().filter(|b| !b.is_closed()).count() as f64;
-        let may_open = open + 1.0 <= (MOST_OPEN * serving as f64).max(1.0);
+        let may_open = open + 1.0 <= (MOST_OPEN * self.serves as f64).max(1.0);
         if let Some(breaker) = state.breakers.get_mut(&a.server) {
             let failed = matches!(
                 outcome,
@@ -528,24 +530,12 @@
             let waited = now - a.sent;
             let cut_short = outcome == Outcome::Timeout
                 && held.lane.limits.attempt.is_some_and(|t| (waited as f64) < t as f64 * 0.5);
-            match outcome {
-                Outcome::Cancelled | Outcome::Moot | Outcome::Full => {
-                    if a.trial {
-                        breaker.trial_void();
-                    }
-                }
-                _ if cut_short => {
-                    if a.trial {
-                        breaker.trial_void();
-                    }
-                }
-                _ => breaker.ended(
-                    now,
-                    a.trial,
-                    failed,
-                    took.unwrap_or(if failed { waited } else { 0 }),
-                    may_open.then_some(spread),
-                ),
+            let silent = matches!(outcome, Outcome::Cancelled | Outcome::Moot | Outcome::Full) || cut_short;
+            if !silent {
+                let took = took.unwrap_or(if failed { waited } else { 0 });
+                breaker.ended(now, a.trial, failed, took, may_open.then_some(spread));
+            } else if a.trial {
+                breaker.trial_void();
             }
         }
         if outcome == Outcome::Ok && !held.over {
@@ -612,6 +602,7 @@
                 }
             }
         }
+        self.serves = self.serving.values().filter(|s| s.0).count();
         // Guards against records of every server that there ever was.
         let gone: Vec<ServerId> =
             self.serving.iter().filter(|(_, s)| !s.0).map(|(server, _)| *server).collect();
--- a/model/src/network.rs
+++ b/model/src/network.rs
@@ -1,6 +1,6 @@
 //! Zones and links, machines that fall silent, and the connections of proxies to servers.
 
-use crate::time::{Time, NEVER};
+use crate::time::Time;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
@@ -163,9 +163,4 @@
     pub fn is_silent(&self, machine: u32, now: Time) -> bool {
         self.until.get(&machine).copied().unwrap_or(0) > now
     }
-
-    /// Whether it will be silent for ever.
-    pub fn for_ever(&self, machine: u32) -> bool {
-        self.until.get(&machine) == Some(&NEVER)
-    }
 }
--- a/model/src/station.rs
+++ b/model/src/station.rs
@@ -292,11 +292,6 @@
         self.begin_next();
     }
 
-    /// The pace of the moment.
-    pub fn pace(&self) -> f64 {
-        self.pace
-    }
-
     /// Drops everything, as when a process dies; gives back what was held, in order of the job's number.
     pub fn clear(&mut self, now: Time) -> Vec<Job> {
         let mut jobs: Vec<Job> = self.held.keys().copied().collect();
--- a/model/src/worker.rs
+++ b/model/src/worker.rs
@@ -91,10 +91,6 @@
     warm_at: Time,
     /// What it says of its load.
     pub reporter: Reporter,
-    /// Reads that were asked here, and those that were kept: its own hit rate.
-    pub asked: u64,
-    /// Reads whose key was kept.
-    pub hits: u64,
 }
 
 impl Worker {
@@ -112,8 +108,6 @@
             connections: 0,
             warm_at: 0,
             reporter,
-            asked: 0,
-            hits: 0,
         }
     }
 
@@ -206,11 +200,9 @@
             debug_assert!(refused == Offer::Full);
             return Taken::Full;
         }
-        self.asked += 1;
         if !self.memory.holds(now, key, truth) {
             return Taken::Miss;
         }
-        self.hits += 1;
         match self.station.offer(now, job, work) {
             Offer::Taken => Taken::InWork,
             Offer::Full => Taken::Full,
