--- a/limits/benches/events.rs
+++ b/limits/benches/events.rs
@@ -1,9 +1,10 @@
 //! What a layer costs an event: a request that arrives, is sent and answered, with no file and with all limits.
 
+#[path = "../tests/common/mod.rs"]
+mod common;
+
 use criterion::{criterion_group, criterion_main, Criterion};
-use notchdoor::{
-    Class, Decide, Discovery, Effect, Event, Member, Micros, Outcome, Request, ServerState, Settings,
-};
+use notchdoor::{Decide, Effect, Event, Member, Micros, Outcome, Request, ServerState, Settings};
 use notchdoor_limits::file::{parse, Facts};
 use notchdoor_limits::stack::Stack;
 use std::hint::black_box;
@@ -15,25 +16,8 @@
     breaker = { failures = 0.5, window = '5s', open = '1s' }\n[[route]]\nname = 'c'\nclass = 'close'\nattempts = 1\n";
 
 fn settings() -> Settings {
-    let class = |worth, effect| Class { aim: 500_000, worth, late_share: 0.2, effect, window_share: 1.0 };
-    Settings {
-        balancers: 4,
-        classes: vec![class(2.0, Effect::Idempotent), class(8.0, Effect::AtMostOnce)],
-        tenants: vec![],
-        over_share_worth: 0.05,
-        origin_kind: Some(2),
-        discovery: Discovery::Pushed,
-        sizes_are_live: false,
-        max_attempts: 3,
-        second_copies: true,
-        may_cancel: true,
-        max_retry_after: 1_000_000,
-        most_held: 20_000,
-        cold_from: 0.31,
-        cold: 8_000_000,
-        fall_multiple: 4.0,
-        fall_time: 2_000_000,
-    }
+    let (safe, once) = (Effect::Idempotent, Effect::AtMostOnce);
+    common::settings(4, vec![common::class(500, 2.0, safe), common::class(500, 8.0, once)])
 }
 
 fn stack(text: Option<&str>) -> Stack {
--- a/limits/tests/files.rs
+++ b/limits/tests/files.rs
@@ -1,6 +1,8 @@
 //! Bad files, each with its exact message; good ones, with what they mean.
 
-use notchdoor::{Class, Discovery, Effect, Request, Scope, Settings, Tenant};
+mod common;
+
+use notchdoor::{Effect, Request, Scope, Tenant};
 use notchdoor_limits::explain;
 use notchdoor_limits::file::{parse, Facts};
 use notchdoor_limits::policy::{Concurrency, Copies, Policy};
@@ -8,31 +10,17 @@
 const MS: u64 = 1_000;
 
 fn facts() -> Facts {
-    let class =
-        |aim, worth, effect| Class { aim: aim * MS, worth, late_share: 0.2, effect, window_share: 1.0 };
-    let settings = Settings {
-        balancers: 4,
-        classes: vec![
-            class(750, 2.0, Effect::Idempotent),
-            class(800, 3.0, Effect::Deduplicated { scope: Scope::All, window: 1_000 * MS }),
-            class(300, 8.0, Effect::AtMostOnce),
-            class(800, 3.0, Effect::Deduplicated { scope: Scope::Zone, window: 1_000 * MS }),
+    let keyed = |scope| Effect::Deduplicated { scope, window: 1_000 * MS };
+    let mut settings = common::settings(
+        4,
+        vec![
+            common::class(750, 2.0, Effect::Idempotent),
+            common::class(800, 3.0, keyed(Scope::All)),
+            common::class(300, 8.0, Effect::AtMostOnce),
+            common::class(800, 3.0, keyed(Scope::Zone)),
         ],
-        tenants: vec![Tenant { quota_per_s: 93.0 }, Tenant { quota_per_s: 107.0 }],
-        over_share_worth: 0.05,
-        origin_kind: Some(2),
-        discovery: Discovery::Pushed,
-        sizes_are_live: false,
-        max_attempts: 3,
-        second_copies: true,
-        may_cancel: true,
-        max_retry_after: 1_000 * MS,
-        most_held: 20_000,
-        cold_from: 0.31,
-        cold: 8_100 * MS,
-        fall_multiple: 4.0,
-        fall_time: 2_000 * MS,
-    };
+    );
+    settings.tenants = vec![Tenant { quota_per_s: 93.0 }, Tenant { quota_per_s: 107.0 }];
     Facts {
         settings,
         classes: ["read", "fix", "close", "zoned"].map(str::to_owned).to_vec(),
--- a/limits/tests/layer.rs
+++ b/limits/tests/layer.rs
@@ -1,8 +1,10 @@
 //! The layer round something that decides by rote, limit by limit; and round the module itself.
 
+mod common;
+
 use notchdoor::{
-    Action, Brain, Class, Decide, Discovery, Effect, Event, Member, Micros, Outcome, Request, RequestId,
-    Scope, ServerState, Settings,
+    Action, Brain, Decide, Effect, Event, Member, Micros, Outcome, Request, RequestId, Scope, ServerState,
+    Settings,
 };
 use notchdoor_limits::file::{parse, Facts};
 use notchdoor_limits::layer::Limits;
@@ -18,29 +20,15 @@
 const DUE: u64 = 7;
 
 fn settings() -> Settings {
-    let class = |worth, effect| Class { aim: 500 * MS, worth, late_share: 0.2, effect, window_share: 1.0 };
-    Settings {
-        balancers: 100,
-        classes: vec![
-            class(2.0, Effect::Idempotent),
-            class(3.0, Effect::Deduplicated { scope: Scope::All, window: S }),
-            class(8.0, Effect::AtMostOnce),
+    let keyed = Effect::Deduplicated { scope: Scope::All, window: S };
+    common::settings(
+        100,
+        vec![
+            common::class(500, 2.0, Effect::Idempotent),
+            common::class(500, 3.0, keyed),
+            common::class(500, 8.0, Effect::AtMostOnce),
         ],
-        tenants: vec![],
-        over_share_worth: 0.05,
-        origin_kind: Some(2),
-        discovery: Discovery::Pushed,
-        sizes_are_live: false,
-        max_attempts: 3,
-        second_copies: true,
-        may_cancel: true,
-        max_retry_after: S,
-        most_held: 20_000,
-        cold_from: 0.31,
-        cold: 8 * S,
-        fall_multiple: 4.0,
-        fall_time: 2 * S,
-    }
+    )
 }
 
 fn policy(text: &str) -> Arc<Policy> {
