--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -43,10 +43,15 @@
     },
 }
 
-/// Reads and checks a file of limits; the error has every problem, each with its line of the file.
-pub fn policy(path: &Path, facts: &Facts) -> Result<Policy, String> {
-    let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: cannot read: {e}"))?;
+/// Reads and checks a file of limits, with these changes made to it (`path=value`); the error has every problem,
+/// each with its line of the file.
+pub fn policy(path: &Path, set: &[&str], facts: &Facts) -> Result<Policy, String> {
+    let mut name = path.display().to_string();
+    let mut text = std::fs::read_to_string(path).map_err(|e| format!("{name}: cannot read: {e}"))?;
+    if !set.is_empty() {
+        text = scenario::changed(&text, set.iter().copied()).map_err(|why| format!("{name}: {why}"))?;
+        name = format!("{name} with {}", set.join(" "));
+    }
     file::parse(&name, &text, facts).map_err(|problems| {
         let told: Vec<String> = problems.iter().map(|p| format!("{p}\n{}", p.shown())).collect();
         told.join("\n")
@@ -118,7 +123,7 @@
     match command {
         Command::Policy { file, settings: of, explain: wanted } => {
             let facts = settings(of)?;
-            let policy = policy(file, &facts)?;
+            let policy = policy(file, &[], &facts)?;
             let (routes, budgets) = (policy.routes.len(), policy.budgets.len());
             println!("{}: good: {routes} routes, the default included, {budgets} budgets", file.display());
             if let Some(of) = wanted {
--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -19,7 +19,8 @@
   notchdoor lab run calm --out results/calm
   notchdoor lab run payday flush --seeds 10 --policies notchdoor,rendezvous
   notchdoor lab run calm --set load.share=0.3,0.5,0.7 --set workers.count=20
-  notchdoor lab run origin-stop --policy deploy/policy.example.toml --seeds 10")]
+  notchdoor lab run origin-stop --policy deploy/policy.example.toml --seeds 10
+  notchdoor lab run retry-storm --policy FILE --set load.share=0.4,0.5 --set limits.budget.repeats.share=0.1,0.5")]
     Run(Run),
     /// Play random days until a rule is broken or the budget ends; what is found is shrunk and written down.
     #[command(after_help = "Examples:
@@ -64,7 +65,8 @@
     /// A file of limits (see `check policy`), to try before it is taken into service: adds the policy 'limited'.
     #[arg(long, value_name = "FILE")]
     policy: Option<PathBuf>,
-    /// A field to change, as PATH=VALUE; several values with commas make a grid. May be given again.
+    /// A field to change, as PATH=VALUE; several values with commas make a grid. May be given again. A PATH that
+    /// begins with `limits.` is one of the --policy FILE.
     #[arg(long, value_name = "PATH=VALUE")]
     set: Vec<String>,
     #[command(flatten)]
@@ -194,16 +196,34 @@
         return Err(format!("the policy '{name}' needs a file: give --policy FILE"));
     }
     let mut plans = Vec::new();
+    let mut played: Vec<(String, Vec<String>, Kind)> = Vec::new();
     for scenario in &scenarios {
-        let first = run.seed.unwrap_or(scenario.spec.seed);
-        let seeds: Vec<u64> = (first..first.saturating_add(run.seeds.max(1))).collect();
+        let of_limits: Vec<&str> =
+            scenario.set.iter().filter_map(|c| c.strip_prefix(scenario::OF_LIMITS)).collect();
+        if run.policy.is_none() && !of_limits.is_empty() {
+            return Err(format!("--set {}{}: needs --policy FILE", scenario::OF_LIMITS, of_limits[0]));
+        }
         let limits = match &run.policy {
-            Some(path) => Some(Arc::new(crate::check::policy(path, &notchdoor_lab::facts(&scenario.spec))?)),
+            Some(path) => {
+                let facts = notchdoor_lab::facts(&scenario.spec);
+                Some(Arc::new(crate::check::policy(path, &of_limits, &facts)?))
+            }
             None => None,
         };
-        let mut of = experiment::plans(std::slice::from_ref(scenario), &policies, &seeds);
-        of.iter_mut().for_each(|plan| plan.limits.clone_from(&limits));
-        plans.extend(of);
+        let first = run.seed.unwrap_or(scenario.spec.seed);
+        let seeds: Vec<u64> = (first..first.saturating_add(run.seeds.max(1))).collect();
+        for &kind in &policies {
+            let mut scenario = scenario.clone();
+            if !kind.needs_limits() {
+                // A change of limits is none for a policy without: once will do.
+                scenario.set.retain(|c| !c.starts_with(scenario::OF_LIMITS));
+            }
+            let this = (scenario.name.clone(), scenario.set.clone(), kind);
+            if !played.contains(&this) {
+                plans.extend(experiment::plans(&scenario, kind, limits.as_ref(), &seeds));
+                played.push(this);
+            }
+        }
     }
     let days = experiment::run(&plans, run.how.threads, run.how.json)?;
     if let Some(out) = &run.out {
--- a/cli/tests/command_line.rs
+++ b/cli/tests/command_line.rs
@@ -100,6 +100,38 @@
     std::fs::remove_dir_all(folder).unwrap();
 }
 
+#[test]
+fn a_grid_sweeps_the_file_of_limits_too_and_leaves_one_chart_over_all() {
+    let folder = scratch("grid");
+    let (out, file) = (folder.display().to_string(), folder.join("limits.toml"));
+    std::fs::create_dir_all(&folder).unwrap();
+    std::fs::write(&file, "[budget.a]\nshare = 0.1\nfloor_per_s = 1.0\n[default]\nbudget = 'a'\n").unwrap();
+    let file = file.display().to_string();
+    let swept = ["length_s=20", "load.share=0.3,0.4", "proxies=2,3", "limits.budget.a.share=0.1,0.2"];
+    let args: Vec<&str> = swept.iter().flat_map(|s| ["--set", *s]).collect();
+    let base = ["lab", "run", "calm", "--policies", "notchdoor,limited", "--json"];
+    let output = run(&[&base[..], &args, &["--policy", &file, "--out", &out]].concat());
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
+    // The policy without limits plays four days, the other one each of them with both budgets.
+    assert_eq!(text(&output.stdout).lines().count(), 4 + 8);
+    let chart = std::fs::read_to_string(folder.join("grid.svg")).unwrap();
+    for words in ["load.share (across)", "proxies (up)", "budget.a.share 0.1", "budget.a.share 0.2"] {
+        assert!(chart.contains(words), "{words}");
+    }
+    let cells = chart.matches("<rect").count();
+    assert!(cells > 4 + 8, "{cells} rectangles");
+    for (set, told) in
+        [("limits.budget.a.share=-1", "limits.toml with budget.a.share=-1:2:"), ("limits.x=1", "x")]
+    {
+        let output = run(&[&base[..], &["--policy", &file, "--set", set]].concat());
+        assert_eq!(output.status.code(), Some(2));
+        assert!(text(&output.stderr).contains(told), "{}", text(&output.stderr));
+    }
+    let output = run(&[&base[..4], &["notchdoor", "--set", "limits.budget.a.share=0.1"]].concat());
+    assert!(text(&output.stderr).contains("needs --policy FILE"), "{}", text(&output.stderr));
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
 #[test]
 fn a_search_finds_shrinks_and_writes_down_what_breaks() {
     let folder = scratch("search");
--- a/lab/src/charts.rs
+++ b/lab/src/charts.rs
@@ -1,5 +1,6 @@
 //! Charts in SVG: how a day went, second by second, and what policies came to.
 
+use crate::grid::Grid;
 use crate::record::{Day, Second};
 use crate::report::groups;
 use crate::stats::mean;
@@ -192,8 +193,11 @@
     }),
 ];
 
+/// More scenarios than this get no charts by second each, which nobody would look through.
+const MOST_SCENARIOS: usize = 12;
+
 /// Draws all charts of these days into a folder; gives back the names of the files. Days of more than one
-/// scenario get charts of their own, with the scenario's name before the file's.
+/// scenario get charts of their own, with the scenario's name before the file's; a grid has one over all.
 pub fn draw(days: &[Day], folder: &Path) -> Result<Vec<String>, String> {
     let mut names = Vec::new();
     let all = groups(days);
@@ -203,6 +207,13 @@
             scenarios.push(&g.scenario);
         }
     }
+    if let Some(grid) = Grid::of(days) {
+        grid.draw(&folder.join("grid.svg"))?;
+        names.push("grid.svg".to_owned());
+    }
+    if scenarios.len() > MOST_SCENARIOS {
+        return Ok(names);
+    }
     for scenario in &scenarios {
         let plain: String =
             scenario.chars().map(|c| if c.is_ascii_alphanumeric() || c == '.' { c } else { '-' }).collect();
--- a/lab/src/compare.rs
+++ b/lab/src/compare.rs
@@ -50,6 +50,7 @@
     ("goal", |d| d.score.goal),
     ("whole day", |d| d.score.whole),
     ("worst 10 s", |d| d.score.worst_window),
+    ("last 10 s", |d| d.score.last),
     ("worst class", |d| d.score.worst_class),
     ("worst tenant", |d| d.score.worst_tenant),
 ];
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -44,17 +44,10 @@
         .map_err(|e| format!("cannot start threads: {e}"))
 }
 
-/// Every scenario with every policy on every seed, in that order.
-pub fn plans(scenarios: &[Scenario], policies: &[Kind], seeds: &[u64]) -> Vec<Plan> {
-    let mut plans = Vec::new();
-    for scenario in scenarios {
-        for &policy in policies {
-            for &seed in seeds {
-                plans.push(Plan { scenario: scenario.clone(), policy, limits: None, seed });
-            }
-        }
-    }
-    plans
+/// A scenario with one policy on every seed, in that order.
+pub fn plans(scenario: &Scenario, policy: Kind, limits: Option<&Arc<Limits>>, seeds: &[u64]) -> Vec<Plan> {
+    let plan = |&seed| Plan { scenario: scenario.clone(), policy, limits: limits.cloned(), seed };
+    seeds.iter().map(plan).collect()
 }
 
 /// Plays them all, on so many threads. Results come in the order of the plans, whatever the threads did.
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod charts;
 pub mod compare;
 pub mod experiment;
+pub mod grid;
 pub mod report;
 pub mod scenario;
 pub mod search;
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -104,6 +104,25 @@
     pub worst_tenant: f64,
     /// What the prices took.
     pub prices: f64,
+    /// Worth earned of the worth asked for in the last ten seconds: whether the day ends well.
+    #[serde(default)]
+    pub last: f64,
+    /// Whether, and how soon, service came back after the last fault.
+    #[serde(default)]
+    pub back: Back,
+}
+
+/// How a day came back from what went wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Back {
+    /// No fault, faults that come again and again, or no time left after them: there is nothing to tell.
+    #[default]
+    Untold,
+    /// So many seconds after the last fault was over, two seconds were served like the time before the first one.
+    After(f64),
+    /// Not within the day.
+    Never,
 }
 
 /// What limits round the module did.
@@ -181,6 +200,11 @@
     pub took_s: f64,
 }
 
+/// Service counts as back at this share of what it was before the first fault, in two seconds running.
+const AS_BEFORE: f64 = 0.95;
+/// Seconds before the first fault and after the last that [`Back`] needs to tell anything.
+const QUIET_S: f64 = 3.0;
+
 /// Takes a day's figures.
 pub struct Recorder {
     from: Time,
@@ -311,6 +335,29 @@
         &self.seconds[from..until.max(from + 1).min(self.seconds.len())]
     }
 
+    /// Worth earned of the worth asked for in these seconds.
+    fn service(seconds: &[Second]) -> f64 {
+        let sum = |of: fn(&Second) -> &Vec<f64>| seconds.iter().flat_map(of).sum::<f64>();
+        Self::share(sum(|s| &s.earned), sum(|s| &s.asked))
+    }
+
+    /// See [`Back`]. `range` are the scored seconds.
+    fn back(range: &[Second], spec: &Spec) -> Back {
+        let faults = &spec.faults;
+        let first = faults.iter().map(|f| f.at_s).fold(f64::INFINITY, f64::min);
+        let over = faults.iter().map(|f| f.at_s + f.length_s).fold(0.0, f64::max);
+        let again = faults.iter().any(|f| f.every_s.is_some());
+        if again || first < QUIET_S || over + QUIET_S > range.len() as f64 || faults.is_empty() {
+            return Back::Untold;
+        }
+        let usual = Self::service(&range[..first as usize]);
+        let served = |w: &[Second]| Self::service(w) >= AS_BEFORE * usual;
+        match range[over.ceil() as usize..].windows(2).position(served) {
+            Some(seconds) => Back::After(over.ceil() - over + seconds as f64),
+            None => Back::Never,
+        }
+    }
+
     fn share(earned: f64, asked: f64) -> f64 {
         if asked > 0.0 {
             earned / asked
@@ -332,16 +379,9 @@
         let by_class: Vec<f64> = asked.iter().zip(&earned).map(|(a, e)| Self::share(*e, *a)).collect();
         let by_tenant: Vec<f64> =
             tenant_asked.iter().zip(&tenant_earned).map(|(a, e)| Self::share(*e, *a)).collect();
-        let sum = |s: &Second, of: fn(&Second) -> &Vec<f64>| of(s).iter().sum::<f64>();
         let window = range.len().min(10);
-        let worst_window = range
-            .windows(window)
-            .map(|w| {
-                let asked: f64 = w.iter().map(|s| sum(s, |s| &s.asked)).sum();
-                let earned: f64 = w.iter().map(|s| sum(s, |s| &s.earned)).sum();
-                Self::share(earned, asked)
-            })
-            .fold(1.0, f64::min);
+        let worst_window = range.windows(window).map(Self::service).fold(1.0, f64::min);
+        let (last, back) = (Self::service(&range[range.len() - window..]), Self::back(range, spec));
         let mut counts = Counts::default();
         for s in range {
             counts = counts.plus(&s.counts);
@@ -371,7 +411,7 @@
             }
         };
         Day {
-            score: Score { goal, whole, worst_window, worst_class, worst_tenant, prices },
+            score: Score { goal, whole, worst_window, worst_class, worst_tenant, prices, last, back },
             counts,
             classes: self.latencies.iter().enumerate().map(latency).collect(),
             tenants: spec.tenants.iter().map(|t| t.name.clone()).zip(by_tenant).collect(),
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -1,7 +1,7 @@
 //! Results as tables: for a terminal and as Markdown.
 
 use crate::policy::Kind;
-use crate::record::Day;
+use crate::record::{Back, Day};
 use crate::stats::{mean, Mean};
 use comfy_table::{presets, CellAlignment, Table};
 
@@ -40,12 +40,33 @@
     }
 }
 
-const HEADER: [&str; 13] = [
+/// How soon days came back after their last fault: the mean of those that did, and how many did not.
+fn back(group: &Group<'_>) -> String {
+    let times: Vec<f64> = group
+        .days
+        .iter()
+        .filter_map(|d| match d.score.back {
+            Back::After(s) => Some(s),
+            _ => None,
+        })
+        .collect();
+    let never = group.days.iter().filter(|d| d.score.back == Back::Never).count();
+    match (times.len(), never) {
+        (0, 0) => "-".to_owned(),
+        (0, _) => "never".to_owned(),
+        (_, 0) => format!("{:.1}", mean(&times).mean),
+        (n, never) => format!("{:.1}, never {never} of {}", mean(&times).mean, n + never),
+    }
+}
+
+const HEADER: [&str; 15] = [
     "scenario",
     "policy",
     "goal",
     "whole",
     "worst 10 s",
+    "last 10 s",
+    "back after s",
     "worst class",
     "worst tenant",
     "p99 ms",
@@ -77,6 +98,8 @@
             told(of(&g, |d| d.score.goal)),
             told(of(&g, |d| d.score.whole)),
             told(of(&g, |d| d.score.worst_window)),
+            told(of(&g, |d| d.score.last)),
+            back(&g),
             told(of(&g, |d| d.score.worst_class)),
             told(of(&g, |d| d.score.worst_tenant)),
             format!("{:.0}", of(&g, p99).mean),
@@ -99,7 +122,7 @@
     table.load_style(presets::UTF8_HORIZONTAL_ONLY);
     table.set_header(HEADER);
     for (n, column) in table.column_iter_mut().enumerate() {
-        if (2..12).contains(&n) {
+        if (2..14).contains(&n) {
             column.set_cell_alignment(CellAlignment::Right);
         }
     }
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -18,6 +18,9 @@
     ("thousand", include_str!("../scenarios/thousand.toml")),
 ];
 
+/// How a change begins that is made to the file of limits instead of the scenario.
+pub const OF_LIMITS: &str = "limits.";
+
 /// A scenario: a name, and the world and day it stands for.
 #[derive(Clone, Debug)]
 pub struct Scenario {
@@ -30,7 +33,7 @@
 }
 
 /// Reads a scenario: a built-in one by its name, else a file. `set` are changes to single fields, as
-/// `path=value` with a path such as `workers.count` or `fault.0.share`.
+/// `path=value` with a path such as `workers.count` or `fault.0.share`; those of limits are kept, not made here.
 ///
 /// The error holds every problem found, one a line, each with the file, the line and the field.
 pub fn load(name: &str, set: &[String]) -> Result<Scenario, String> {
@@ -51,10 +54,8 @@
         }
     };
     let spec = parse(name, &text)?;
-    if set.is_empty() {
-        return Ok(Scenario { name: stem, spec, set: Vec::new() });
-    }
-    let spec = with(&text, set)?;
+    let of_world: Vec<&String> = set.iter().filter(|c| !c.starts_with(OF_LIMITS)).collect();
+    let spec = if of_world.is_empty() { spec } else { with(&text, &of_world)? };
     Ok(Scenario { name: stem, spec, set: set.to_vec() })
 }
 
@@ -117,7 +118,23 @@
 }
 
 /// A text with fields changed, read and checked.
-fn with(text: &str, set: &[String]) -> Result<Spec, String> {
+fn with(text: &str, set: &[&String]) -> Result<Spec, String> {
+    let told: Vec<&str> = set.iter().map(|c| c.as_str()).collect();
+    let told = told.join(" ");
+    let text = changed(text, set.iter().map(|c| c.as_str()))?;
+    let spec: Spec =
+        toml::from_str(&text).map_err(|e| format!("--set {told}: {}", e.message().replace('\n', "; ")))?;
+    let problems: Vec<String> =
+        spec.check().iter().map(|p| format!("--set {told}: {}: {}", p.path, p.why)).collect();
+    if problems.is_empty() {
+        Ok(spec)
+    } else {
+        Err(problems.join("\n"))
+    }
+}
+
+/// A TOML text with fields changed, each by `path=value`.
+pub fn changed<'c>(text: &str, set: impl Iterator<Item = &'c str>) -> Result<String, String> {
     let mut document: DocumentMut = text.parse().map_err(|e: toml_edit::TomlError| e.message().to_owned())?;
     for change in set {
         let (path, value) =
@@ -126,16 +143,7 @@
         let value: Value = value.parse().unwrap_or_else(|_| Value::from(value));
         put(document.as_table_mut(), path.trim(), value).map_err(|why| format!("--set {change}: {why}"))?;
     }
-    let text = document.to_string();
-    let spec: Spec = toml::from_str(&text)
-        .map_err(|e| format!("--set {}: {}", set.join(" "), e.message().replace('\n', "; ")))?;
-    let problems: Vec<String> =
-        spec.check().iter().map(|p| format!("--set {}: {}: {}", set.join(" "), p.path, p.why)).collect();
-    if problems.is_empty() {
-        Ok(spec)
-    } else {
-        Err(problems.join("\n"))
-    }
+    Ok(document.to_string())
 }
 
 fn put(table: &mut Table, path: &str, value: Value) -> Result<(), String> {
@@ -151,6 +159,10 @@
         let inner = inner.ok_or_else(|| format!("there is no {first}.{n}, there are {count} (from 0)"))?;
         return put(inner, rest, value);
     }
+    if let Some(inner) = item.as_inline_table_mut() {
+        inner.insert(rest, value);
+        return Ok(());
+    }
     let inner = item.as_table_mut().ok_or_else(|| format!("`{first}` is no table"))?;
     put(inner, rest, value)
 }
--- a/lab/tests/days.rs
+++ b/lab/tests/days.rs
@@ -36,7 +36,10 @@
 #[test]
 fn a_day_is_the_same_on_any_number_of_threads() {
     let scenarios = ["churn", "zone-cut"].map(|name| scenario::load(name, &[]).unwrap());
-    let plans = experiment::plans(&scenarios, USUAL, &[1, 2]);
+    let plans: Vec<_> = scenarios
+        .iter()
+        .flat_map(|s| USUAL.iter().flat_map(|&k| experiment::plans(s, k, None, &[1, 2])))
+        .collect();
     let digests = |threads| -> Vec<String> {
         experiment::run(&plans, threads, true).unwrap().into_iter().map(|d| d.digest).collect()
     };
--- a/lab/tests/judgement.rs
+++ b/lab/tests/judgement.rs
@@ -177,7 +177,11 @@
     };
     let scenarios = [spec(&["length_s=30", "load.share=0.3"]), spec(&["length_s=30", "load.share=0.5"])];
     let kinds = ["notchdoor", "rendezvous"].map(|n| Kind::parse(n).unwrap());
-    let days = experiment::run(&experiment::plans(&scenarios, &kinds, &[1, 2]), 2, true).unwrap();
+    let plans: Vec<_> = scenarios
+        .iter()
+        .flat_map(|s| kinds.iter().flat_map(|&k| experiment::plans(s, k, None, &[1, 2])))
+        .collect();
+    let days = experiment::run(&plans, 2, true).unwrap();
     let charts = experiment::write(&days, &folder).unwrap();
     let back = experiment::read(&folder).unwrap();
     let keys = |days: &[Day]| -> Vec<_> {
--- a/lab/tests/limits.rs
+++ b/lab/tests/limits.rs
@@ -1,6 +1,7 @@
 //! Limits in the lab: no file that passes the check can make the stack break a rule, whatever the day.
 
 use notchdoor_lab::policy::Kind;
+use notchdoor_lab::record::{Back, Day};
 use notchdoor_lab::{facts, play_with, scenario, search};
 use notchdoor_limits::file::parse;
 use notchdoor_limits::policy::Policy;
@@ -194,3 +195,29 @@
         assert!(opened < 100, "{opened} times opened: {fault}");
     }
 }
+
+/// A retry storm: work that goes up several times over while the origin is stopped stays up without limits, and comes
+/// down within two seconds with them; the module itself needs none for that.
+#[test]
+fn a_storm_stays_without_limits_and_is_over_in_two_seconds_with_them() {
+    let spec = scenario::load("retry-storm", &[]).unwrap().spec;
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/limits/retry-storm.toml");
+    let limits = Arc::new(parse(file, &std::fs::read_to_string(file).unwrap(), &facts(&spec)).unwrap());
+    let played = |kind: &str| {
+        let kind = Kind::parse(kind).unwrap();
+        play_with(&spec, "retry-storm", 1, (kind, std::slice::from_ref(&limits)), false)
+    };
+    let fetches = |day: &Day, from: usize| -> f64 {
+        let seconds = &day.seconds[spec.warm_up_s as usize + from..][..10];
+        seconds.iter().map(|s| s.counts.fetches as f64 / 10.0).sum()
+    };
+    let stuck = played("rendezvous");
+    assert_eq!(stuck.score.back, Back::Never);
+    let (before, after) = (fetches(&stuck, 5), fetches(&stuck, 50));
+    assert!(after > 4.0 * before && stuck.score.last < 0.5, "{before} then {after} fetches a second");
+    for kind in ["limited-rendezvous", "notchdoor", "limited"] {
+        let day = played(kind);
+        assert!(matches!(day.score.back, Back::After(s) if s <= 2.0), "{kind}: {:?}", day.score.back);
+        assert!(fetches(&day, 50) < 1.5 * fetches(&day, 5) && day.score.last > 0.85, "{kind}");
+    }
+}
