The lab on sockets begun: stand-ins, spoilt bytes, notchdoor load and a first lab play

Change: load/ is an open-loop generator with intended send times, whose requests are the same on any number of threads; rig/ has relays whose scripts of faults hang on bytes and messages, the model's machines hosted on sockets, and lab play, which starts the world, real proxies as processes and the load. What cannot be judged there yet is said so. A chart without a point is drawn empty; it was drawn for ever.

--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -8,6 +8,7 @@
 use notchdoor_lab::search::Budget;
 use notchdoor_lab::{compare, experiment, report, search};
 use notchdoor_model::faults;
+use notchdoor_rig::play;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +23,12 @@
   notchdoor lab run origin-stop --policy deploy/policy.example.toml --seeds 10
   notchdoor lab run retry-storm --policy FILE --set load.share=0.4,0.5 --set limits.budget.repeats.share=0.1,0.5")]
     Run(Run),
+    /// Play a day on sockets: the model's machines, real proxies as processes, open-loop clients.
+    #[command(after_help = "Examples:
+  notchdoor lab play origin-stop --out results/sockets
+  notchdoor lab run origin-stop --policies notchdoor --out results/virtual
+  notchdoor lab compare results/virtual results/sockets --a notchdoor --b sockets")]
+    Play(Play),
     /// Play random days until a rule is broken or the budget ends; what is found is shrunk and written down.
     #[command(after_help = "Examples:
   notchdoor lab search --days 2000 --out found
@@ -73,6 +80,30 @@
     how: How,
 }
 
+#[derive(Args)]
+pub struct Play {
+    /// A built-in scenario by name, or a file. Of its faults, origin-stop alone can be played so far.
+    scenario: String,
+    /// A field to change, as PATH=VALUE. May be given again.
+    #[arg(long, value_name = "PATH=VALUE")]
+    set: Vec<String>,
+    /// The seed; the scenario's own where it is not given.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// A folder for result.json, summary.md, the charts and the proxies' logs; made if need be.
+    #[arg(long, value_name = "DIR")]
+    out: Option<PathBuf>,
+    /// Memory that each proxy is granted, in MiB.
+    #[arg(long, default_value_t = 48)]
+    memory_mb: u32,
+    /// Descriptors that each proxy is held to.
+    #[arg(long, default_value_t = 384)]
+    sockets: u32,
+    /// Print JSON instead of tables.
+    #[arg(long)]
+    json: bool,
+}
+
 #[derive(Args)]
 struct How {
     /// Threads; as many as there are cores for 0. The results are the same for any number.
@@ -147,7 +178,8 @@
 
 pub fn run(command: &Command) -> Outcome {
     match command {
-        Command::Run(run) => play(run),
+        Command::Run(run) => play_days(run),
+        Command::Play(play) => on_sockets(play),
         Command::Search(search) => find(search),
         Command::Shrink(shrink) => make_small(shrink),
         Command::Compare(compare) => hold_against(compare),
@@ -181,7 +213,7 @@
     }
 }
 
-fn play(run: &Run) -> Outcome {
+fn play_days(run: &Run) -> Outcome {
     let scenarios = scenarios(&run.scenarios, &run.set)?;
     let mut policies: Vec<Kind> = if run.policies.is_empty() {
         USUAL.to_vec()
@@ -244,6 +276,58 @@
     Ok(if broken.is_empty() { Exit::Good } else { Exit::Lost })
 }
 
+fn on_sockets(options: &Play) -> Outcome {
+    let scenario = scenario::load(&options.scenario, &options.set)?;
+    let seed = options.seed.unwrap_or(scenario.spec.seed);
+    let scratch = std::env::temp_dir().join(format!("notchdoor-play-{}", std::process::id()));
+    let proxies = play::Proxies {
+        program: std::env::current_exe().map_err(|e| format!("cannot find this program: {e}"))?,
+        memory_mb: options.memory_mb,
+        sockets: options.sockets,
+        folder: options.out.as_ref().map_or(scratch.clone(), |out| out.join("proxies")),
+        quiet: options.json,
+    };
+    let played = play::play(&scenario.spec, &scenario.name, seed, &proxies)?;
+    let good = played.broken.is_empty() && played.void.is_none();
+    if good && options.out.is_none() {
+        // What is left behind is no use to anybody; a failure to remove it is none either.
+        let _ = std::fs::remove_dir_all(&scratch);
+    }
+    let mut day = played.day;
+    day.set.clone_from(&scenario.set);
+    let days = [day];
+    if let Some(out) = &options.out {
+        experiment::write(&days, out)?;
+    }
+    if options.json {
+        json(&serde_json::json!({
+            "day": days[0], "kept": played.kept, "took": played.took, "broken": played.broken, "void": played.void,
+        }));
+    } else {
+        println!("{}", report::table(&days));
+        for (me, took) in played.took.iter().enumerate() {
+            println!(
+                "proxy {me}: {:.1} MiB resident at first, {:.1} at most, {} descriptors at most",
+                took.first_kb as f64 / 1024.0,
+                took.most_kb as f64 / 1024.0,
+                took.descriptors
+            );
+        }
+        println!("the stand-ins: {:?}", played.seen);
+        println!("the generator: {:?}", played.kept);
+    }
+    for what in &played.broken {
+        eprintln!("broken: {what}");
+    }
+    if let Some(why) = &played.void {
+        eprintln!("this day tells nothing: {why}");
+    }
+    if !good {
+        eprintln!("the proxies' logs are in {}", proxies.folder.display());
+    }
+    Ok(if good { Exit::Good } else { Exit::Lost })
+}
+
 fn write(path: &Path, text: &str) -> Result<(), String> {
     std::fs::write(path, text).map_err(|e| format!("{}: cannot write: {e}", path.display()))
 }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -4,6 +4,7 @@
 
 mod check;
 mod lab;
+mod load;
 
 use clap::{CommandFactory, Parser, Subcommand};
 use notchdoor_proxy::lifecycle::log::Format;
@@ -58,6 +59,8 @@
     /// Play days of a whole fleet in virtual time, and experiment with them.
     #[command(subcommand)]
     Lab(lab::Command),
+    /// Put an open-loop load on proxies that run, and take down what becomes of it.
+    Load(Box<load::Load>),
     /// Print what a shell needs to complete this program's commands.
     #[command(
         after_help = "Example:\n  notchdoor completions bash > ~/.local/share/bash-completion/completions/notchdoor"
@@ -89,6 +92,7 @@
         Some(Command::Serve { log_format, log_level, policy }) => serve_with(log_format, log_level, policy),
         Some(Command::Check(command)) => check::run(&command),
         Some(Command::Lab(command)) => lab::run(&command),
+        Some(Command::Load(command)) => load::run(&command),
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Line::command(), "notchdoor", &mut std::io::stdout());
             Ok(Exit::Good)
--- a/cli/tests/command_line.rs
+++ b/cli/tests/command_line.rs
@@ -132,6 +132,31 @@
     std::fs::remove_dir_all(folder).unwrap();
 }
 
+#[test]
+fn a_day_is_played_on_sockets_and_leaves_the_same_files_as_in_virtual_time() {
+    let folder = scratch("play");
+    let out = folder.display().to_string();
+    let sets =
+        ["proxies=2", "workers.count=4", "length_s=3", "warm_up_s=2", "keys.count=40", "origin.headroom=8"];
+    let sets: Vec<&str> = sets.iter().flat_map(|s| ["--set", *s]).collect();
+    let output = run(&[&["lab", "play", "calm", "--json", "--out", &out][..], &sets].concat());
+    // A machine too busy to play in time is said to be so; nothing may be broken on any.
+    let played: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(played["broken"].as_array().map(Vec::len), Some(0), "{played}");
+    assert_eq!(output.status.code(), Some(i32::from(!played["void"].is_null())), "{}", text(&output.stderr));
+    assert!(played["day"]["counts"]["served"].as_u64() > Some(20), "{}", played["day"]["counts"]);
+    for took in played["took"].as_array().unwrap() {
+        assert!(took["most_kb"].as_u64() > Some(1000) && took["descriptors"].as_u64() > Some(5), "{took}");
+    }
+    for file in ["result.json", "service.svg", "proxies/proxy-0.log", "proxies/proxy-1.json"] {
+        assert!(folder.join(file).is_file(), "{file}");
+    }
+    std::fs::remove_dir_all(folder).unwrap();
+    let churn = run(&["lab", "play", "churn"]);
+    assert_eq!(churn.status.code(), Some(2));
+    assert!(text(&churn.stderr).contains("cannot be played on sockets yet"), "{}", text(&churn.stderr));
+}
+
 #[test]
 fn a_search_finds_shrinks_and_writes_down_what_breaks() {
     let folder = scratch("search");
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -107,10 +107,14 @@
 
 /// A line of the registry's list.
 pub fn line(uid: &str, peer: &Peer, state: &str, boot_ms: u128) -> String {
+    line_at(uid, peer.endpoint, state, boot_ms)
+}
+
+/// The same for whatever is at an address.
+pub fn line_at(uid: &str, endpoint: SocketAddr, state: &str, boot_ms: u128) -> String {
     let model = if uid.starts_with('o') { "origin" } else { "std" };
     format!(
-        r#"{{"uid":"{uid}","endpoint":"{}","az":"a","model":"{model}","pod_group":1,"state":"{state}","capacity_hint":1.0,"boot_ms":{boot_ms}}}"#,
-        peer.endpoint
+        r#"{{"uid":"{uid}","endpoint":"{endpoint}","az":"a","model":"{model}","pod_group":1,"state":"{state}","capacity_hint":1.0,"boot_ms":{boot_ms}}}"#
     )
 }
 
@@ -215,6 +219,15 @@
 
     /// The same with a file of limits, if any.
     pub fn with(registry: &Registry, lines: &[String], sockets: u32, policy: Option<&str>) -> Proxy {
+        Proxy::start_as(registry.endpoint, |listen| config(registry, listen, lines, sockets), policy)
+    }
+
+    /// The program with the configuration that a test makes for its address.
+    pub fn of(registry: SocketAddr, config: impl Fn(SocketAddr) -> String) -> Proxy {
+        Proxy::start_as(registry, config, None)
+    }
+
+    fn start_as(registry: SocketAddr, config: impl Fn(SocketAddr) -> String, policy: Option<&str>) -> Proxy {
         // An address of this process's own and a port below those that the system hands out: one that is
         // asked for and given back could be taken by another test's connection.
         static NEXT: AtomicU16 = AtomicU16::new(10_000);
@@ -223,7 +236,7 @@
         let listen = SocketAddr::from(([127, 77, a, b.clamp(1, 254)], port));
         let path =
             std::env::temp_dir().join(format!("notchdoor-test-{}-{}", std::process::id(), listen.port()));
-        std::fs::write(&path, config(registry, listen, lines, sockets)).unwrap();
+        std::fs::write(&path, config(listen)).unwrap();
         let policy_path = path.with_extension("policy.toml");
         let mut command = Command::new(env!("CARGO_BIN_EXE_notchdoor"));
         if let Some(text) = policy {
@@ -232,7 +245,7 @@
         }
         let mut child = command
             .env("EDGE_CONFIG", &path)
-            .env("EDGE_DISCOVERY", registry.endpoint.to_string())
+            .env("EDGE_DISCOVERY", registry.to_string())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
--- a/lab/src/charts.rs
+++ b/lab/src/charts.rs
@@ -52,7 +52,8 @@
     // The names stand in a column of their own: over the curves they would hide some of them.
     let (left, right) = area.split_horizontally(SIZE.0 - 190);
     let all = || curves.iter().flat_map(|c| c.points.iter());
-    let from = all().map(|p| p.0).fold(f64::INFINITY, f64::min);
+    // Guards against an axis without end where nothing was taken down: its marks would never be all there.
+    let from = all().map(|p| p.0).reduce(f64::min).unwrap_or(0.0);
     let until = all().map(|p| p.0).fold(from + 1.0, f64::max);
     let highest = all().map(|p| p.1).fold(0.0, f64::max);
     let top = most.unwrap_or(if highest > 0.0 { highest * 1.08 } else { 1.0 });
--- a/lab/src/day/world.rs
+++ b/lab/src/day/world.rs
@@ -37,8 +37,11 @@
 
 /// One worker's machine.
 pub struct Machine {
+    /// Its worker.
     pub worker: Worker,
+    /// Its number as a server.
     pub server: ServerId,
+    /// Its line in the list.
     pub line: Line,
     /// When its next wake-up is on the agenda; [`NEVER`] if none is.
     pub wake: Time,
@@ -48,16 +51,25 @@
 
 /// Everything but the proxies and the clients.
 pub struct World {
+    /// The workers' machines.
     pub machines: Vec<Machine>,
     /// Which machine answers at the address that a server's number stands for.
     pub address: FxHashMap<ServerId, u32>,
+    /// The origin.
     pub origin: Origin,
+    /// When its next wake-up is on the agenda.
     pub origin_wake: Time,
+    /// Which copies are void.
     pub truth: Truth,
+    /// Delays and cut links.
     pub network: Network,
+    /// Machines that say nothing.
     pub silence: Silence,
+    /// Connections of proxies to workers, in virtual time.
     pub connections: Connections,
+    /// What delays are drawn from.
     pub way: ChaCha8Rng,
+    /// What errors are drawn from.
     pub service: ChaCha8Rng,
     /// Workers that have started during the day and are not warm yet.
     pub cold: Vec<u32>,
@@ -76,6 +88,7 @@
 pub const ORIGIN_ZONE: u32 = 0;
 
 impl World {
+    /// The world of a spec: warm workers with empty memories.
     pub fn new(spec: &Spec, seed: u64) -> Self {
         let mut make = rng(seed, Purpose::Machines);
         let zones = spec.zones.len() as u32;
@@ -218,8 +231,11 @@
 
 /// What a policy that sees everything sees.
 pub struct View<'a> {
+    /// The world.
     pub world: &'a World,
+    /// The time.
     pub now: Time,
+    /// The zone of who looks.
     pub zone: u32,
 }
 
@@ -403,11 +419,13 @@
 }
 
 impl Agenda {
+    /// Puts something there for a time.
     pub fn put(&mut self, at: Time, next: Next) {
         self.order += 1;
         self.heap.push(Reverse(Entry(at, self.order, next)));
     }
 
+    /// What comes next.
     pub fn take(&mut self) -> Option<(Time, Next)> {
         self.heap.pop().map(|Reverse(Entry(at, _, next))| (at, next))
     }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -10,8 +10,8 @@
 pub mod record;
 pub mod rules;
 
-pub use day::world::facts;
-pub use day::{play, play_with};
+pub use day::world::{facts, quotas};
+pub use day::{play, play_with, world};
 pub mod charts;
 pub mod compare;
 pub mod experiment;
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -329,6 +329,29 @@
         }
     }
 
+    /// Takes in what another recorder of the same spec has: parts of one run that were taken down apart.
+    pub fn absorb(&mut self, other: Recorder) {
+        for (mine, theirs) in self.seconds.iter_mut().zip(&other.seconds) {
+            let vectors = [
+                (&mut mine.asked, &theirs.asked),
+                (&mut mine.earned, &theirs.earned),
+                (&mut mine.tenant_asked, &theirs.tenant_asked),
+                (&mut mine.tenant_earned, &theirs.tenant_earned),
+            ];
+            for (mine, theirs) in vectors {
+                mine.iter_mut().zip(theirs).for_each(|(a, b)| *a += b);
+            }
+            mine.served = (mine.served.0 + theirs.served.0, mine.served.1 + theirs.served.1);
+            mine.counts = mine.counts.plus(&theirs.counts);
+        }
+        for (mine, theirs) in self.latencies.iter_mut().zip(&other.latencies) {
+            mine.add(theirs).expect("histograms of one spec have the same bounds");
+        }
+        self.work_asked += other.work_asked;
+        self.work_wasted += other.work_wasted;
+        self.late_failures += other.late_failures;
+    }
+
     /// The scored seconds.
     fn range(&self) -> &[Second] {
         let (from, until) = ((self.from / S) as usize, (self.until / S) as usize);
--- a/lab/tests/judgement.rs
+++ b/lab/tests/judgement.rs
@@ -168,6 +168,18 @@
     assert!(compare(&days(&a, 0), &other).unwrap_err().contains("no day of the one"));
 }
 
+/// A day on sockets knows nothing of how busy workers were: a chart without a point was drawn for ever.
+#[test]
+fn figures_that_nobody_took_down_leave_an_empty_chart() {
+    let folder = std::env::temp_dir().join(format!("notchdoor-lab-empty-{}", std::process::id()));
+    let spec = scenario::load("calm", &["length_s=10".to_owned()]).unwrap().spec;
+    let mut day = notchdoor_lab::play(&spec, "calm", 1, Kind::Notchdoor, false);
+    day.seconds.iter_mut().for_each(|s| s.busy = (0.0, 0.0));
+    experiment::write(&[day], &folder).unwrap();
+    assert!(std::fs::read_to_string(folder.join("imbalance.svg")).unwrap().contains("How busy"));
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
 #[test]
 fn results_are_read_back_as_they_were_written() {
     let folder = std::env::temp_dir().join(format!("notchdoor-lab-{}", std::process::id()));
--- a/model/src/memory.rs
+++ b/model/src/memory.rs
@@ -153,6 +153,14 @@
     (x >> 11) as f64 / (1u64 << 53) as f64
 }
 
+/// The number of a key's text: 16 hexadecimal digits, as the lab's clients write a number, are that number; any other
+/// text is hashed (FNV-1a).
+pub fn key_of(text: &str) -> Key {
+    let number = if text.len() == 16 { Key::from_str_radix(text, 16).ok() } else { None };
+    let hash = |h: Key, byte| (h ^ Key::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    number.unwrap_or_else(|| text.bytes().fold(0xcbf2_9ce4_8422_2325, hash))
+}
+
 /// The popularity of keys: the `i`-th of `n` is asked for with a weight of `1 / (i + 1 + offset)^exponent`.
 pub fn zipf(n: usize, exponent: f64, offset: f64) -> Vec<f64> {
     let mut shares: Vec<f64> = (0..n).map(|i| (i as f64 + 1.0 + offset).powf(-exponent)).collect();
