--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -7,6 +7,7 @@
 use notchdoor_lab::scenario::{self, Scenario, BUILT_IN};
 use notchdoor_lab::search::Budget;
 use notchdoor_lab::{compare, experiment, report, search};
+use notchdoor_load::run::MOST_LATE;
 use notchdoor_model::faults;
 use notchdoor_rig::play;
 use std::path::{Path, PathBuf};
@@ -285,6 +286,7 @@
         memory_mb: options.memory_mb,
         sockets: options.sockets,
         folder: options.out.as_ref().map_or(scratch.clone(), |out| out.join("proxies")),
+        most_late: MOST_LATE,
         quiet: options.json,
     };
     let played = play::play(&scenario.spec, &scenario.name, seed, &proxies)?;
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -219,15 +219,6 @@
 
     /// The same with a file of limits, if any.
     pub fn with(registry: &Registry, lines: &[String], sockets: u32, policy: Option<&str>) -> Proxy {
-        Proxy::start_as(registry.endpoint, |listen| config(registry, listen, lines, sockets), policy)
-    }
-
-    /// The program with the configuration that a test makes for its address.
-    pub fn of(registry: SocketAddr, config: impl Fn(SocketAddr) -> String) -> Proxy {
-        Proxy::start_as(registry, config, None)
-    }
-
-    fn start_as(registry: SocketAddr, config: impl Fn(SocketAddr) -> String, policy: Option<&str>) -> Proxy {
         // An address of this process's own and a port below those that the system hands out: one that is
         // asked for and given back could be taken by another test's connection.
         static NEXT: AtomicU16 = AtomicU16::new(10_000);
@@ -236,7 +227,7 @@
         let listen = SocketAddr::from(([127, 77, a, b.clamp(1, 254)], port));
         let path =
             std::env::temp_dir().join(format!("notchdoor-test-{}-{}", std::process::id(), listen.port()));
-        std::fs::write(&path, config(listen)).unwrap();
+        std::fs::write(&path, config(registry, listen, lines, sockets)).unwrap();
         let policy_path = path.with_extension("policy.toml");
         let mut command = Command::new(env!("CARGO_BIN_EXE_notchdoor"));
         if let Some(text) = policy {
@@ -245,7 +236,7 @@
         }
         let mut child = command
             .env("EDGE_CONFIG", &path)
-            .env("EDGE_DISCOVERY", registry.to_string())
+            .env("EDGE_DISCOVERY", registry.endpoint.to_string())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -60,7 +60,7 @@
 }
 
 /// The line and column of a byte of a text, both from 1.
-fn place(text: &str, at: usize) -> (usize, usize) {
+pub fn place(text: &str, at: usize) -> (usize, usize) {
     let before = &text[..at.min(text.len())];
     let line = before.matches('\n').count() + 1;
     let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
--- a/load/src/client.rs
+++ b/load/src/client.rs
@@ -56,6 +56,8 @@
 struct Connection {
     stream: Async<TcpStream>,
     codec: Box<dyn Codec>,
+    /// What is read goes through here: one for each exchange would be cleared for each.
+    buffer: Vec<u8>,
     used: bool,
 }
 
@@ -240,7 +242,12 @@
                     };
                     let _ = stream.get_ref().set_nodelay(true);
                     self.part.borrow_mut().opened += 1;
-                    Connection { stream, codec: self.shared.protocol.codec(), used: false }
+                    Connection {
+                        stream,
+                        codec: self.shared.protocol.codec(),
+                        buffer: vec![0; READ],
+                        used: false,
+                    }
                 }
             };
             match exchange(&mut connection, ask).await {
@@ -267,13 +274,13 @@
     if connection.stream.write_all(&bytes).await.is_err() {
         return Exchange::Broke(false);
     }
-    let (mut buffer, mut begun) = (vec![0; READ], false);
+    let mut begun = false;
     loop {
-        match connection.stream.read(&mut buffer).await {
+        match connection.stream.read(&mut connection.buffer).await {
             Ok(0) | Err(_) => return Exchange::Broke(begun),
             Ok(n) => {
                 begun = true;
-                connection.codec.feed(&buffer[..n]);
+                connection.codec.feed(&connection.buffer[..n]);
             }
         }
         match connection.codec.next_answer() {
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -9,9 +9,10 @@
 use notchdoor_lab::record::Day;
 use notchdoor_load::arrivals::Arrivals;
 use notchdoor_load::codec::Protocol;
-use notchdoor_load::run::{run, Kept, Options, MOST_LATE};
+use notchdoor_load::run::{run, Kept, Options};
 use notchdoor_model::faults::Kind;
 use notchdoor_model::spec::Spec;
+use notchdoor_model::time::Time;
 use serde::Serialize;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -28,6 +29,8 @@
 const READY: Duration = Duration::from_secs(10);
 /// How often memory and descriptors are looked at.
 const LOOK: Duration = Duration::from_millis(200);
+/// Machines may take so long to be done with what they hold when a day is over.
+const WORKED_OFF: Duration = Duration::from_secs(2);
 /// The world may be late by so much before its day tells nothing, in microseconds.
 const MOST_WORLD_LATE: u64 = 50_000;
 
@@ -42,6 +45,8 @@
     pub sockets: u32,
     /// Where their configurations and logs go while the day lasts, and stay if something went wrong.
     pub folder: PathBuf,
+    /// A request is voided if it would be sent so long after it was due, in microseconds.
+    pub most_late: Time,
     /// No live view.
     pub quiet: bool,
 }
@@ -68,6 +73,8 @@
     pub kept: Kept,
     /// What the stand-ins have seen.
     pub seen: Seen,
+    /// Requests that workers and the origin still held when all had been answered, and time to end.
+    pub left: usize,
     /// What each proxy took.
     pub took: Vec<Took>,
     /// What was broken, in words.
@@ -124,7 +131,7 @@
             threads: 1,
             value_bytes: 1024,
             manners: true,
-            most_late: MOST_LATE,
+            most_late: proxies.most_late,
             quiet: proxies.quiet,
         };
         let _ = begins.try_send(());
@@ -138,7 +145,7 @@
         let ((mut day, kept), took) = (played?, took.map_err(|_| "the watch has panicked".to_owned())?);
         drop(processes);
         let _ = ends.try_send(());
-        let seen = world.join().map_err(|_| "the world has panicked".to_owned())?;
+        let (seen, left) = world.join().map_err(|_| "the world has panicked".to_owned())?;
         day.policy = "sockets".to_owned();
         day.faults.clone_from(&spec.faults);
         let broken = broken(&seen, &took);
@@ -149,7 +156,7 @@
         } else {
             None
         };
-        Ok(Played { day, kept, seen, took, broken, void })
+        Ok(Played { day, kept, seen, left, took, broken, void })
     })
 }
 
@@ -187,13 +194,13 @@
     seed: u64,
     tells: &mpsc::Sender<Result<Places, String>>,
     (begun, ended): (&async_channel::Receiver<()>, &async_channel::Receiver<()>),
-) -> Seen {
+) -> (Seen, usize) {
     let executor = Rc::new(LocalExecutor::new());
     let stand = match Stand::start(&executor, spec, seed) {
         Ok(stand) => stand,
         Err(e) => {
             let _ = tells.send(Err(format!("the world cannot listen: {e}")));
-            return Seen::default();
+            return (Seen::default(), 0);
         }
     };
     let places: Places =
@@ -219,8 +226,13 @@
     };
     future::block_on(executor.run(future::or(day, async {
         let _ = ended.recv().await;
+        // What nobody waits for any more is worked off all the same.
+        let until = Instant::now() + WORKED_OFF;
+        while stand.held() > 0 && Instant::now() < until {
+            Timer::after(Duration::from_millis(10)).await;
+        }
     })));
-    stand.seen()
+    (stand.seen(), stand.held())
 }
 
 /// Starts one proxy and waits until it is ready.
--- a/rig/src/stand/host.rs
+++ b/rig/src/stand/host.rs
@@ -182,9 +182,7 @@
 
     /// The list as a proxy may know it when it starts.
     pub fn known(&self, proxy: u32) -> Update {
-        let mut state = self.inner.state.borrow_mut();
-        let lines = state.registry.list();
-        Update { rev: state.rev, all: true, targets: self.inner.targets(proxy, &lines) }
+        self.inner.whole(proxy)
     }
 
     /// The origin stops for so long.
@@ -368,6 +366,13 @@
         }
     }
 
+    /// The whole list as a proxy is told it.
+    fn whole(&self, proxy: u32) -> Update {
+        let mut state = self.state.borrow_mut();
+        let lines = state.registry.list();
+        Update { rev: state.rev, all: true, targets: self.targets(proxy, &lines) }
+    }
+
     fn targets(&self, proxy: u32, lines: &[Line]) -> Vec<Target> {
         let endpoints = self.endpoints.borrow();
         let target = |line: &Line| {
@@ -750,12 +755,7 @@
                 Some(Call::Whole) => {
                     let call = ms(inner.spec.registry.call_ms.0);
                     inner.until(inner.now() + call).await;
-                    let whole = {
-                        let mut state = inner.state.borrow_mut();
-                        let lines = state.registry.list();
-                        Update { rev: state.rev, all: true, targets: inner.targets(proxy, &lines) }
-                    };
-                    if (&stream).write_all(&whole.answer()).await.is_err() {
+                    if (&stream).write_all(&inner.whole(proxy).answer()).await.is_err() {
                         return;
                     }
                 }
--- a/rig/src/stand/mod.rs
+++ b/rig/src/stand/mod.rs
@@ -8,6 +8,10 @@
 
 use std::collections::BTreeMap;
 
+/// The bytes are nothing that a proxy should send, or break a limit: the connection is of no more use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Garbage;
+
 /// A request's list of names and values.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Info(BTreeMap<String, String>);
--- a/rig/src/stand/origin.rs
+++ b/rig/src/stand/origin.rs
@@ -1,6 +1,6 @@
 //! The HTTP side of the origin: requests in, answers out.
 
-use super::Info;
+use super::{Garbage, Info};
 
 /// The longest head, and the longest body: values hold 64 KiB.
 const MOST_HEAD: usize = 16 * 1024;
@@ -29,10 +29,6 @@
 #[derive(Default)]
 pub struct Requests(Vec<u8>);
 
-/// The bytes are no request, or break a limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Garbage;
-
 impl Requests {
     /// Takes what has come in.
     pub fn feed(&mut self, bytes: &[u8]) {
--- a/rig/src/stand/worker.rs
+++ b/rig/src/stand/worker.rs
@@ -1,7 +1,7 @@
 //! A worker's side of RESP2: commands in, answers out. Strict, as the pages have it: a command in a form that no client
 //! sent is answered `-SYNTAX`, which says that whatever sent it is wrong.
 
-use super::Info;
+use super::{Garbage, Info};
 use notchdoor_proxy::wire::resp::{write_bulk, Reader, Value};
 
 /// What a worker is asked.
@@ -79,10 +79,6 @@
 #[derive(Default)]
 pub struct Commands(Reader);
 
-/// The bytes are no commands: the connection is of no more use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Garbage;
-
 impl Commands {
     /// Takes what has come in.
     pub fn feed(&mut self, bytes: &[u8]) {
--- a/rig/src/wire/script.rs
+++ b/rig/src/wire/script.rs
@@ -1,5 +1,6 @@
 //! The script of a connection's faults, as a file gives it.
 
+use notchdoor_lab::scenario::place;
 use serde::Deserialize;
 
 /// Which two parties a connection is between: the one that dials first.
@@ -152,7 +153,7 @@
     /// Reads and checks a script. The error has every problem, one a line, each with its entry and field.
     pub fn parse(file: &str, text: &str) -> Result<Script, String> {
         let script: Script = toml::from_str(text).map_err(|e| {
-            let line = text[..e.span().map_or(0, |s| s.start).min(text.len())].matches('\n').count() + 1;
+            let (line, _) = place(text, e.span().map_or(0, |s| s.start));
             format!("{file}:{line}: {}", e.message().replace('\n', "; "))
         })?;
         let problems: Vec<String> = script
