--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -110,7 +110,6 @@
             group: r.item.as_ref().map_or(0, |k| self.stack.group(k.as_bytes())),
             write: r.state_bits & 4 != 0,
             due: micros(r.due),
-            cost_hint: if r.state_bits & 1 != 0 { r.weight_hint } else { None },
         })
     }
 
@@ -252,7 +251,6 @@
                         outcome,
                         took: Some(micros(e.took)),
                         last: e.last,
-                        being_fetched: e.info == 3,
                     })
                 });
             }
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -95,8 +95,6 @@
     pub state_bits: u32,
     #[serde(borrow)]
     pub band: Cow<'a, str>,
-    #[serde(default)]
-    pub weight_hint: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -120,8 +118,6 @@
     pub took: Millis,
     #[serde(default)]
     pub last: bool,
-    #[serde(default)]
-    pub info: u32,
 }
 
 #[derive(Deserialize)]
--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -100,7 +100,6 @@
         group: policy.group(key.as_bytes()),
         write: write.unwrap_or(!safe),
         due: 0,
-        cost_hint: None,
     };
     let deadline = facts.deadlines[class as usize];
     let patience = patience.unwrap_or(deadline).min(deadline);
--- a/limits/src/layer.rs
+++ b/limits/src/layer.rs
@@ -258,7 +258,7 @@
     fn settle(&mut self, now: Micros, actions: &mut Vec<Action>) {
         while let Some((id, n, outcome)) = self.owed.pop_front() {
             let last = self.held.get(&id).is_none_or(|h| h.over);
-            let ended = Event::Ended { id, attempt: n, outcome, took: None, last, being_fetched: false };
+            let ended = Event::Ended { id, attempt: n, outcome, took: None, last };
             self.pass(now, ended, actions);
             self.forget(id);
         }
@@ -496,14 +496,14 @@
     fn ended(
         &mut self,
         now: Micros,
-        event: (RequestId, u32, Outcome, Option<Micros>, bool, bool),
+        event: (RequestId, u32, Outcome, Option<Micros>, bool),
         actions: &mut Vec<Action>,
     ) {
-        let (id, number, outcome, took, last, being_fetched) = event;
+        let (id, number, outcome, took, last) = event;
         let balancers = u64::from(self.settings.balancers);
         let spread = (self.rng.random::<f64>() * (balancers * APART) as f64) as Micros;
         let Some(held) = self.held.get_mut(&id) else {
-            let ended = Event::Ended { id, attempt: number, outcome, took, last, being_fetched };
+            let ended = Event::Ended { id, attempt: number, outcome, took, last };
             return self.pass(now, ended, actions);
         };
         let Some(n) = held.attempts.iter().position(|a| a.number == Some(number)) else { return };
@@ -550,7 +550,7 @@
         if last {
             self.close(id);
         }
-        let ended = Event::Ended { id, attempt: n as u32, outcome, took, last, being_fetched };
+        let ended = Event::Ended { id, attempt: n as u32, outcome, took, last };
         self.pass(now, ended, actions);
     }
 
@@ -630,8 +630,8 @@
     fn handle(&mut self, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) {
         match event {
             Event::Arrived(request) => self.arrived(now, request, actions),
-            Event::Ended { id, attempt, outcome, took, last, being_fetched } => {
-                self.ended(now, (id, attempt, outcome, took, last, being_fetched), actions);
+            Event::Ended { id, attempt, outcome, took, last } => {
+                self.ended(now, (id, attempt, outcome, took, last), actions);
                 self.forget(id);
             }
             Event::Left(id) => {
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -57,8 +57,6 @@
 pub struct Brought {
     /// The value or the receipt, where it was served.
     pub value: Option<Vec<u8>>,
-    /// Another fetch of the missed key is out.
-    pub being_fetched: bool,
     /// From the command to the first byte of its answer; `None` on a new connection, whose first command pays
     /// for the handshake.
     pub took: Option<Micros>,
@@ -191,7 +189,6 @@
             group: self.stack.group(&taken.key),
             write: taken.write,
             due: taken.due,
-            cost_hint: None,
         };
         self.places.insert(taken.place, id);
         let held = Held {
@@ -242,8 +239,7 @@
         }
         let answered = matches!(ending, Ending::Served | Ending::Missed | Ending::Garbled | Ending::NoRoom);
         let took = if answered { reply.took } else { Some(waited) };
-        let being_fetched = reply.being_fetched;
-        self.feed(now, Event::Ended { id, attempt: n, outcome, took, last, being_fetched });
+        self.feed(now, Event::Ended { id, attempt: n, outcome, took, last });
         self.forget(id);
     }
 
@@ -336,7 +332,7 @@
         self.counters.ended(Ending::Cancelled);
         let took = Some(now.saturating_sub(attempt.sent));
         let (outcome, last) = (Ending::Cancelled.outcome().unwrap_or(Outcome::Cancelled), held.over);
-        let event = Event::Ended { id, attempt: n, outcome, took, last, being_fetched: false };
+        let event = Event::Ended { id, attempt: n, outcome, took, last };
         self.inputs.push_back(event);
     }
 
--- a/proxy/src/wire/driver/delegation.rs
+++ b/proxy/src/wire/driver/delegation.rs
@@ -131,11 +131,8 @@
     if let Some(task) = shell.delegations.borrow_mut().remove(&delegation) {
         task.detach();
     }
-    let brought = Brought {
-        value: reply.value,
-        being_fetched: reply.being_fetched,
-        took: trace.first.checked_sub(trace.written).filter(|_| !trace.new),
-    };
+    let brought =
+        Brought { value: reply.value, took: trace.first.checked_sub(trace.written).filter(|_| !trace.new) };
     shell.drive(|proxy, now| proxy.ended(now, delegation, reply.ending, brought));
 }
 
--- a/proxy/src/wire/worker.rs
+++ b/proxy/src/wire/worker.rs
@@ -13,8 +13,6 @@
     pub ending: Ending,
     /// The value or the receipt, where it was served.
     pub value: Option<Vec<u8>>,
-    /// Another fetch of the missed key is out.
-    pub being_fetched: bool,
     /// Whether the connection can take another command.
     pub reusable: bool,
 }
@@ -22,7 +20,7 @@
 impl Reply {
     /// A reply that brought nothing.
     pub fn bare(ending: Ending) -> Self {
-        Reply { ending, value: None, being_fetched: false, reusable: false }
+        Reply { ending, value: None, reusable: false }
     }
 }
 
@@ -73,9 +71,7 @@
             Ok([Value::Bulk(Some(value)), Value::Bulk(_), _]) => {
                 Reply { value: Some(value), ..Reply::bare(Ending::Served) }
             }
-            Ok([Value::Bulk(None), Value::Bulk(word), _]) => {
-                Reply { being_fetched: word.as_deref() == Some(b"pending"), ..Reply::bare(Ending::Missed) }
-            }
+            Ok([Value::Bulk(None), Value::Bulk(_), _]) => Reply::bare(Ending::Missed),
             _ => Reply::bare(Ending::Garbled),
         },
         Value::Error(line) => Reply::bare(match line.split(|&b| b == b' ').next() {
@@ -94,32 +90,32 @@
 
     #[test]
     fn replies_are_told_apart_however_they_are_split() {
-        type Case = (&'static [u8], Ending, Option<&'static [u8]>, bool, bool);
+        type Case = (&'static [u8], Ending, Option<&'static [u8]>, bool);
         let cases: &[Case] = &[
-            (b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$6\r\nutil=1\r\n", Ending::Served, Some(b"v"), false, true),
-            (b"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n", Ending::Served, Some(b""), false, true),
-            (b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n", Ending::Missed, None, false, true),
-            (b"*3\r\n$-1\r\n$7\r\npending\r\n$-1\r\n", Ending::Missed, None, true, true),
-            (b"-ERR failed util=0.5\r\n", Ending::Errored, None, false, true),
-            (b"-SYNTAX\r\n", Ending::Garbled, None, false, false),
-            (b"$1\r\nv\r\n", Ending::Garbled, None, false, false),
-            (b"$-1\r\n", Ending::Garbled, None, false, false),
-            (b"*1\r\n$1\r\nv\r\n", Ending::Garbled, None, false, false),
-            (b"*3\r\n$1\r\nv\r\n$-1\r\n:7\r\n", Ending::Served, Some(b"v"), false, true),
-            (b"-BUSY\r\n", Ending::TurnedAway, None, false, true),
-            (b"-BUSY util=0.5\r\n", Ending::TurnedAway, None, false, true),
-            (b"-BUSYBODY\r\n", Ending::Garbled, None, false, false),
-            (b"*0\r\n", Ending::Garbled, None, false, false),
-            (b"*-1\r\n", Ending::Garbled, None, false, false),
-            (b"+OK\r\n", Ending::Garbled, None, false, false),
-            (b"*1\r\n*1\r\n$1\r\nv\r\n", Ending::Garbled, None, false, false),
+            (b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$6\r\nutil=1\r\n", Ending::Served, Some(b"v"), true),
+            (b"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n", Ending::Served, Some(b""), true),
+            (b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n", Ending::Missed, None, true),
+            (b"*3\r\n$-1\r\n$7\r\npending\r\n$-1\r\n", Ending::Missed, None, true),
+            (b"-ERR failed util=0.5\r\n", Ending::Errored, None, true),
+            (b"-SYNTAX\r\n", Ending::Garbled, None, false),
+            (b"$1\r\nv\r\n", Ending::Garbled, None, false),
+            (b"$-1\r\n", Ending::Garbled, None, false),
+            (b"*1\r\n$1\r\nv\r\n", Ending::Garbled, None, false),
+            (b"*3\r\n$1\r\nv\r\n$-1\r\n:7\r\n", Ending::Served, Some(b"v"), true),
+            (b"-BUSY\r\n", Ending::TurnedAway, None, true),
+            (b"-BUSY util=0.5\r\n", Ending::TurnedAway, None, true),
+            (b"-BUSYBODY\r\n", Ending::Garbled, None, false),
+            (b"*0\r\n", Ending::Garbled, None, false),
+            (b"*-1\r\n", Ending::Garbled, None, false),
+            (b"+OK\r\n", Ending::Garbled, None, false),
+            (b"*1\r\n*1\r\n$1\r\nv\r\n", Ending::Garbled, None, false),
         ];
-        for &(bytes, ending, value, being_fetched, reusable) in cases {
+        for &(bytes, ending, value, reusable) in cases {
             for at in 0..bytes.len() {
                 let mut decoder = Decoder::default();
                 assert_eq!(decoder.feed(&bytes[..at]), None, "{bytes:?} split at {at}");
                 let value = value.map(<[u8]>::to_vec);
-                let expected = Reply { ending, value, being_fetched, reusable };
+                let expected = Reply { ending, value, reusable };
                 assert_eq!(decoder.feed(&bytes[at..]), Some(expected), "{bytes:?} split at {at}");
             }
         }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -66,11 +66,6 @@
 const TRIALS_TO_RETURN: u32 = 2;
 /// A read not answered after this share of its aim is late: what may still follow, a fetch, takes the rest.
 const LATE: f64 = 0.5;
-/// The share of reads of which a second copy may be sent: a quarter of the fleet may be slow, and the
-/// pool's half-free rule holds copies back long before that where it is crowded.
-const COPY_SHARE: f64 = 0.25;
-/// A read is light under this share of the mean cost hint: hints are rough by about a factor of two.
-const LIGHT: f64 = 0.5;
 /// A key gets one more server for each of these shares of a server's fair share of all reads.
 const HOT_SHARE: f64 = 0.5;
 /// Requests for a key within two epochs before its share is believed.
@@ -415,7 +410,6 @@
 const SILENCE: u64 = 0;
 const DUE: u64 = 1;
 const DISCOVERY: u64 = 2;
-const RETRY: u64 = 3;
 
 /// The decisions of one balancer.
 pub struct Brain {
@@ -441,9 +435,6 @@
     read_latency: (f64, f64),
     ask_pause: Micros,
     asked: bool,
-    copy_budget: f64,
-    /// The mean of the cost hints of reads.
-    mean_hint: f64,
     weight_sum: f64,
     weights_at: Micros,
     kinds: BTreeMap<u32, Kind>,
@@ -481,8 +472,6 @@
             read_latency: (0.0, 0.0),
             ask_pause: ASK_AGAIN,
             asked: false,
-            copy_budget: 1.0,
-            mean_hint: 0.0,
             weight_sum: 0.0,
             weights_at: 0,
             kinds: BTreeMap::new(),
@@ -517,7 +506,7 @@
                 SILENCE => self.silence(now, token >> 2, false, actions),
                 DUE => self.finish(now, token >> 2, actions),
                 DISCOVERY => actions.push(Action::Watch),
-                _ => self.retry(now, token >> 2, actions),
+                _ => {}
             },
         }
     }
@@ -907,10 +896,6 @@
         if let (Some(key), false) = (request.key, request.write) {
             *self.counts[0].entry(key).or_insert(0) += 1;
             self.totals[0] += 1;
-            if let Some(hint) = request.cost_hint {
-                self.mean_hint += 0.05 * (hint - self.mean_hint);
-            }
-            self.copy_budget = (self.copy_budget + COPY_SHARE).min(1.0 + COPY_SHARE * K as f64);
         }
     }
 
@@ -991,7 +976,8 @@
         let key = held.request.key;
         let i = match self.pick(now, id, trial) {
             Pick::Server(i) => i,
-            Pick::Crowded => return self.crowded(now, id, left, actions),
+            // No cache may take the read now: it is refused at once.
+            Pick::Crowded => return self.give_up(now, id, actions),
             Pick::Nothing => return self.fetch(now, id, actions),
         };
         if let Some(flight) = key.and_then(|key| self.flights.get_mut(&(key, i))) {
@@ -1006,33 +992,6 @@
         actions.push(Action::Timer { after: after as Micros, token: id << 2 | SILENCE });
     }
 
-    /// Asks a full cache again: it will have room in a service time or so, which is cheaper than a fetch.
-    /// Guards against short queues that a burst fills.
-    fn ask_again(&mut self, now: Micros, id: RequestId, left: usize, actions: &mut Vec<Action>) -> bool {
-        let after = (self.read_latency.0 * (0.5 + self.rng.unit())) as Micros;
-        let again = left > 2 && now + after < self.held[&id].request.due;
-        if again {
-            actions.push(Action::Timer { after, token: id << 2 | RETRY });
-        }
-        again
-    }
-
-    /// No cache may take the read now: one that was just full is asked again, else it is refused at once.
-    fn crowded(&mut self, now: Micros, id: RequestId, left: usize, actions: &mut Vec<Action>) {
-        let full = self.held[&id].attempts.last().is_some_and(|a| a.full);
-        if !full || !self.ask_again(now, id, left, actions) {
-            self.give_up(now, id, actions);
-        }
-    }
-
-    fn retry(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(held) = self.held.get_mut(&id).filter(|h| !h.over && !h.streaming) else { return };
-        for attempt in held.attempts.iter_mut().filter(|a| a.full) {
-            (attempt.full, attempt.again) = (false, true);
-        }
-        self.read(now, id, false, actions);
-    }
-
     /// Sends a miss or a write to the origin, if the window has room.
     fn fetch(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let held = &self.held[&id];
@@ -1134,7 +1093,7 @@
 
     /// A read that its cache has not answered for long. Guards against a server that takes work and never
     /// answers: its silence is told while it lasts, not when the client has given up.
-    /// `granted` is a layer's leave to send a second copy, beside what is done unasked.
+    /// `granted` is a layer's leave to send a second copy. Unasked none is sent: they cost more room than they saved.
     fn silence(&mut self, now: Micros, id: RequestId, granted: bool, actions: &mut Vec<Action>) {
         let Some(held) = self.held.get_mut(&id).filter(|h| !h.over && !h.streaming) else { return };
         let unheard = |a: &&Attempt| a.state == AttemptState::Out && !a.fetch;
@@ -1145,14 +1104,8 @@
         let class = held.request.class.and_then(|c| self.settings.classes.get(c as usize));
         let safe = class.is_some_and(|c| c.effect == Effect::Idempotent) && !held.request.write;
         let (alone, server) = (held.attempts.len() == 1, attempt.server);
-        // Guards against copies of heavy reads, which would be as slow next door.
-        let light = held.request.cost_hint.is_none_or(|c| c <= LIGHT * self.mean_hint);
         self.suspect(now, server);
-        // Guards against slow caches where own samples are too few to tell them: the next rank is asked as
-        // well, within a budget, since what it adds comes when there is least room for it.
-        let unasked = self.sparse() && light && self.copy_budget >= 1.0 && self.pool.half_free();
-        if safe && alone && self.settings.second_copies && (granted || unasked) {
-            self.copy_budget -= f64::from(u8::from(!granted));
+        if granted && safe && alone && self.settings.second_copies {
             self.read(now, id, false, actions);
         }
     }
@@ -1229,11 +1182,6 @@
             } else if outcome == Outcome::Miss && !fetching {
                 self.fetch(now, id, actions);
             } else if !out {
-                let first = held.attempts.iter().filter(|a| a.full || a.again).count() == 1;
-                let left = (self.settings.max_attempts as usize).saturating_sub(held.attempts.len());
-                if outcome == Outcome::Full && first && self.ask_again(now, id, left, actions) {
-                    return;
-                }
                 self.read(now, id, false, actions);
             }
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -166,8 +166,6 @@
     pub write: bool,
     /// When the client gives up; the final answer must be out by then.
     pub due: Micros,
-    /// The work it is expected to take, in any one unit; `None` where nothing is known.
-    pub cost_hint: Option<f64>,
 }
 
 /// How an attempt ended.
@@ -233,8 +231,6 @@
         took: Option<Micros>,
         /// Whether the request is over, by this outcome or before it.
         last: bool,
-        /// The server says that another request is out to fetch the key that was missed.
-        being_fetched: bool,
     },
     /// The client has left; no answer is owed any more.
     Left(RequestId),
