--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,11 +35,6 @@
 const FIRST_THRESHOLD: f64 = 16.0;
 /// Reads leave the rest of W, where it is more than one, to writes: one that finds no room is lost for good.
 const READS_SHARE: f64 = 0.6;
-/// Weight of the newest time in the quartile of a kind of cache, and the reads from which it is believed.
-const KIND_GAIN: f64 = 0.05;
-const KIND_SAMPLES: u32 = 16;
-/// Kinds are told apart in steps of this ratio: finer ones would differ from balancer to balancer.
-const KIND_STEP: f64 = 1.5;
 /// Weight of the newest gap between two sends.
 const GAP_GAIN: f64 = 0.125;
 /// The least window: one fetch for so many normal delays. And while nobody answers: a try there jams nothing.
@@ -353,14 +348,6 @@
     budget_at: Micros,
 }
 
-/// What reads tell of the speed of one kind of cache.
-struct Kind {
-    /// The lower quartile of their times: queues show little in it.
-    quartile: f64,
-    seen: u32,
-    steps: f64,
-}
-
 // ---- Requests ------------------------------------------------------------------------------------------
 
 #[derive(Clone, Copy, PartialEq)]
@@ -437,9 +424,6 @@
     asked: bool,
     weight_sum: f64,
     weights_at: Micros,
-    kinds: BTreeMap<u32, Kind>,
-    /// Whether all caches are listed with one size.
-    sizes_alike: bool,
     /// Caches that serve.
     caches: usize,
 }
@@ -474,8 +458,6 @@
             asked: false,
             weight_sum: 0.0,
             weights_at: 0,
-            kinds: BTreeMap::new(),
-            sizes_alike: false,
             caches: 0,
         }
     }
@@ -588,47 +570,14 @@
         from + (1.0 - from) * age as f64 / self.settings.cold as f64
     }
 
-    /// One more read that a cache of this kind answered.
-    fn timed(&mut self, kind: u32, took: f64) {
-        let kind = self.kinds.entry(kind).or_insert(Kind { quartile: took, seen: 0, steps: 0.0 });
-        kind.seen += 1;
-        let gain = KIND_GAIN.max(1.0 / f64::from(kind.seen));
-        kind.quartile *= 1.0 + gain * if took > kind.quartile { 0.25 } else { -0.75 };
-    }
-
-    /// What the listed sizes leave out: where they tell no cache from another, a kind counts by how many
-    /// times faster it is than the slowest. In wide steps that are left late, so that all balancers come to
-    /// the same table. Guards against slow models that the list makes out to be as good as fast ones.
-    fn judge_kinds(&mut self) {
-        let slowest = self.kinds.values().map(|k| k.quartile).fold(0.0, f64::max);
-        let known = self.kinds.values().map(|k| k.seen).min().unwrap_or(0) >= KIND_SAMPLES;
-        for kind in self.kinds.values_mut().filter(|_| known) {
-            let steps = (slowest / kind.quartile.max(1.0)).ln() / KIND_STEP.ln();
-            if steps >= kind.steps + 1.0 || steps < kind.steps - 0.5 {
-                kind.steps = steps.floor().max(0.0);
-            }
-        }
-    }
-
-    fn speed(&self, kind: u32) -> f64 {
-        let steps = self.kinds.get(&kind).filter(|_| self.sizes_alike).map_or(0.0, |k| k.steps);
-        KIND_STEP.powf(steps)
-    }
-
     fn weigh(&mut self, now: Micros) {
-        self.judge_kinds();
         self.weights_at = now;
         self.weight_sum = 0.0;
-        let sizes = |s: &&Server| s.member.state == ServerState::Serving && !self.is_origin(s);
-        let mut sizes = self.servers.iter().filter(sizes).map(|s| s.member.size);
-        let first = sizes.next();
-        self.sizes_alike = sizes.all(|s| Some(s) == first);
         self.caches = self.servers.iter().filter(|s| s.weight > 0.0).count();
         for i in 0..self.servers.len() {
             let server = &self.servers[i];
             let serving = server.member.state == ServerState::Serving && !self.is_origin(server);
-            let size = server.member.size.max(1e-3) * self.speed(server.member.kind);
-            let weight = if serving { size * self.warmth(server, now) } else { 0.0 };
+            let weight = if serving { server.member.size.max(1e-3) * self.warmth(server, now) } else { 0.0 };
             self.servers[i].weight = weight;
             self.weight_sum += weight;
         }
@@ -848,7 +797,6 @@
                 health.trial_pause = (health.trial_pause * 2).min(TRIAL_MOST);
             }
         } else if let Some(took) = took.filter(|_| outcome == Outcome::Ok) {
-            self.timed(self.servers[i].member.kind, took);
             let (mean, dev) = &mut self.read_latency;
             *dev += 0.05 * ((took - *mean).abs() - *dev);
             *mean += 0.05 * (took - *mean);
