Module: records, waiters and counted keys are bounded, refusals always say when

A place is used again once no attempt of a request that is held names its server: 11 at the most. - flights: ids of reads whose clients had left stayed as long as the fetch was out, 4,998 of 5,000 in the test. A set now, which drops them once they are the most; a read can't wait twice any more either. - count: distinct keys of an epoch had no bound; most_held now. - copies: a server listed with next to no size made the number of a hot key's servers overflow. - retry_after: could be 0 after delays of next to nothing; 1 ms at the least. - weigh: caches counted the weights of the pass before. Ruled out: that placements change.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,7 +5,7 @@
 //! departures and when each acts.
 
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 mod look;
 pub use look::Look;
@@ -66,8 +66,6 @@
 /// Requests for a key within two epochs before its share is believed.
 const HOT_LEAST: u32 = 4;
 const HOT_LEAST_SPARSE: u32 = 2;
-/// An epoch also lasts until so many reads for each server were counted.
-const HOT_SPAN: usize = 1;
 /// So many ranks are kept in order, and of a large fleet twice as many in all: the rest is as good as any.
 const RANKED: usize = 16;
 /// A fleet of more servers is weighed less often in proportion: it takes the same time however many there are.
@@ -80,6 +78,8 @@
 /// Sends that a cold server's unused budget may be saved up to: more, from every balancer at once, could
 /// be all that it can bear.
 const COLD_BURST: f64 = 1.0;
+/// A refusal tells at least this: none at all would tell the client nothing.
+const LEAST_PAUSE: f64 = 1_000.0;
 /// Pause before discovery is asked again after a failure, at first; it doubles up to `ask_every`.
 const ASK_AGAIN: Micros = 250_000;
 
@@ -308,7 +308,7 @@
     /// When a slot is likely to be free: one more than fits has to drain at W fetches a CCT.
     fn retry_after(&self) -> Micros {
         let over = f64::from(self.out) + 1.0 - self.w;
-        (self.cct.unwrap_or(self.aim) * over.max(1.0) / self.w) as Micros
+        (self.cct.unwrap_or(self.aim) * over.max(1.0) / self.w).max(LEAST_PAUSE) as Micros
     }
 }
 
@@ -341,6 +341,8 @@
     member: Member,
     health: Health,
     out: u32,
+    /// Attempts that name it, of requests that are held: its place is another's only once there are none.
+    named: u32,
     window: Window,
     weight: f64,
     /// Sends that a cold server may still be given.
@@ -412,7 +414,7 @@
     index: BTreeMap<ServerId, usize>,
     held: BTreeMap<RequestId, Held>,
     /// Fetches that are out for a key that one cache missed, and the reads that wait to find it there.
-    flights: BTreeMap<(Key, usize), Vec<RequestId>>,
+    flights: BTreeMap<(Key, usize), BTreeSet<RequestId>>,
     counts: [BTreeMap<Key, u32>; 2],
     totals: [u32; 2],
     epoch_at: Micros,
@@ -501,6 +503,11 @@
                 server.member.state = ServerState::Gone;
             }
         }
+        // Guards against a record of every server that there ever was.
+        let listed: BTreeSet<ServerId> = members.iter().map(|m| m.server).collect();
+        let left = |s: &Server| s.member.state == ServerState::Gone && s.named == 0;
+        let free = |i: &usize| left(&self.servers[*i]) && !listed.contains(&self.servers[*i].member.server);
+        let mut free: Vec<usize> = (0..self.servers.len()).filter(free).collect();
         for member in members {
             match self.index.get(&member.server) {
                 Some(&i) => {
@@ -520,19 +527,28 @@
                         server.member.size = size.max(member.size);
                     }
                 }
+                None if member.state == ServerState::Gone => {}
                 None => {
-                    self.index.insert(member.server, self.servers.len());
-                    self.servers.push(Server {
+                    let server = Server {
                         member: member.clone(),
                         health: Health::default(),
                         out: 0,
+                        named: 0,
                         window: Window::new(&self.settings, 0.0),
                         weight: 0.0,
                         // At a random point of the way to the first send: balancers must not act together,
                         // and one that earns less than a send while a server is cold still does its part.
                         budget: self.rng.unit(),
                         budget_at: now,
-                    });
+                    };
+                    let i = free.pop().unwrap_or(self.servers.len());
+                    if i < self.servers.len() {
+                        self.index.remove(&self.servers[i].member.server);
+                        self.servers[i] = server;
+                    } else {
+                        self.servers.push(server);
+                    }
+                    self.index.insert(member.server, i);
                 }
             }
         }
@@ -573,7 +589,6 @@
     fn weigh(&mut self, now: Micros) {
         self.weights_at = now;
         self.weight_sum = 0.0;
-        self.caches = self.servers.iter().filter(|s| s.weight > 0.0).count();
         for i in 0..self.servers.len() {
             let server = &self.servers[i];
             let serving = server.member.state == ServerState::Serving && !self.is_origin(server);
@@ -584,6 +599,7 @@
         let hash = |s: &Server| mix(u64::from(s.member.server).wrapping_add(1));
         let caches = self.servers.iter().enumerate().filter(|(_, s)| s.weight > 0.0);
         self.table = caches.map(|(i, s)| (hash(s), s.weight, i)).collect();
+        self.caches = self.table.len();
         self.origins = (0..self.servers.len()).filter(|&i| self.is_origin(&self.servers[i])).collect();
         self.judge(now);
     }
@@ -633,7 +649,8 @@
             return 1;
         }
         let fair = self.servers[first].weight / self.weight_sum;
-        1 + (f64::from(count) / f64::from(total) / (fair * HOT_SHARE)) as usize
+        // As many as there are, where one is listed with next to no size.
+        1 + (f64::from(count) / f64::from(total) / (fair * HOT_SHARE)).min(self.caches as f64) as usize
     }
 
     /// The cache for a read: the best-ranked one that is neither ejected, tried already, nor cold beyond
@@ -827,7 +844,7 @@
     }
 
     fn count(&mut self, now: Micros, request: &Request) {
-        let enough = self.totals[0] as usize >= HOT_SPAN * self.servers.len();
+        let enough = self.totals[0] as usize >= self.servers.len();
         if now.saturating_sub(self.rate_at) >= EPOCH {
             let length = (now - self.rate_at) as f64 / 1e6;
             let rate = f64::from(self.answers) / length;
@@ -842,7 +859,10 @@
             self.epoch_at = now;
         }
         if let (Some(key), false) = (request.key, request.write) {
-            *self.counts[0].entry(key).or_insert(0) += 1;
+            // What first comes after so many others in one epoch is not hot.
+            if self.counts[0].len() < self.settings.most_held as usize || self.counts[0].contains_key(&key) {
+                *self.counts[0].entry(key).or_insert(0) += 1;
+            }
             self.totals[0] += 1;
         }
     }
@@ -899,6 +919,7 @@
             self.pool.sent(now);
         }
         self.servers[i].out += 1;
+        self.servers[i].named += 1;
         let attempt = Attempt {
             server: i,
             sent: now,
@@ -928,8 +949,7 @@
             Pick::Crowded => return self.give_up(now, id, actions),
             Pick::Nothing => return self.fetch(now, id, actions),
         };
-        if let Some(flight) = key.and_then(|key| self.flights.get_mut(&(key, i))) {
-            flight.push(id);
+        if key.is_some_and(|key| self.wait(id, (key, i))) {
             return;
         }
         if !self.send(now, id, i, false, actions) {
@@ -950,11 +970,8 @@
         };
         // Same-key misses at one cache share one fetch, and then read the cache.
         let left = (self.settings.max_attempts as usize).saturating_sub(held.attempts.len());
-        if let Some(flight) = flight.and_then(|f| self.flights.get_mut(&f)) {
-            if left >= 2 {
-                flight.push(id);
-                return;
-            }
+        if left >= 2 && flight.is_some_and(|flight| self.wait(id, flight)) {
+            return;
         }
         let target = match self.settings.origin_kind {
             Some(_) => self.origin(),
@@ -1022,8 +1039,11 @@
 
     fn forget(&mut self, id: RequestId) {
         let done = |h: &Held| h.over && h.attempts.iter().all(|a| a.state != AttemptState::Out);
-        if self.held.get(&id).is_some_and(done) {
-            self.held.remove(&id);
+        if !self.held.get(&id).is_some_and(done) {
+            return;
+        }
+        for attempt in self.held.remove(&id).into_iter().flat_map(|h| h.attempts) {
+            self.servers[attempt.server].named -= 1;
         }
     }
 
@@ -1159,6 +1179,17 @@
         }
     }
 
+    /// Has a read wait for a fetch, if that is out. Guards against clients that ask and leave, over and over:
+    /// those who wait no more go once they are the most.
+    fn wait(&mut self, id: RequestId, flight: (Key, usize)) -> bool {
+        let Some(waiting) = self.flights.get_mut(&flight) else { return false };
+        if waiting.len() >= 2 * self.held.len() {
+            waiting.retain(|id| self.held.contains_key(id));
+        }
+        waiting.insert(id);
+        true
+    }
+
     /// A fetch has ended: the reads that waited for it find the key in the cache, or fetch in its stead.
     fn land(&mut self, now: Micros, flight: (Key, usize), stored: bool, actions: &mut Vec<Action>) {
         for id in self.flights.remove(&flight).unwrap_or_default() {
--- a/src/brain/look.rs
+++ b/src/brain/look.rs
@@ -30,7 +30,7 @@
             held: self.held.len(),
             out: self.servers.iter().map(|s| u64::from(s.out)).sum(),
             flights: self.flights.len(),
-            waiting: self.flights.values().map(Vec::len).sum(),
+            waiting: self.flights.values().map(|w| w.len()).sum(),
             servers: self.servers.len(),
             keys: self.counts.iter().map(|c| c.len()).sum(),
             window: self.window.w,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -622,3 +622,113 @@
         assert_eq!(most >= 4, back, "{outcome:?}: {most} out at once within a second");
     }
 }
+
+/// Finding 1: a record was kept of every server ever listed, and each pass over the fleet took longer.
+#[test]
+fn records_of_servers_that_are_gone_make_room() {
+    let mut brain = brain(settings(), &members(6));
+    let mut now = START;
+    for n in 0..20_000 {
+        now += 100 * MS;
+        let fresh = Member { up_since: now, ..member(1_000 + n) };
+        let gone = Member { state: ServerState::Gone, ..member(999 + n) };
+        handle(&mut brain, now, Event::ListChange(&[fresh, gone]));
+        // One attempt is out at each while it goes: its place is not another's before that has ended.
+        let id = u64::from(n) + 1;
+        if sent(&arrive(&mut brain, now, read(id, key_hash(&n.to_le_bytes()), now))).len() == 1 {
+            end(&mut brain, now + 50 * MS, id, 0, Outcome::Ok, 50 * MS);
+        }
+    }
+    let look = brain.look();
+    assert!(look.servers <= 6 + 1 + 4, "{} records of 8 servers", look.servers);
+    assert_eq!((look.held, look.out), (0, 0));
+    // Placements are those of a balancer that has just started.
+    let list: Vec<Member> = (0..6).chain([ORIGIN, 20_999]).map(member).collect();
+    handle(&mut brain, now + 60 * S, Event::WholeList(&list));
+    let mut fresh = self::brain(settings(), &list);
+    for id in 30_000..30_500u64 {
+        let key = key_hash(&id.to_le_bytes());
+        let at = now + 61 * S;
+        assert_eq!(
+            sent(&arrive(&mut brain, at, read(id, key, at))),
+            sent(&arrive(&mut fresh, at, read(id, key, at)))
+        );
+        end(&mut brain, at, id, 0, Outcome::Ok, MS);
+        end(&mut fresh, at, id, 0, Outcome::Ok, MS);
+    }
+}
+
+/// A server's place stays its own while an attempt of a request that is held names it.
+#[test]
+fn what_is_out_at_a_server_that_is_gone_is_told_to_no_other() {
+    let mut brain = brain(settings(), &members(6));
+    let home = sent(&arrive(&mut brain, START, read(1, 5, START)))[0];
+    handle(&mut brain, START, Event::ListChange(&[Member { state: ServerState::Gone, ..member(home) }]));
+    handle(&mut brain, START, Event::ListChange(&[member(500)]));
+    for n in 0..40 {
+        end(&mut brain, START + n, 1, 0, Outcome::ConnectFailed, 0);
+    }
+    let keys = (1..400u64).map(|n| key_hash(&n.to_le_bytes()));
+    let asked = keys.zip(1_000..).map(|(key, id)| sent(&arrive(&mut brain, START + S, read(id, key, START))));
+    assert!(asked.flatten().any(|s| s == 500), "a new server pays for what its place's last one did");
+}
+
+/// Finding 2: clients that asked for one key and left, over and over, were remembered for as long as a fetch was out.
+#[test]
+fn readers_that_leave_do_not_pile_up_behind_a_fetch() {
+    let mut brain = brain(settings(), &members(6));
+    arrive(&mut brain, START, read(1, 5, START));
+    assert_eq!(sent(&end(&mut brain, START, 1, 0, Outcome::Miss, 0)), [ORIGIN]);
+    for id in 2..5_000 {
+        arrive(&mut brain, START, read(id, 5, START));
+        handle(&mut brain, START, Event::Left(id));
+    }
+    let look = brain.look();
+    assert!(look.waiting <= 2 * look.held && look.held < 40, "{look:?}");
+    arrive(&mut brain, START, read(9_000, 5, START));
+    assert_eq!(sent(&end(&mut brain, START + MS, 1, 1, Outcome::Ok, MS)).len(), 1, "who stays is served");
+}
+
+/// Finding 3: a key that was asked for once was counted all the same, however many there were.
+#[test]
+fn keys_are_counted_up_to_a_bound() {
+    let mut brain = brain(Settings { most_held: 100, ..settings() }, &members(6));
+    for id in 1..10_000 {
+        arrive(&mut brain, START, read(id, id, START));
+        handle(&mut brain, START, Event::Left(id));
+    }
+    assert!(brain.look().keys <= 200, "{} keys are counted", brain.look().keys);
+}
+
+/// Finding 4: a server listed with next to no size had a hot key spread over more servers than a number holds.
+#[test]
+fn absurd_sizes_do_no_harm() {
+    let sizes = [1e-300, 1e308, 1e308, -1.0, 0.0, f64::MIN_POSITIVE];
+    let list: Vec<Member> =
+        (0..6).map(|n| Member { size: sizes[n as usize], ..member(n) }).chain([member(ORIGIN)]).collect();
+    let mut brain = brain(settings(), &list);
+    for id in 1..2_000u64 {
+        let now = START + id * MS;
+        for to in sent(&arrive(&mut brain, now, read(id, id % 7, now))) {
+            assert!(to <= ORIGIN);
+        }
+        end(&mut brain, now, id, 0, Outcome::Ok, MS);
+    }
+}
+
+/// Finding 5: after delays of next to nothing a refusal told the client no time to come back.
+#[test]
+fn a_refusal_always_says_when_to_come_back() {
+    let mut brain = brain(settings(), &members(6));
+    for id in 1..40 {
+        write(&mut brain, id, START + id * MS, 0, Outcome::Ok);
+    }
+    let now = START + S;
+    let request = |id| Request { write: true, class: Some(3), ..read(id, id, now) };
+    let refusals: Vec<Action> = (100..400)
+        .flat_map(|id| arrive(&mut brain, now, request(id)))
+        .filter(|a| matches!(a, Action::Refuse { .. }))
+        .collect();
+    assert!(!refusals.is_empty());
+    assert!(refusals.iter().all(|a| matches!(a, Action::Refuse { retry_after, .. } if *retry_after >= MS)));
+}
