The layer's own refusals say when to come back

Now it is how long the route's requests take, 100 ms until that is known, within the settings' most. A route that names a time keeps it.

--- a/limits/src/layer.rs
+++ b/limits/src/layer.rs
@@ -33,6 +33,8 @@
 /// At most this share of the servers has an open breaker at a route. Guards against a file that would leave alone
 /// all warm servers, and push the load of all onto a cold one, or the origin (rule 4).
 const MOST_OPEN: f64 = 0.4;
+/// What a refusal of the layer tells clients before it knows how long a request takes.
+const COME_BACK: Micros = 100_000;
 /// Breakers that opened together try again one proxy after another, so far apart.
 const APART: Micros = 40_000;
 
@@ -424,7 +426,10 @@
         if full {
             // Nothing was sent: a refusal is true whatever the class.
             self.done.shed += 1;
-            let retry_after = limits.retry_after.unwrap_or(0).min(self.settings.max_retry_after);
+            // Room comes back as soon as one of those in flight is done.
+            let known = lane.state.borrow().latency.known();
+            let retry_after = limits.retry_after.or(known).unwrap_or(COME_BACK);
+            let retry_after = retry_after.min(self.settings.max_retry_after);
             return actions.push(Action::Refuse { id, retry_after });
         }
         let class = request.class.and_then(|c| self.settings.classes.get(c as usize));
--- a/limits/tests/layer.rs
+++ b/limits/tests/layer.rs
@@ -345,6 +345,23 @@
     assert_eq!(host.limits.done().shed, 30);
 }
 
+/// Finding 7: what the layer itself turned away was told no time to come back, unless the file named one.
+#[test]
+fn a_refusal_of_the_layer_says_when_to_come_back() {
+    let mut host = Host::new(&format!("room = 1\n{READS}"));
+    assert_eq!(refused(&host.arrive(1, 0, 2 * S)), None);
+    assert!(refused(&host.arrive(2, 0, 2 * S)).is_some_and(|after| (MS..=S).contains(&after)));
+    // Once it is known how long a request takes, that is what room takes to come back.
+    host.end(1, 0, Outcome::Ok, 20 * MS);
+    for id in 10..100 {
+        host.arrive(id, 0, 2 * S);
+        host.end(id, 0, Outcome::Ok, 20 * MS);
+    }
+    host.arrive(200, 0, 2 * S);
+    let after = refused(&host.arrive(201, 0, 2 * S));
+    assert!(after.is_some_and(|after| (19 * MS..=21 * MS).contains(&after)), "{after:?}");
+}
+
 #[test]
 fn an_adaptive_limit_falls_with_a_rising_latency_and_recovers() {
     let mut host = Host::new(&format!("{READS}concurrency = {{ least = 4, most = 100 }}\n"));
