--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -37,6 +37,11 @@
     policy: Option<String>,
 }
 
+/// The latest time that is taken, in milliseconds: some hundred thousand years.
+const MOST_MILLIS: Millis = 4e15;
+/// Lists are numbered from 0 to 15 and used again.
+const MOST_SHEETS: usize = 16;
+
 fn millis(t: Micros) -> Millis {
     t as f64 / 1000.0
 }
@@ -175,7 +180,8 @@
             if let Some(open) = self.batch {
                 return Err(format!("batch {open}: 'sync' of batch {} before 'eob'", sync.round));
             }
-            if !sync.t.is_finite() {
+            // Beyond that, adding a wait to the time could take it past what a number holds.
+            if !(0.0..=MOST_MILLIS).contains(&sync.t) {
                 return Err(format!("batch {}, message 'sync': field `t` is not a time", sync.round));
             }
             self.batch = Some(sync.round);
@@ -194,6 +200,14 @@
         Ok(false)
     }
 
+    /// A complaint, with the place in the input.
+    pub fn told(&self, why: &str) -> String {
+        match self.batch {
+            Some(batch) => format!("batch {batch}: {why}"),
+            None => format!("before the first batch: {why}"),
+        }
+    }
+
     /// Called at the end of the input.
     pub fn at_end(&self) -> Result<(), String> {
         match self.batch {
@@ -216,6 +230,11 @@
             }
             "sheet" => {
                 let e: wire::Sheet = parse(line, m, batch)?;
+                if !self.sheets.contains_key(&e.buffer) && self.sheets.len() >= MOST_SHEETS {
+                    return Err(format!(
+                        "batch {round}, message '{m}': field `buffer`: more than {MOST_SHEETS}"
+                    ));
+                }
                 self.sheets.insert(e.buffer, e.members_list);
             }
             "peersKnown" => {
@@ -304,3 +323,52 @@
 fn unknown(round: u64, m: &str, who: &str) -> String {
     format!("batch {round}, message '{m}': field `who` names no running instance: '{who}'")
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const DAY: &str = include_str!("../../tests/data/exchange.in");
+
+    fn play(text: &[u8]) -> Result<Vec<u8>, String> {
+        let (mut host, mut reply) = (Host::default(), Vec::new());
+        for line in text.split(|b| *b == b'\n').filter(|l| !l.is_empty()) {
+            host.line(line, &mut reply)?;
+        }
+        host.at_end().map(|()| reply)
+    }
+
+    #[test]
+    fn a_day_cut_off_at_any_byte_or_spoilt_there_is_told_with_its_place() {
+        assert!(!play(DAY.as_bytes()).unwrap().is_empty());
+        let mut told = 0;
+        for at in 0..DAY.len() {
+            let spoilt = [&DAY.as_bytes()[..at], b"\xff", &DAY.as_bytes()[at + 1..]].concat();
+            for text in [&DAY.as_bytes()[..at], &spoilt] {
+                if let Err(error) = play(text) {
+                    told += 1;
+                    let place = ["batch ", "before the first batch", "message '"];
+                    assert!(place.iter().any(|p| error.starts_with(p)), "at {at}: {error}");
+                }
+            }
+        }
+        assert!(told > DAY.len(), "most of these are no day: {told}");
+    }
+
+    #[test]
+    fn what_goes_beyond_a_bound_is_told() {
+        let sheets: String =
+            (0..17).map(|n| format!("{{\"m\":\"sheet\",\"buffer\":{n},\"membersList\":[]}}\n")).collect();
+        let start = "{\"m\":\"sync\",\"t\":1.0,\"round\":1}\n";
+        for (text, why) in [
+            (format!("{start}{sheets}"), "batch 1, message 'sheet': field `buffer`: more than 16"),
+            (start.replace("1.0", "1e300"), "batch 1, message 'sync': field `t` is not a time"),
+            (start.replace("1.0", "-5"), "batch 1, message 'sync': field `t` is not a time"),
+            (start.replace("1.0", "1e999"), "before the first batch, message 'sync': number out of range"),
+            ("[".repeat(100_000), "before the first batch, message '?': "),
+        ] {
+            let error = play(text.as_bytes()).unwrap_err();
+            assert!(error.starts_with(why), "{error:.200}");
+        }
+    }
+}
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -6,15 +6,23 @@
 mod host;
 mod wire;
 
-use std::io::{BufRead, Write};
+use notchdoor_settings::file;
+use std::io::{BufRead, Read, Write};
+use std::path::Path;
 use std::process::ExitCode;
 
+/// The longest line that is read: a list of some hundred thousand servers.
+const MOST_LINE: u64 = 16 << 20;
+
 fn run() -> Result<(), String> {
     let mut input = std::io::stdin().lock();
     let mut output = std::io::BufWriter::with_capacity(1 << 16, std::io::stdout().lock());
     // The operators' limits, where there is a file of them: the same that a proxy takes.
     let policy = match std::env::var("NOTCHDOOR_POLICY") {
-        Ok(path) => Some(std::fs::read_to_string(&path).map_err(|e| format!("{path}: cannot read: {e}"))?),
+        Ok(path) => Some(
+            file::text(Path::new(&path), file::MOST_WRITTEN)
+                .map_err(|e| format!("{path}: cannot read: {e}"))?,
+        ),
         Err(_) => None,
     };
     let mut host = host::Host::with_policy(policy);
@@ -22,11 +30,13 @@
     let mut line = Vec::new();
     loop {
         line.clear();
-        let read =
-            input.read_until(b'\n', &mut line).map_err(|e| format!("cannot read standard input: {e}"))?;
-        if read == 0 {
+        let read = (&mut input).take(MOST_LINE + 1).read_until(b'\n', &mut line);
+        if read.map_err(|e| format!("cannot read standard input: {e}"))? == 0 {
             return host.at_end();
         }
+        if line.len() as u64 > MOST_LINE {
+            return Err(host.told(&format!("a line of more than {MOST_LINE} bytes")));
+        }
         if line.iter().all(u8::is_ascii_whitespace) {
             continue;
         }
--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -8,7 +8,7 @@
 use notchdoor_limits::file::{self, Facts};
 use notchdoor_limits::policy::Policy;
 use notchdoor_proxy::lifecycle::config::Config;
-use notchdoor_settings::BootInfo;
+use notchdoor_settings::{file as read, BootInfo};
 use std::path::{Path, PathBuf};
 
 #[derive(Subcommand)]
@@ -47,7 +47,7 @@
 /// each with its line of the file.
 pub fn policy(path: &Path, set: &[&str], facts: &Facts) -> Result<Policy, String> {
     let mut name = path.display().to_string();
-    let mut text = std::fs::read_to_string(path).map_err(|e| format!("{name}: cannot read: {e}"))?;
+    let mut text = read::text(path, read::MOST_WRITTEN).map_err(|e| format!("{name}: cannot read: {e}"))?;
     if !set.is_empty() {
         text = scenario::changed(&text, set.iter().copied()).map_err(|why| format!("{name}: {why}"))?;
         name = format!("{name} with {}", set.join(" "));
@@ -61,7 +61,7 @@
 /// The settings of a deployment: a proxy's configuration, or its `settings` alone.
 fn settings(path: &Path) -> Result<Facts, String> {
     let name = path.display();
-    let text = std::fs::read(path).map_err(|e| format!("{name}: cannot read: {e}"))?;
+    let text = read::bytes(path, read::MOST_CONFIG).map_err(|e| format!("{name}: cannot read: {e}"))?;
     let mut json: serde_json::Value = serde_json::from_slice(&text).map_err(|e| format!("{name}: {e}"))?;
     let settings = json.get_mut("settings").map(serde_json::Value::take).unwrap_or(json);
     let boot: BootInfo = serde_json::from_value(settings).map_err(|e| format!("{name}: settings: {e}"))?;
@@ -131,7 +131,8 @@
         }
         Command::Config { file } => {
             let name = file.display();
-            let text = std::fs::read(file).map_err(|e| format!("{name}: cannot read: {e}"))?;
+            let text =
+                read::bytes(file, read::MOST_CONFIG).map_err(|e| format!("{name}: cannot read: {e}"))?;
             // The variables of this shell are not those of the proxy.
             let config = Config::parse(&text, |_| None).map_err(|e| format!("{name}: {e}"))?;
             println!("{name}: good: {} on {}, registry at {}", config.name, config.listen, config.registry);
--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -199,9 +199,10 @@
 fn scenarios(names: &[String], set: &[String]) -> Result<Vec<Scenario>, String> {
     let mut all = Vec::new();
     let mut wrong = Vec::new();
+    let choices = scenario::grid(set)?;
     for name in names {
-        for choice in scenario::grid(set) {
-            match scenario::load(name, &choice) {
+        for choice in &choices {
+            match scenario::load(name, choice) {
                 Ok(scenario) => all.push(scenario),
                 Err(why) => wrong.push(why),
             }
@@ -214,6 +215,9 @@
     }
 }
 
+/// The most seeds of one run.
+const MOST_SEEDS: u64 = 100_000;
+
 fn play_days(run: &Run) -> Outcome {
     let scenarios = scenarios(&run.scenarios, &run.set)?;
     let mut policies: Vec<Kind> = if run.policies.is_empty() {
@@ -244,6 +248,9 @@
             None => None,
         };
         let first = run.seed.unwrap_or(scenario.spec.seed);
+        if run.seeds > MOST_SEEDS {
+            return Err(format!("--seeds {}: {MOST_SEEDS} at the most", run.seeds));
+        }
         let seeds: Vec<u64> = (first..first.saturating_add(run.seeds.max(1))).collect();
         for &kind in &policies {
             let mut scenario = scenario.clone();
--- a/cli/src/load.rs
+++ b/cli/src/load.rs
@@ -6,9 +6,13 @@
 use notchdoor_load::arrivals::Arrivals;
 use notchdoor_load::codec::Protocol;
 use notchdoor_load::run::{run as play, Options, MOST_LATE};
+use notchdoor_settings::file;
 use std::net::{SocketAddr, ToSocketAddrs};
 use std::path::PathBuf;
 
+/// The largest written value: sixteen times what the protocol allows.
+const MOST_VALUE_BYTES: usize = 1 << 20;
+
 #[derive(Args)]
 #[command(after_help = "Examples:
   notchdoor load 127.0.0.1:6379 --arrivals constant:500 --for 20
@@ -83,10 +87,13 @@
         None => Arrivals::parse(&load.arrivals).map_err(|e| format!("--arrivals: {e}"))?,
         Some(path) => {
             let name = path.display().to_string();
-            let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: cannot read: {e}"))?;
+            let text = file::text(path, file::MOST_MADE).map_err(|e| format!("{name}: cannot read: {e}"))?;
             Arrivals::record(&name, &text, &classes)?
         }
     };
+    if load.value_bytes > MOST_VALUE_BYTES {
+        return Err(format!("--value-bytes {}: {MOST_VALUE_BYTES} at the most", load.value_bytes));
+    }
     let options = Options {
         targets: load.targets.iter().map(|t| address(t)).collect::<Result<_, _>>()?,
         protocol: load.protocol.parse::<Protocol>().map_err(|e| format!("--protocol: {e}"))?,
--- /dev/null
+++ b/cli/tests/bad_input.rs
@@ -0,0 +1,146 @@
+//! Every file that the programs read, spoilt in every way: one clear error that names it, never a panic or a hang.
+
+use notchdoor_lab::{experiment, scenario};
+use notchdoor_limits::file::{self as limits, Facts};
+use notchdoor_load::arrivals::Arrivals;
+use notchdoor_proxy::lifecycle::config::Config;
+use notchdoor_settings::{file, BootInfo};
+use std::path::{Path, PathBuf};
+
+const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"7",
+"limits":{"memory_mb":192,"sockets":1024},"known":{"rev":41,"all":true,"targets":[{"uid":"w","endpoint":"127.0.0.1:3",
+"state":"in_service","boot_ms":0}]},"settings":{"balancers":1,"grades":[{"name":"read","aim":750.0,"deadline":2000.0,
+"effect":"idempotent","points":2.0}],"dcs":["a"],"skus":["std","origin"],"discovery":"on_request",
+"familyInfo":{"originKind":1},"limits":{"maxAttempts":3,"mostHeld":20000,"retryAfter":true,"maxRetryAfter":1000.0},
+"obligations":{"askEvery":10000.0,"cold":8100.0,"coldFrom":0.31,"fallMultiple":4.0,"tipAfter":2000.0}}}"#;
+const POLICY: &str = "room = 50\n[budget.b]\nshare = 0.1\nfloor_per_s = 1.0\n[[route]]\nname = 'r'\nclass = 'read'\n\
+attempt = '500ms'\ntotal = '1900ms'\nattempts = 3\nbackoff = { first = '10ms', most = '40ms' }\nbudget = 'b'\n";
+const SCENARIO: &str =
+    "length_s = 3.0\nwarm_up_s = 1.0\n[workers]\ncount = 5\n[[fault]]\nkind = 'flush'\nat_s = 1.0\n";
+const RECORD: &str = "0.5 read k1\n0.7\n# note\n1.25 read\n";
+
+/// A kind of file: its name, a good text, and what reads it. The error is what a person would see.
+type Kind = (&'static str, String, fn(&[u8]) -> Result<(), String>);
+
+fn utf8(bytes: &[u8]) -> Result<&str, String> {
+    std::str::from_utf8(bytes).map_err(|e| format!("file: {e}"))
+}
+
+fn facts() -> Facts {
+    let config: serde_json::Value = serde_json::from_str(CONFIG).unwrap();
+    serde_json::from_value::<BootInfo>(config["settings"].clone()).unwrap().facts()
+}
+
+fn scratch(name: &str, bytes: &[u8]) -> PathBuf {
+    let whose = format!("{}-{:?}", std::process::id(), std::thread::current().id());
+    let path = std::env::temp_dir().join(format!("notchdoor-bad-{whose}-{name}"));
+    std::fs::write(&path, bytes).unwrap();
+    path
+}
+
+fn results(bytes: &[u8]) -> Result<(), String> {
+    let path = scratch("result.json", bytes);
+    experiment::read(&path).map(drop).map_err(|e| e.replace(&path.display().to_string(), "file"))
+}
+
+fn kinds() -> Vec<Kind> {
+    let spec = scenario::parse("file", SCENARIO).unwrap();
+    let day =
+        notchdoor_lab::play(&spec, "s", 1, notchdoor_lab::policy::Kind::parse("notchdoor").unwrap(), false);
+    let day = serde_json::to_string(&day).unwrap() + "\n";
+    vec![
+        ("config", CONFIG.into(), |b| {
+            Config::parse(b, |_| None).map(drop).map_err(|e| e.replace("EDGE_CONFIG", "file"))
+        }),
+        ("policy", POLICY.into(), |b| {
+            let told = |p: Vec<limits::Problem>| p.iter().map(|p| format!("{p}\n")).collect::<String>();
+            limits::parse("file", utf8(b)?, &facts()).map(drop).map_err(told)
+        }),
+        ("scenario", SCENARIO.into(), |b| scenario::parse("file", utf8(b)?).map(drop)),
+        ("record", RECORD.into(), |b| Arrivals::record("file", utf8(b)?, &["read".into()]).map(drop)),
+        ("results", day, results),
+    ]
+}
+
+/// What is no file of any kind.
+fn bad() -> Vec<Vec<u8>> {
+    let deep = |open: &str| open.repeat(50_000).into_bytes();
+    vec![
+        b"\0".to_vec(),
+        b"\xff\xfe{\0}\0".to_vec(),
+        b"nan".to_vec(),
+        b"[1e999]".to_vec(),
+        b"{\"seed\":1e999}".to_vec(),
+        b"x = 99999999999999999999999999".to_vec(),
+        deep("["),
+        deep("{\"a\":"),
+        [b"x = ".to_vec(), deep("[")].concat(),
+        [b"x = ".to_vec(), deep("{a=")].concat(),
+        deep("a."),
+        vec![b'x'; 1 << 20],
+    ]
+}
+
+#[test]
+fn what_is_no_file_of_its_kind_is_told_in_one_way() {
+    for (name, good, read) in kinds() {
+        read(good.as_bytes()).unwrap_or_else(|e| panic!("{name}: {e}"));
+        for bytes in bad() {
+            let start = String::from_utf8_lossy(&bytes[..bytes.len().min(12)]).into_owned();
+            let error = read(&bytes).expect_err(&format!("{name} takes {start:?}"));
+            assert!(error.lines().all(|l| l.starts_with("file")), "{name}, {start:?}: {error:.300}");
+            assert!(!error.is_empty() && error.len() < 4_000, "{name}, {start:?}: {} bytes", error.len());
+        }
+    }
+}
+
+#[test]
+fn a_file_cut_off_at_any_byte_is_good_or_told() {
+    for (name, good, read) in kinds() {
+        let step = 1 + good.len() / 3_000;
+        for at in (0..good.len()).step_by(step) {
+            if let Err(error) = read(&good.as_bytes()[..at]) {
+                assert!(
+                    error.lines().all(|l| l.starts_with("file")) && !error.is_empty(),
+                    "{name} at {at}: {error}"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn figures_that_cannot_be_meant_are_named() {
+    for (from, to, told) in [
+        ("\"maxAttempts\":3", "\"maxAttempts\":0", "settings.limits.maxAttempts: 0 is out of range"),
+        ("\"balancers\":1", "\"balancers\":0", "settings.balancers: 0 is out of range"),
+        ("\"coldFrom\":0.31", "\"coldFrom\":31", "settings.obligations.coldFrom: 31 is out of range; 0 to 1"),
+        ("\"cold\":8100.0", "\"cold\":-1", "settings.obligations.cold: -1 is out of range"),
+        ("\"aim\":750.0", "\"aim\":1e300", "settings.grades[0].aim: "),
+        ("\"deadline\":2000.0", "\"deadline\":-2000.0", "settings.grades[0].deadline: -2000 is out of range"),
+        ("\"points\":2.0", "\"points\":-2", "settings.grades[0].points: -2 is out of range"),
+        ("\"memory_mb\":192", "\"memory_mb\":-1", "limits.memory_mb: too little"),
+        ("\"sockets\":1024", "\"sockets\":-1", "limits.sockets: invalid value"),
+    ] {
+        let error = Config::parse(CONFIG.replacen(from, to, 1).as_bytes(), |_| None).err();
+        let error = error.unwrap_or_else(|| panic!("{to} is taken"));
+        assert!(error.starts_with("EDGE_CONFIG: ") && error.contains(told), "{told}: {error}");
+    }
+}
+
+/// Finding 9: files were read whole before anything looked at their size.
+#[test]
+fn no_more_of_a_file_is_read_than_could_be_meant() {
+    let error = file::bytes(Path::new("/dev/zero"), 1 << 16).unwrap_err().to_string();
+    assert_eq!(error, "it holds more than 65536 bytes");
+    let path = scratch("bounds", b"1234\xff6");
+    assert_eq!(file::bytes(&path, 6).unwrap().len(), 6);
+    assert!(file::bytes(&path, 5).is_err());
+    assert_eq!(file::text(&path, 6).unwrap_err().to_string(), "byte 4 is not UTF-8");
+    for odd in [std::env::temp_dir(), PathBuf::from("/no/such/file")] {
+        assert!(file::text(&odd, 6).is_err());
+        assert!(experiment::read(&odd).is_err());
+        let told = scenario::load(&odd.display().to_string(), &[]).unwrap_err();
+        assert!(told.starts_with(&odd.display().to_string()), "{told}");
+    }
+}
--- a/cli/tests/command_line.rs
+++ b/cli/tests/command_line.rs
@@ -33,8 +33,41 @@
         "drain.toml",
         "length_s = 14.0\nwarm_up_s = 2.0\n[[fault]]\nkind = 'restart-workers'\nat_s = 1.0\nlength_s = 1.0\ncount = 2.0\n",
     );
+    let many = "x=1,2,3,4,5,6,7,8,9,10";
+    let deep = format!("{}=1", "a.".repeat(5_000));
     // arguments, exit code, on standard output, on standard error
     let cases: &[(&[&str], i32, &str, &str)] = &[
+        // Finding 21: figures beyond any use took all the memory, or ended in a panic.
+        (
+            &[
+                "lab", "run", "calm", "--set", many, "--set", many, "--set", many, "--set", many, "--set",
+                many, "--set", many,
+            ],
+            2,
+            "",
+            "--set x: this grid holds more than 100000 choices",
+        ),
+        (&["lab", "run", "calm", "--set", &deep], 2, "", "the path has more than 16 parts"),
+        (
+            &["lab", "run", "calm", "--seeds", "999999999999"],
+            2,
+            "",
+            "--seeds 999999999999: 100000 at the most",
+        ),
+        (&["lab", "run", "calm", "--threads", "9999999"], 2, "", "9999999 threads: 1024 at the most"),
+        (
+            &["load", "127.0.0.1:1", "--value-bytes", "9999999999999999999"],
+            2,
+            "",
+            "--value-bytes 9999999999999999999: 1048576 at the most",
+        ),
+        (
+            &["check", "config", "/dev/zero"],
+            2,
+            "",
+            "/dev/zero: cannot read: it holds more than 16777216 bytes",
+        ),
+        (&["check", "scenario", "/dev/zero"], 2, "", "it holds more than 1048576 bytes"),
         (&["--help"], 0, "Exit codes:", ""),
         (&["lab", "run", "--help"], 0, "notchdoor lab run calm --out", ""),
         (&["lab", "list"], 0, "origin-stop", ""),
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -158,6 +158,12 @@
         Registry { endpoint, watches, says }
     }
 
+    /// One that somebody else plays, at this address.
+    pub fn at(endpoint: SocketAddr) -> Registry {
+        let ((_, watches), (says, _)) = (channel(), channel());
+        Registry { endpoint, watches, says }
+    }
+
     pub fn say(&self, rev: u64, lines: &[String]) {
         self.says.send(format!(r#"{{"rev":{rev},"all":false,"targets":[{}]}}"#, lines.join(","))).unwrap();
     }
@@ -185,9 +191,14 @@
     }
 }
 
-fn config(registry: &Registry, listen: SocketAddr, lines: &[String], sockets: u32) -> String {
+fn config(
+    registry: &Registry,
+    listen: SocketAddr,
+    lines: &[String],
+    (sockets, memory): (u32, u32),
+) -> String {
     format!(
-        r#"{{"name":"n0","listen":"{listen}","discovery":"{}","seed":"7","limits":{{"memory_mb":192,"sockets":{sockets}}},"known":{{"rev":41,"all":true,"targets":[{}]}},"settings":{}}}"#,
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{}","seed":"7","limits":{{"memory_mb":{memory},"sockets":{sockets}}},"known":{{"rev":41,"all":true,"targets":[{}]}},"settings":{}}}"#,
         registry.endpoint,
         lines.join(","),
         settings()
@@ -219,6 +230,11 @@
 
     /// The same with a file of limits, if any.
     pub fn with(registry: &Registry, lines: &[String], sockets: u32, policy: Option<&str>) -> Proxy {
+        Proxy::within(registry, lines, (sockets, 192), policy)
+    }
+
+    /// The same with limits on descriptors and on memory, in MiB.
+    pub fn within(registry: &Registry, lines: &[String], limits: (u32, u32), policy: Option<&str>) -> Proxy {
         // An address of this process's own and a port below those that the system hands out: one that is
         // asked for and given back could be taken by another test's connection.
         static NEXT: AtomicU16 = AtomicU16::new(10_000);
@@ -227,7 +243,7 @@
         let listen = SocketAddr::from(([127, 77, a, b.clamp(1, 254)], port));
         let path =
             std::env::temp_dir().join(format!("notchdoor-test-{}-{}", std::process::id(), listen.port()));
-        std::fs::write(&path, config(registry, listen, lines, sockets)).unwrap();
+        std::fs::write(&path, config(registry, listen, lines, limits)).unwrap();
         let policy_path = path.with_extension("policy.toml");
         let mut command = Command::new(env!("CARGO_BIN_EXE_notchdoor"));
         if let Some(text) = policy {
@@ -276,7 +292,7 @@
 
     /// A configuration that names this registry and, beside it, a list long out of date.
     pub fn config(&self, registry: &Registry) -> String {
-        config(registry, self.listen, &[], 1024).replace("\"rev\":41", "\"rev\":3")
+        config(registry, self.listen, &[], (1024, 192)).replace("\"rev\":41", "\"rev\":3")
     }
 
     pub fn client(&self) -> Client {
--- a/cli/tests/rules.rs
+++ b/cli/tests/rules.rs
@@ -3,7 +3,9 @@
 mod common;
 use common::*;
 use notchdoor_proxy::wire::resp::Value;
+use socket2::{Domain, Socket, Type};
 use std::io::Write;
+use std::net::{TcpListener, TcpStream};
 use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -437,3 +439,167 @@
     let _late = [proxy.asked("id98"), proxy.asked("id99")];
     assert_eq!(crowd[0].next(), None);
 }
+
+/// Finding 8: each connection could hold most of a command, and nothing bounded them all together.
+#[test]
+fn half_sent_commands_have_a_bound_in_all_and_the_oldest_go_first() {
+    let (registry, worker, origin) = (Registry::start(), echo(), origin());
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    // An eighth of 12 MiB is room for 25 such halves.
+    let proxy = Proxy::within(&registry, &list, (1024, 12), None);
+    let half = format!("*5\r\n$7\r\nOBJ.SET\r\n$65536\r\n{}", "x".repeat(60_000));
+    let mut clients: Vec<Client> = (0..80).map(|_| proxy.client()).collect();
+    for client in &mut clients {
+        client.stream.write_all(half.as_bytes()).unwrap();
+    }
+    assert_eq!(proxy.client().get("k", "id1", 2000), bulk("id1"));
+    let told = |client: &mut Client| match client.next() {
+        Some(Value::Error(line)) => String::from_utf8(line).unwrap(),
+        other => panic!("{other:?}"),
+    };
+    let answers: Vec<String> = clients.iter_mut().map(told).collect();
+    let crowded = answers.iter().filter(|a| *a == "ERR too many half-sent commands").count();
+    assert!((45..80).contains(&crowded), "{crowded} of 80 were cut off for room, the rest for their time");
+    assert_eq!(answers[0], "ERR too many half-sent commands", "the oldest first");
+}
+
+/// Finding 10: a dozen clients that read nothing kept everybody's requests from being taken for ten seconds.
+#[test]
+fn clients_that_read_nothing_are_cut_off_sooner_where_room_is_short() {
+    let (registry, worker, origin) = (Registry::start(), echo(), origin());
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::within(&registry, &list, (1024, 12), None);
+    let deaf: Vec<TcpStream> = (0..18)
+        .map(|_| {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+            socket.set_recv_buffer_size(4096).unwrap();
+            socket.connect(&proxy.listen.into()).unwrap();
+            let mut stream = TcpStream::from(socket);
+            stream.set_write_timeout(Some(Duration::from_millis(100))).unwrap();
+            // Each is told an error of five times its length.
+            let _ = stream.write_all("*0\r\n".repeat(400_000).as_bytes());
+            stream
+        })
+        .collect();
+    let begun = Instant::now();
+    assert_eq!(proxy.client().get("k", "id1", 2000), bulk("id1"));
+    assert!(begun.elapsed() < Duration::from_secs(6), "{:?}", begun.elapsed());
+    // What is cut off is told by the counters.
+    std::thread::sleep(Duration::from_millis(2_500));
+    drop(deaf);
+    proxy.signal("TERM");
+    let (good, log) = proxy.wait();
+    let stalled = log.split("ending_client_stalled=").nth(1).and_then(|t| t.split(' ').next());
+    assert!(good && stalled.is_some_and(|n| n != "0"), "none was cut off for it: {log}");
+}
+
+/// Finding 12: a request whose client names an hour was held as long by a worker that says nothing.
+#[test]
+fn no_request_is_held_beyond_what_any_class_waits() {
+    let silent = Peer::worker(Box::new(|_| {
+        std::thread::sleep(2 * PATIENCE);
+        None
+    }));
+    let (registry, origin) = (Registry::start(), origin());
+    let list = [line("w", &silent, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    let begun = Instant::now();
+    let answer = proxy.client().get("k", "id1", 3_600_000);
+    assert!(busy(&answer) || failed(&answer) || answer == bulk("id1"), "{answer:?}");
+    assert!(begun.elapsed() < Duration::from_secs(8), "{:?}", begun.elapsed());
+}
+
+/// Finding 15: a registry that sent a byte now and then passed for one that lives, and drains went unheard.
+#[test]
+fn a_watch_that_never_ends_a_line_is_dropped() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let drips = Registry::at(listener.local_addr().unwrap());
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
+                let mut open = stream.write_all(head).is_ok();
+                while open {
+                    std::thread::sleep(Duration::from_millis(200));
+                    open = stream.write_all(b"1\r\n \r\n").is_ok();
+                }
+            });
+        }
+    });
+    let (worker, origin) = (echo(), origin());
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&drips, &list);
+    std::thread::sleep(Duration::from_secs(10));
+    proxy.logged("registry: watch ended, registry_silent");
+}
+
+/// A signal while requests are at every stage: half read, at a slow worker, fetched, waiting for that fetch, written.
+#[test]
+fn a_signal_at_any_stage_costs_no_request() {
+    for signal in ["HUP", "TERM"] {
+        let slow = |answer: Option<Vec<u8>>| {
+            std::thread::sleep(Duration::from_millis(250));
+            answer
+        };
+        let worker = Peer::worker(Box::new(move |words| match words[1].as_str() {
+            "miss" => Some(b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_vec()),
+            _ => slow(value(&words[2])),
+        }));
+        let origin = Peer::origin(Box::new(move |request| slow(http("200 OK", &request[2]))));
+        let registry = Registry::start();
+        let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+        let proxy = Proxy::start(&registry, &list);
+        let mut clients: Vec<Client> = (0..5).map(|_| proxy.client()).collect();
+        let read = "c=read,t=acme,d=2000";
+        clients[0].send(&["OBJ.GET", "k", "id0", read]);
+        clients[1].send(&["OBJ.GET", "miss", "id1", read]);
+        clients[2].send(&["OBJ.SET", "k", "id2", "c=close,t=acme,d=600", "v"]);
+        let half = b"*4\r\n$7\r\nOBJ.GET\r\n$2\r\nk2\r\n$3\r\nid3\r\n$20\r\nc=read,t=a";
+        clients[3].stream.write_all(half).unwrap();
+        std::thread::sleep(Duration::from_millis(60));
+        // Its worker has missed by now, and the fetch is out.
+        clients[4].send(&["OBJ.GET", "miss", "id4", read]);
+        std::thread::sleep(Duration::from_millis(30));
+        proxy.signal(signal);
+        clients[3].stream.write_all(b"cme,d=2000\r\n").unwrap();
+        for (n, client) in clients.iter_mut().enumerate() {
+            let id = format!("id{n}");
+            let answer = client.next();
+            // Behind a fetch a read finds its key missing here all the same: it may be fetched, or refused.
+            let refused = n == 4 && answer.as_ref().is_some_and(busy);
+            assert!(answer == Some(bulk(&id)) || refused, "{signal}, {id}: {answer:?}");
+        }
+        assert_eq!(origin.seen().iter().filter(|r| r[2] == "id2").count(), 1);
+        if signal == "HUP" {
+            assert_eq!(proxy.client().get("k", "id9", 2000), bulk("id9"));
+            proxy.signal("TERM");
+        }
+        drop(clients);
+        let (good, log) = proxy.wait();
+        assert!(good && log.contains("stopped with every request answered"), "{signal}: {log}");
+        assert!(log.contains(" owed=0 "), "{log}");
+    }
+}
+
+/// A client may leave at every byte of a command, and with answers owed: nothing is held, and the next is served.
+#[test]
+fn a_client_may_leave_at_any_byte() {
+    let (registry, worker, origin) = (Registry::start(), echo(), origin());
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&registry, &list);
+    let whole = b"*4\r\n$7\r\nOBJ.GET\r\n$1\r\nk\r\n$3\r\nid0\r\n$20\r\nc=read,t=acme,d=2000\r\n";
+    for at in 0..=whole.len() {
+        let mut client = proxy.client();
+        client.stream.write_all(&whole[..at]).unwrap();
+    }
+    let mut owed = proxy.client();
+    for n in 0..20 {
+        owed.send(&["OBJ.GET", "k", &format!("o{n}"), "c=read,t=acme,d=2000"]);
+    }
+    drop(owed);
+    assert_eq!(proxy.client().get("k", "id1", 2000), bulk("id1"));
+    proxy.signal("TERM");
+    let (good, log) = proxy.wait();
+    assert!(good && log.contains("stopped with every request answered"), "{log}");
+    assert!(log.contains(" owed=0 clients=0 "), "{log}");
+}
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -6,6 +6,7 @@
 use crate::{charts, play_with, report};
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use notchdoor_limits::policy::Policy as Limits;
+use notchdoor_settings::file as read_file;
 use rayon::prelude::*;
 use std::io::Write;
 use std::path::Path;
@@ -38,6 +39,9 @@
 
 /// A pool of so many threads; as many as there are cores for 0.
 pub fn pool(threads: usize) -> Result<rayon::ThreadPool, String> {
+    if threads > MOST_THREADS {
+        return Err(format!("{threads} threads: {MOST_THREADS} at the most"));
+    }
     rayon::ThreadPoolBuilder::new()
         .num_threads(threads)
         .build()
@@ -92,10 +96,14 @@
     Ok(charts)
 }
 
+/// The most threads.
+const MOST_THREADS: usize = 1024;
+
 /// Reads results: a `result.json`, or a folder that holds one.
 pub fn read(path: &Path) -> Result<Vec<Day>, String> {
     let file = if path.is_dir() { path.join("result.json") } else { path.to_owned() };
-    let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: cannot read: {e}", file.display()))?;
+    let text = read_file::text(&file, read_file::MOST_MADE)
+        .map_err(|e| format!("{}: cannot read: {e}", file.display()))?;
     let days: Result<Vec<Day>, String> = text
         .lines()
         .enumerate()
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -1,6 +1,7 @@
 //! Scenario files: read, checked, changed field by field, and written with no more than they need.
 
 use notchdoor_model::spec::Spec;
+use notchdoor_settings::file;
 use std::path::Path;
 use toml_edit::{DocumentMut, Item, Table, Value};
 
@@ -41,7 +42,7 @@
     let (text, stem) = match built_in {
         Some((name, text)) => ((*text).to_owned(), (*name).to_owned()),
         None => {
-            let text = std::fs::read_to_string(name).map_err(|e| {
+            let text = file::text(Path::new(name), file::MOST_WRITTEN).map_err(|e| {
                 let names: Vec<&str> = BUILT_IN.iter().map(|b| b.0).collect();
                 format!(
                     "{name}: no such built-in scenario and no file to read ({e}); built in are {}",
@@ -139,6 +140,10 @@
     for change in set {
         let (path, value) =
             change.split_once('=').ok_or_else(|| format!("--set {change}: should be PATH=VALUE"))?;
+        // Guards against a path that is followed deeper than any file goes.
+        if path.split('.').count() > MOST_PARTS {
+            return Err(format!("--set {change:.60}...: the path has more than {MOST_PARTS} parts"));
+        }
         // What is no TOML value is text, so that nobody has to quote it twice.
         let value: Value = value.parse().unwrap_or_else(|_| Value::from(value));
         put(document.as_table_mut(), path.trim(), value).map_err(|why| format!("--set {change}: {why}"))?;
@@ -167,20 +172,28 @@
     put(inner, rest, value)
 }
 
+/// The most combinations of a grid, and the most parts of a path.
+const MOST_CHOICES: usize = 100_000;
+const MOST_PARTS: usize = 16;
+
 /// The combinations that a grid stands for: every `path=a,b,c` becomes one choice of each.
-pub fn grid(set: &[String]) -> Vec<Vec<String>> {
+pub fn grid(set: &[String]) -> Result<Vec<Vec<String>>, String> {
     let mut all: Vec<Vec<String>> = vec![Vec::new()];
     for change in set {
         let (path, values) = change.split_once('=').unwrap_or((change, ""));
         let listed = values.starts_with('[') || values.starts_with('"');
         let values: Vec<&str> = if listed { vec![values] } else { values.split(',').collect() };
+        // Guards against a few lists too many: each multiplies what all the others hold.
+        if all.len().saturating_mul(values.len()) > MOST_CHOICES {
+            return Err(format!("--set {path}: this grid holds more than {MOST_CHOICES} choices"));
+        }
         let one = |v: &&str| if change.contains('=') { format!("{path}={v}") } else { change.clone() };
         all = all
             .into_iter()
             .flat_map(|before| values.iter().map(one).map(move |v| [before.clone(), vec![v]].concat()))
             .collect();
     }
-    all
+    Ok(all)
 }
 
 /// A scenario as a file, with no more than what differs from the usual figures.
--- a/lab/tests/files.rs
+++ b/lab/tests/files.rs
@@ -86,7 +86,7 @@
 
 #[test]
 fn a_grid_is_every_choice_of_each() {
-    let of = |set: &[&str]| grid(&set.iter().map(|s| (*s).to_owned()).collect::<Vec<_>>());
+    let of = |set: &[&str]| grid(&set.iter().map(|s| (*s).to_owned()).collect::<Vec<_>>()).unwrap();
     assert_eq!(of(&[]), [Vec::<String>::new()]);
     assert_eq!(of(&["a=1,2", "b=3,4"]), [["a=1", "b=3"], ["a=1", "b=4"], ["a=2", "b=3"], ["a=2", "b=4"]]);
     assert_eq!(of(&["a=[1,2]"]), [["a=[1,2]"]]);
--- a/proxy/src/lifecycle/config.rs
+++ b/proxy/src/lifecycle/config.rs
@@ -2,10 +2,11 @@
 
 use crate::state::registry::Update;
 use notchdoor_limits::policy::Policy;
-use notchdoor_settings::BootInfo;
+use notchdoor_settings::{file, BootInfo};
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 
 /// The platform's limit on sockets; what the file allows beyond it is not used.
@@ -49,6 +50,8 @@
     pub most_taken: usize,
     /// The most bytes of answers that are read at once, beyond one value's size each.
     pub most_large: usize,
+    /// The most bytes of commands that are half read, on all client connections together.
+    pub most_half_read: usize,
     /// The list as this proxy had it last.
     pub known: Option<Update>,
     /// The deployment's settings.
@@ -88,13 +91,15 @@
 }
 
 fn read(path: &str) -> Result<Vec<u8>, String> {
-    std::fs::read(path).map_err(|e| format!("EDGE_CONFIG: cannot read {path}: {e}"))
+    file::bytes(Path::new(path), file::MOST_CONFIG)
+        .map_err(|e| format!("EDGE_CONFIG: cannot read {path}: {e}"))
 }
 
 /// Reads the operators' limits. The error has a line for each problem.
 fn policy(path: Option<&str>, settings: &BootInfo) -> Result<Option<Arc<Policy>>, String> {
     let Some(path) = path else { return Ok(None) };
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: cannot read the policy: {e}"))?;
+    let text = file::text(Path::new(path), file::MOST_WRITTEN)
+        .map_err(|e| format!("{path}: cannot read the policy: {e}"))?;
     match notchdoor_limits::file::parse(path, &text, &settings.facts()) {
         Ok(policy) => Ok(Some(Arc::new(policy))),
         Err(problems) => Err(problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")),
@@ -160,6 +165,7 @@
                 path if path == "." => format!("EDGE_CONFIG: {}", e.inner()),
                 path => format!("EDGE_CONFIG: {path}: {}", e.inner()),
             })?;
+        file.settings.check().map_err(|e| format!("EDGE_CONFIG: settings.{e}"))?;
         let place = |name: &str, field: &str, text: String| match variable(name) {
             Some(text) => address(&text, name),
             None => address(&text, field),
@@ -186,6 +192,7 @@
             most_delegated: sockets - most_clients,
             most_taken: (values as usize).min(most_held).max(1),
             most_large: (file.limits.memory_mb * 1024.0 * 1024.0 / 8.0) as usize,
+            most_half_read: (file.limits.memory_mb * 1024.0 * 1024.0 / 8.0) as usize,
             known: file.known,
             settings: file.settings,
             policy: None,
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -164,6 +164,19 @@
         self.places.len()
     }
 
+    /// Requests that are held: their answer is owed, or their client has left and a fetch is still out.
+    pub fn holds(&self) -> usize {
+        self.held.len()
+    }
+
+    /// What is still kept that should be gone once every request is over.
+    pub fn left_over(&self) -> Option<String> {
+        let timed = self.timers.tokens().filter(|t| self.stack.timer_request(*t).is_some()).count();
+        let kept = [self.held.len(), self.open.len(), self.places.len(), self.delegations.len(), timed];
+        let told = || format!("held, open, places, delegations, timers: {kept:?}");
+        self.stack.left_over().or_else(|| (kept != [0; 5]).then(told))
+    }
+
     /// Takes up another policy; requests that are open keep the limits they began with. False where that takes a
     /// restart: limits cannot be put round a module that is at work, nor taken away from it.
     pub fn reload(&mut self, now: Micros, policy: Option<Arc<Policy>>) -> bool {
--- a/proxy/src/state/registry.rs
+++ b/proxy/src/state/registry.rs
@@ -3,11 +3,15 @@
 use notchdoor::{Member, Micros, ServerId, ServerState};
 use notchdoor_settings::{position, Millis, Names, Readiness};
 use serde::Deserialize;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 /// The most workers that are kept, those that are gone included.
 const MOST_WORKERS: usize = 4096;
+/// The longest name of a worker: it is kept, and stands in log lines.
+const MOST_NAME: usize = 256;
+/// Lines of one update that are told when they cannot be used; of more, the log has their number.
+const MOST_TOLD: usize = 4;
 
 /// One line of the list, as the registry writes it.
 #[derive(Clone, Debug, Deserialize)]
@@ -117,13 +121,25 @@
         }
         self.rev = update.rev;
         let mut applied = Applied { all: update.all, ..Applied::default() };
-        let mut named = Vec::new();
+        let (mut named, mut unusable) = (HashSet::new(), 0);
         for target in update.targets {
-            if let Some(member) = self.line(target, &mut applied.dropped) {
-                named.push(member.server);
-                applied.members.push(member);
+            match self.line(target, &mut applied.dropped) {
+                Ok(member) => {
+                    named.insert(member.server);
+                    applied.members.push(member);
+                }
+                // Guards against a list that fills the log, over and over.
+                Err(why) => {
+                    unusable += 1;
+                    if unusable <= MOST_TOLD {
+                        log::error!("registry: {why}");
+                    }
+                }
             }
         }
+        if unusable > MOST_TOLD {
+            log::error!(unusable; "registry: {unusable} lines of version {} cannot be used", self.rev);
+        }
         if update.all {
             for (id, worker) in &self.workers {
                 if worker.serving && !named.contains(id) {
@@ -135,20 +151,22 @@
         Some(applied)
     }
 
-    fn line(&mut self, target: Target, dropped: &mut Vec<ServerId>) -> Option<Member> {
+    /// Takes up one line; the error says why it cannot be used.
+    fn line(&mut self, target: Target, dropped: &mut Vec<ServerId>) -> Result<Member, String> {
+        if target.uid.len() > MOST_NAME {
+            return Err(format!("a worker's name of {} bytes, {MOST_NAME} at the most", target.uid.len()));
+        }
         let server = server_id(&target.uid);
         let Ok(endpoint) = target.endpoint.parse::<SocketAddr>() else {
-            log::error!(worker = target.uid.as_str(); "registry: {} has no usable endpoint: {:?}", target.uid, target.endpoint);
-            return None;
+            let start: String = target.endpoint.chars().take(MOST_NAME).collect();
+            return Err(format!("{} has no usable endpoint: {start:?}", target.uid));
         };
         // Guards against two workers that the module would take for one.
         if let Some(other) = self.workers.get(&server).filter(|w| w.uid != target.uid) {
-            log::error!(worker = target.uid.as_str(), server; "registry: {} and {} share the number {server}", target.uid, other.uid);
-            return None;
+            return Err(format!("{} and {} share the number {server}", target.uid, other.uid));
         }
         if !self.workers.contains_key(&server) && self.workers.len() >= MOST_WORKERS {
-            log::error!(worker = target.uid.as_str(); "registry: no room for {}", target.uid);
-            return None;
+            return Err(format!("no room for {}", target.uid));
         }
         let gone = target.state == Readiness::Terminated;
         let kind = position(&self.names.kinds, &target.model).unwrap_or(u32::MAX);
@@ -164,7 +182,7 @@
         if gone {
             self.workers.remove(&server);
         }
-        Some(Member {
+        Ok(Member {
             server,
             kind,
             zone: position(&self.names.zones, &target.az).unwrap_or(u32::MAX),
@@ -229,6 +247,21 @@
         assert!(registry.worker(o).is_none(), "what is gone leaves nothing behind");
     }
 
+    /// Findings 16 and 17: one list could fill the log, and one name be a megabyte of it.
+    #[test]
+    fn a_list_of_any_size_is_taken_up_and_what_cannot_be_used_is_left_out() {
+        let mut registry = registry();
+        let names: Vec<String> = (0..2 * MOST_WORKERS).map(|n| format!("w{n}")).collect();
+        let lines: Vec<_> = names.iter().map(|n| (n.as_str(), 1, Readiness::InService, 0.0)).collect();
+        let mut list = update(1, true, &lines);
+        list.targets[0].uid = "x".repeat(MOST_NAME + 1);
+        list.targets[1].endpoint = "nowhere".into();
+        let applied = registry.apply(list).unwrap();
+        assert_eq!((applied.members.len(), registry.workers.len()), (MOST_WORKERS, MOST_WORKERS));
+        assert!(registry.worker(server_id("w1")).is_none() && registry.worker(server_id("w2")).is_some());
+        assert_eq!(registry.apply(update(2, true, &[])).unwrap().dropped.len(), MOST_WORKERS);
+    }
+
     #[test]
     fn numbers_are_pinned_and_a_shared_one_is_left_out() {
         assert_eq!(server_id("s-5be2a07c"), 1_361_338_235);
--- a/proxy/src/state/timers.rs
+++ b/proxy/src/state/timers.rs
@@ -32,6 +32,11 @@
         self.queue.remove(&key);
     }
 
+    /// The tokens of all that are set, in the order in which they fall due.
+    pub fn tokens(&self) -> impl Iterator<Item = u64> + '_ {
+        self.queue.values().copied()
+    }
+
     /// How many are set.
     pub fn len(&self) -> usize {
         self.queue.len()
--- a/proxy/src/wire/acceptor.rs
+++ b/proxy/src/wire/acceptor.rs
@@ -57,7 +57,7 @@
                 Err(malformed) => {
                     self.owed.push_back(None);
                     self.put(place, format!("-ERR Protocol error: {}\r\n", malformed.0).into_bytes());
-                    self.closing = true;
+                    self.close();
                     self.malformed = true;
                     return None;
                 }
@@ -162,7 +162,17 @@
             self.owed.push_back(None);
             self.reject(place, "the command took too long");
         }
-        (self.closing, self.silent) = (true, true);
+        self.close();
+        self.silent = true;
+    }
+
+    /// Ends a connection whose half-read command takes room that others need.
+    pub fn crowd_out(&mut self) {
+        let place = self.first + self.owed.len() as u64;
+        self.owed.push_back(None);
+        self.reject(place, "too many half-sent commands");
+        self.close();
+        self.malformed = true;
     }
 
     /// Whether the client took too long over a command.
@@ -178,6 +188,7 @@
     /// Reads nothing more; see [`Session::finished`].
     pub fn close(&mut self) {
         self.closing = true;
+        self.reader = Reader::default();
     }
 
     /// Whether all that was taken is answered and nothing more will be read.
@@ -231,6 +242,20 @@
         }
     }
 
+    #[test]
+    fn what_is_crowded_out_is_told_and_keeps_no_room() {
+        let mut session = Session::default();
+        let mut bytes = Vec::new();
+        write_command(&mut bytes, GET);
+        bytes.extend_from_slice(b"*5\r\n$7\r\nOBJ.SET\r\n$9999\r\nx");
+        assert_eq!(asks(&mut session, &bytes), 1);
+        assert!(session.pending() > 20);
+        session.crowd_out();
+        assert_eq!((session.pending(), session.reads()), (0, false));
+        session.answer(0, Answer::Served(b"v".to_vec()));
+        assert_eq!(session.output(), b"$1\r\nv\r\n-ERR too many half-sent commands\r\n");
+    }
+
     #[test]
     fn a_malformed_command_ends_its_connection_after_what_is_owed() {
         let mut session = Session::default();
--- a/proxy/src/wire/driver/client.rs
+++ b/proxy/src/wire/driver/client.rs
@@ -26,6 +26,8 @@
 const NO_ROOM: Duration = Duration::from_millis(2);
 /// A client that takes nothing off its connection for so long is cut off.
 const STALLED: Duration = Duration::from_secs(10);
+/// And for so long while answers that wait fill half of the room or more.
+const STALLED_SHORT: Micros = 1_000_000;
 /// For so long a connection that was told an error is kept after it, for less while others wait for its
 /// descriptor, and so many bytes of it are read on.
 const LINGER: Duration = Duration::from_millis(500);
@@ -59,6 +61,7 @@
     /// Tells the connection's task that there is something to write, or that it is over.
     wake: (Sender<()>, Receiver<()>),
     broken: Cell<bool>,
+    stalled: Cell<bool>,
     retiring: Cell<bool>,
     /// When something last came from it or was answered.
     used: Cell<Micros>,
@@ -67,11 +70,17 @@
     /// Bytes of answers that wait on any connection, and this one's part of them.
     unsent: Rc<Cell<usize>>,
     counted: Cell<usize>,
+    /// Bytes of half commands on any connection, and this one's part of them.
+    half_read: Rc<Cell<usize>>,
+    counted_half: Cell<usize>,
+    /// When answers last began to wait on it, or some of one was taken off it.
+    moved: Cell<Micros>,
 }
 
 impl Drop for Client {
     fn drop(&mut self) {
         self.unsent.set(self.unsent.get().saturating_sub(self.counted.get()));
+        self.half_read.set(self.half_read.get().saturating_sub(self.counted_half.get()));
     }
 }
 
@@ -80,7 +89,7 @@
     pub fn answer(&self, now: Micros, place: u64, answer: Answer) {
         self.used.set(now);
         self.session.borrow_mut().answer(place, answer);
-        self.flush();
+        self.flush(now);
     }
 
     /// Has the connection closed once nothing is owed on it.
@@ -94,20 +103,29 @@
         let _ = self.wake.0.try_send(());
     }
 
-    /// Brings the count of waiting bytes up to date.
+    /// Brings the counts of waiting bytes and of half commands up to date.
     fn recount(&self) {
-        let waiting = self.session.borrow().waiting();
+        let (waiting, half) = {
+            let session = self.session.borrow();
+            (session.waiting(), session.pending())
+        };
         let others = self.unsent.get().saturating_sub(self.counted.replace(waiting));
         self.unsent.set(others + waiting);
+        let others = self.half_read.get().saturating_sub(self.counted_half.replace(half));
+        self.half_read.set(others + half);
     }
 
-    fn flush(&self) {
+    fn flush(&self, now: Micros) {
         let mut session = self.session.borrow_mut();
+        if self.counted.get() == 0 {
+            self.moved.set(now);
+        }
         while !session.output().is_empty() {
             match self.io.get_ref().write(session.output()) {
                 Ok(0) => self.broken.set(true),
                 Ok(n) => {
                     session.wrote(n);
+                    self.moved.set(now);
                     continue;
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
@@ -135,6 +153,8 @@
         let session = self.session.borrow();
         if self.broken.get() {
             Some(Ending::ClientLeft)
+        } else if self.stalled.get() {
+            Some(Ending::ClientStalled)
         } else if session.finished() {
             Some(match session.malformed() {
                 true => Ending::ClientMalformed,
@@ -185,11 +205,15 @@
                     session: RefCell::default(),
                     wake: async_channel::bounded(1),
                     broken: Cell::new(false),
+                    stalled: Cell::new(false),
                     retiring: Cell::new(false),
                     used: Cell::new(shell.clock.now()),
                     half_since: Cell::new(0),
                     unsent: Rc::clone(&shell.unsent),
                     counted: Cell::new(0),
+                    half_read: Rc::clone(&shell.half_read),
+                    counted_half: Cell::new(0),
+                    moved: Cell::new(0),
                 });
                 shell.clients.borrow_mut().insert(id, Rc::clone(&client));
                 shell.spawn(serve(Rc::clone(&shell), id, client, ticket));
@@ -252,21 +276,50 @@
             drop(session);
             if late {
                 client.session.borrow_mut().expire();
-                client.flush();
+                client.flush(now);
+                client.wake();
+            }
+        }
+    }
+
+    /// Cuts off the clients that take none of their answers while these fill most of the room. Guards against a
+    /// few that read nothing: nobody else's request would be taken for as long as one alone may stall.
+    pub(super) fn cut_off_stalled(&self) {
+        if self.unsent.get() / MAX_VALUE * 2 < self.most_taken {
+            return;
+        }
+        let now = self.clock.now();
+        for client in self.clients.borrow().values() {
+            if client.counted.get() > 0 && client.moved.get() + STALLED_SHORT <= now {
+                client.stalled.set(true);
                 client.wake();
             }
         }
     }
 
+    /// Ends the connections that have had half a command for longest while such take more room than there is.
+    /// Guards against hundreds that each send most of one: together they could be all the memory.
+    fn crowd_out(&self) {
+        while self.half_read.get() > self.most_half_read {
+            let clients = self.clients.borrow();
+            // What waits whole for room is no half.
+            let half = clients.values().filter(|c| c.counted_half.get() > 0 && c.half_since.get() > 0);
+            let Some(oldest) = half.min_by_key(|c| c.half_since.get()) else { return };
+            oldest.session.borrow_mut().crowd_out();
+            oldest.flush(self.clock.now());
+            oldest.wake();
+        }
+    }
+
     /// Whether another request may be taken: each may come to hold a value of the largest size. What is not
     /// read stays in the sockets, and its clients wait.
     fn room(&self) -> bool {
-        self.owed() + self.unsent.get() / MAX_VALUE < self.most_taken
+        self.proxy.borrow().holds() + self.unsent.get() / MAX_VALUE < self.most_taken
     }
 }
 
 async fn serve(shell: Rc<Shell>, id: u64, client: Rc<Client>, ticket: Ticket) {
-    let ending = future::or(write(&client), read(&shell, id, &client)).await;
+    let ending = future::or(write(&shell, &client), read(&shell, id, &client)).await;
     log::debug!(client = id, ending = ending.name(); "client {id}: {}", ending.name());
     if matches!(ending, Ending::ClientMalformed | Ending::ClientSilent) {
         linger(&shell, &client).await;
@@ -309,7 +362,7 @@
 }
 
 /// Writes what the socket did not take at once. Returns when the connection is over.
-async fn write(client: &Client) -> Ending {
+async fn write(shell: &Shell, client: &Client) -> Ending {
     loop {
         if let Some(ending) = client.over() {
             return ending;
@@ -323,10 +376,17 @@
             Timer::after(STALLED).await;
             false
         };
-        if !future::or(writable, stalled).await {
+        // Woken while it waits to write: for another answer behind this one, or since it is over.
+        let woken = async {
+            while client.over().is_none() {
+                let _ = client.wake.1.recv().await;
+            }
+            true
+        };
+        if !future::or(future::or(writable, woken), stalled).await {
             return Ending::ClientStalled;
         }
-        client.flush();
+        client.flush(shell.clock.now());
     }
 }
 
@@ -336,14 +396,16 @@
     let mut read_at = shell.clock.now();
     loop {
         loop {
-            while client.session.borrow().owed() >= MOST_OWED
+            let Some(ask) = client.session.borrow_mut().next_ask() else { break };
+            // Guards against a whole command that is closed on, or told to have taken too long, while it waits for
+            // room: it is owed an answer from here on.
+            client.half_since.set(0);
+            while client.session.borrow().owed() > MOST_OWED
                 || client.session.borrow().waiting() > MOST_WAITING
                 || !shell.room()
             {
                 Timer::after(NO_ROOM).await;
             }
-            let Some(ask) = client.session.borrow_mut().next_ask() else { break };
-            client.half_since.set(0);
             match ask {
                 Ask::Ping(place) => client.session.borrow_mut().pong(place, shell.ready()),
                 Ask::Call(place, call) => take(shell, client, (id, place), *call, read_at),
@@ -355,7 +417,8 @@
             _ if half => read_at,
             _ => 0,
         });
-        client.flush();
+        client.flush(shell.clock.now());
+        shell.crowd_out();
         if !client.session.borrow().reads() {
             return future::pending().await;
         }
@@ -385,7 +448,7 @@
             tenant: call.tenant.clone(),
             key: call.key.clone(),
             write: call.value.is_some(),
-            due: read_at.saturating_add(call.wait),
+            due: read_at.saturating_add(call.wait.min(shell.network.longest_wait())),
             call,
         };
         proxy.taken(now, taken)
--- a/proxy/src/wire/driver/delegation.rs
+++ b/proxy/src/wire/driver/delegation.rs
@@ -202,7 +202,11 @@
         ticket = shell.delegated_budget.take();
     }
     let Some(ticket) = ticket else {
-        log::warn!("no socket left for another delegation");
+        // Told at every doubling: under load there is one for each request.
+        let times = shell.proxy.borrow().counters.endings(Ending::NotSent) + 1;
+        if times.is_power_of_two() {
+            log::warn!(times; "no socket left for another delegation ({times} times so far)");
+        }
         return Err(Ending::NotSent);
     };
     shell.proxy.borrow_mut().counters.opened += 1;
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -55,6 +55,9 @@
     short: Cell<bool>,
     most_taken: usize,
     most_clients: usize,
+    /// Bytes of commands that are half read, on all client connections, and how many there may be.
+    half_read: Rc<Cell<usize>>,
+    most_half_read: usize,
     /// Bytes of answers that clients have not taken yet.
     unsent: Rc<Cell<usize>>,
     /// Bytes of answers that are being read, beyond one value's size each, and how many there may be.
@@ -98,6 +101,8 @@
             short: Cell::new(false),
             most_taken: config.most_taken,
             most_clients: config.most_clients,
+            half_read: Rc::default(),
+            most_half_read: config.most_half_read,
             unsent: Rc::default(),
             large: Cell::new(0),
             most_large: config.most_large,
@@ -213,6 +218,7 @@
             let now = self.clock.now();
             self.pools.borrow_mut().sweep(now, Connection::alive);
             self.expire_clients();
+            self.cut_off_stalled();
         }
     }
 
@@ -260,7 +266,7 @@
         let mut figures = proxy.counters.figures();
         for (name, n) in [
             ("owed", proxy.owed()),
-            ("clients", self.client_budget.used()),
+            ("clients", self.clients_open()),
             ("delegated", self.delegated_budget.used()),
         ] {
             figures.push((name.to_owned(), n as u64));
--- a/proxy/src/wire/driver/watch.rs
+++ b/proxy/src/wire/driver/watch.rs
@@ -8,7 +8,7 @@
 use std::future::Future;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A connection to the registry is up by then or never.
 const CONNECT: Duration = Duration::from_millis(1000);
@@ -16,6 +16,10 @@
 /// cut off: its connection stays open and says nothing, and drains would go unheard.
 const SILENCE: Duration = Duration::from_millis(4500);
 
+/// A line is whole so long after the one before it. Guards against a registry that sends a byte now and then: its
+/// watch is not silent, and drains would go unheard all the same.
+const LINE: Duration = Duration::from_secs(15);
+
 /// Watches until the watch ends, and tells the proxy how it did.
 pub async fn run(shell: Rc<Shell>) {
     let (ending, why) = watch(&shell).await;
@@ -58,8 +62,9 @@
     within(CONNECT, io.write_all(&request)).await?;
     let mut decoder = registry::Decoder::default();
     let mut buffer = vec![0; 16 * 1024];
+    let (mut lines, mut line_at) = (0, Instant::now());
     loop {
-        let n = within(SILENCE, io.read(&mut buffer)).await?;
+        let n = within(SILENCE.min(LINE.saturating_sub(line_at.elapsed())), io.read(&mut buffer)).await?;
         if n == 0 {
             return Ok(());
         }
@@ -72,7 +77,8 @@
             shell.drive(|proxy, now| proxy.update(now, update));
         }
         // A beat will do: the registry is there and has nothing that the list held lacks.
-        if decoder.open() {
+        if decoder.lines() > lines {
+            (lines, line_at) = (decoder.lines(), Instant::now());
             shell.heard.set(true);
         }
     }
--- a/proxy/src/wire/http.rs
+++ b/proxy/src/wire/http.rs
@@ -41,6 +41,9 @@
 pub struct Decoder {
     state: State,
     buffer: Vec<u8>,
+    /// Bytes of the buffer that are in parts given so far. Guards against an answer in small chunks: moving the
+    /// rest up for each would take longer the more of them one read brings.
+    read: usize,
     keep: bool,
 }
 
@@ -50,13 +53,18 @@
 
 impl Default for Decoder {
     fn default() -> Self {
-        Decoder { state: State::Head, buffer: Vec::new(), keep: true }
+        Decoder { state: State::Head, buffer: Vec::new(), read: 0, keep: true }
     }
 }
 
 impl Decoder {
     /// Takes what has come in and gives what it completes.
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Part>, Malformed> {
+        // Guards against a peer that goes on behind a whole answer: nothing would ever take those bytes.
+        if matches!(self.state, State::Done) && !bytes.is_empty() {
+            return Err(Malformed);
+        }
+        self.buffer.drain(..std::mem::take(&mut self.read));
         self.buffer.extend_from_slice(bytes);
         let mut parts = Vec::new();
         while let Some(part) = self.step()? {
@@ -71,7 +79,12 @@
 
     /// Whether bytes of an answer wait for more.
     pub fn begun(&self) -> bool {
-        !self.buffer.is_empty()
+        !self.rest().is_empty()
+    }
+
+    /// What has come and is in no part yet.
+    fn rest(&self) -> &[u8] {
+        self.buffer.get(self.read..).unwrap_or_default()
     }
 
     /// The other side has closed the connection: the end of an answer that has no other.
@@ -84,19 +97,20 @@
 
     fn end(&mut self) -> Part {
         self.state = State::Done;
-        Part::End { reusable: self.keep && self.buffer.is_empty() }
+        Part::End { reusable: self.keep && self.rest().is_empty() }
     }
 
-    fn take(&mut self, n: usize) -> Vec<u8> {
-        let rest = self.buffer.split_off(n.min(self.buffer.len()));
-        std::mem::replace(&mut self.buffer, rest)
+    fn take(&mut self, n: usize) -> &[u8] {
+        let from = self.read;
+        self.read = (from + n).min(self.buffer.len());
+        self.buffer.get(from..self.read).unwrap_or_default()
     }
 
     /// The length of the first line with its end.
     fn line(&self) -> Result<Option<usize>, Malformed> {
-        match self.buffer.iter().position(|&b| b == b'\n') {
+        match self.rest().iter().position(|&b| b == b'\n') {
             Some(at) => Ok(Some(at + 1)),
-            None if self.buffer.len() > MAX_HEAD => Err(Malformed),
+            None if self.rest().len() > MAX_HEAD => Err(Malformed),
             None => Ok(None),
         }
     }
@@ -111,39 +125,42 @@
                 },
                 State::Length(0) => return Ok(Some(self.end())),
                 State::Length(left) | State::Chunk(left) if left > 0 => {
-                    if self.buffer.is_empty() {
+                    if self.rest().is_empty() {
                         return Ok(None);
                     }
-                    let n = left.min(self.buffer.len() as u64);
+                    let n = left.min(self.rest().len() as u64);
                     let chunked = matches!(self.state, State::Chunk(_));
                     self.state = if chunked { State::Chunk(left - n) } else { State::Length(left - n) };
-                    return Ok(Some(Part::Data(self.take(n as usize))));
+                    return Ok(Some(Part::Data(self.take(n as usize).to_vec())));
                 }
                 State::Length(_) | State::Chunk(_) => self.state = State::ChunkEnd,
-                State::ChunkSize => match httparse::parse_chunk_size(&self.buffer) {
+                State::ChunkSize => match httparse::parse_chunk_size(self.rest()) {
                     Ok(httparse::Status::Complete((n, size))) => {
                         self.take(n);
                         self.state = if size == 0 { State::Trailer } else { State::Chunk(size) };
                     }
-                    Ok(httparse::Status::Partial) if self.buffer.len() <= MAX_HEAD => return Ok(None),
+                    Ok(httparse::Status::Partial) if self.rest().len() <= MAX_HEAD => return Ok(None),
                     _ => return Err(Malformed),
                 },
                 State::ChunkEnd => match self.line()? {
-                    Some(n) if matches!(self.take(n).as_slice(), b"\r\n" | b"\n") => {
+                    Some(n) if matches!(self.take(n), b"\r\n" | b"\n") => {
                         self.state = State::ChunkSize;
                     }
                     Some(_) => return Err(Malformed),
                     None => return Ok(None),
                 },
                 State::Trailer => match self.line()? {
-                    Some(n) if matches!(self.take(n).as_slice(), b"\r\n" | b"\n") => {
+                    Some(n) if matches!(self.take(n), b"\r\n" | b"\n") => {
                         return Ok(Some(self.end()));
                     }
                     Some(_) => {}
                     None => return Ok(None),
                 },
-                State::UntilClose if self.buffer.is_empty() => return Ok(None),
-                State::UntilClose => return Ok(Some(Part::Data(std::mem::take(&mut self.buffer)))),
+                State::UntilClose if self.rest().is_empty() => return Ok(None),
+                State::UntilClose => {
+                    let n = self.rest().len();
+                    return Ok(Some(Part::Data(self.take(n).to_vec())));
+                }
                 State::Done => return Ok(None),
             }
         }
@@ -153,7 +170,7 @@
     fn interim(&mut self) -> Result<bool, Malformed> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut head = httparse::Response::new(&mut headers);
-        match head.parse(&self.buffer) {
+        match head.parse(self.buffer.get(self.read..).unwrap_or_default()) {
             Ok(httparse::Status::Complete(n)) if head.code.is_some_and(|c| c < 200 && c != 101) => {
                 self.take(n);
                 Ok(true)
@@ -166,9 +183,9 @@
     fn head(&mut self) -> Result<Option<Part>, Malformed> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut head = httparse::Response::new(&mut headers);
-        let n = match head.parse(&self.buffer) {
+        let n = match head.parse(self.buffer.get(self.read..).unwrap_or_default()) {
             Ok(httparse::Status::Complete(n)) => n,
-            Ok(httparse::Status::Partial) if self.buffer.len() <= MAX_HEAD => return Ok(None),
+            Ok(httparse::Status::Partial) if self.rest().len() <= MAX_HEAD => return Ok(None),
             _ => return Err(Malformed),
         };
         let status = head.code.ok_or(Malformed)?;
@@ -275,4 +292,14 @@
             assert_eq!(read(bytes, 0), Err(Malformed), "{:?}", String::from_utf8_lossy(bytes));
         }
     }
+
+    /// Finding 14: what came behind a whole answer was kept for ever.
+    #[test]
+    fn nothing_is_taken_behind_a_whole_answer() {
+        let mut decoder = Decoder::default();
+        let parts = decoder.feed(b"HTTP/1.1 200 x\r\nContent-Length: 1\r\n\r\nv").unwrap();
+        assert_eq!(parts.last(), Some(&Part::End { reusable: true }));
+        assert_eq!(decoder.feed(b""), Ok(vec![]));
+        assert_eq!(decoder.feed(b"more"), Err(Malformed));
+    }
 }
--- a/proxy/src/wire/registry.rs
+++ b/proxy/src/wire/registry.rs
@@ -17,8 +17,8 @@
 pub struct Decoder {
     http: http::Decoder,
     line: Vec<u8>,
-    /// A line has come, if only an empty one.
-    open: bool,
+    /// Whole lines that have come, empty ones included.
+    lines: u64,
 }
 
 /// The watch has ended, or what comes is no watch; the text says why.
@@ -41,7 +41,7 @@
                             return Err(Ended("line too long".into()));
                         }
                         if piece.ends_with(b"\n") {
-                            self.open = true;
+                            self.lines += 1;
                             updates.extend(self.update()?);
                         }
                     }
@@ -57,9 +57,9 @@
         Ok(updates)
     }
 
-    /// Whether the watch has said anything, a beat included.
-    pub fn open(&self) -> bool {
-        self.open
+    /// How many whole lines the watch has said, beats included.
+    pub fn lines(&self) -> u64 {
+        self.lines
     }
 
     fn update(&mut self) -> Result<Option<Update>, Ended> {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -4,6 +4,8 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod file;
+
 use notchdoor::{Class, Discovery, Effect, Micros, Scope, ServerState, Settings, Tenant};
 use notchdoor_limits::file::Facts;
 use serde::Deserialize;
@@ -11,6 +13,9 @@
 /// A time in milliseconds, with fractions.
 pub type Millis = f64;
 
+/// The longest time that settings may name: some thirty years.
+const MOST_MILLIS: Millis = 1e12;
+
 /// Milliseconds as whole microseconds. What is negative or no number becomes 0.
 pub fn micros(t: Millis) -> Micros {
     (t * 1000.0).round().max(0.0) as Micros
@@ -182,7 +187,49 @@
     pub longest_deadline: Micros,
 }
 
+impl Network {
+    /// The longest that a request is held, whatever its client says: no client waits longer over all its tries.
+    /// Guards against one that names an hour, of requests that a silent worker then holds for as long.
+    pub fn longest_wait(&self) -> Micros {
+        if self.longest_deadline == 0 {
+            return Micros::MAX;
+        }
+        self.longest_deadline.saturating_mul(LONGER_THAN_ANY)
+    }
+}
+
+/// Clients' clocks and their own settings may differ from the deployment's by so much.
+const LONGER_THAN_ANY: u64 = 2;
+
 impl BootInfo {
+    /// The first figure that can't be meant, with its field. Guards against a slip of the pen, such as a sign or a
+    /// unit, that serves for years as no limit or as one of zero.
+    pub fn check(&self) -> Result<(), String> {
+        let (limits, rules) = (&self.limits, &self.obligations);
+        let fine = |field: &str, value: f64, least: f64, most: f64| {
+            let told = || format!("{field}: {value} is out of range; {least} to {most} is allowed");
+            (least..=most).contains(&value).then_some(()).ok_or_else(told)
+        };
+        fine("balancers", f64::from(self.balancers), 1.0, 1e6)?;
+        fine("limits.maxAttempts", f64::from(limits.max_attempts), 1.0, 1e3)?;
+        fine("limits.mostHeld", f64::from(limits.most_held), 1.0, 1e7)?;
+        fine("limits.maxRetryAfter", limits.max_retry_after, 0.0, MOST_MILLIS)?;
+        fine("limits.connectTimeout", limits.connect_timeout, 0.0, MOST_MILLIS)?;
+        fine("limits.idleClose", limits.idle_close, 0.0, MOST_MILLIS)?;
+        fine("obligations.askEvery", rules.ask_every, 0.0, MOST_MILLIS)?;
+        fine("obligations.cold", rules.cold, 0.0, MOST_MILLIS)?;
+        fine("obligations.coldFrom", rules.cold_from, 0.0, 1.0)?;
+        fine("obligations.fallMultiple", rules.fall_multiple, 0.0, 1e6)?;
+        fine("obligations.tipAfter", rules.tip_after, 0.0, MOST_MILLIS)?;
+        for (n, grade) in self.grades.iter().enumerate() {
+            fine(&format!("grades[{n}].aim"), grade.aim, 0.0, MOST_MILLIS)?;
+            fine(&format!("grades[{n}].deadline"), grade.deadline, 0.0, MOST_MILLIS)?;
+            fine(&format!("grades[{n}].dedupWindow"), grade.dedup_window, 0.0, MOST_MILLIS)?;
+            fine(&format!("grades[{n}].points"), grade.points, 0.0, 1e9)?;
+        }
+        Ok(())
+    }
+
     /// The module's settings.
     pub fn settings(&self) -> Settings {
         let class = |g: &Grade| Class {
