A fleet of which many fail is not judged at each outcome

Seen: src/brain.rs suspect made a pass over the whole fleet for each outcome of a failing server, though no more of it could be passed over: 5,728 passes for 3,000 reads of a failing fleet of 150, 90 now, with the same 60 of 150 passed over.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -425,6 +425,9 @@
     ask_pause: Micros,
     asked: bool,
     weight_sum: f64,
+    /// The weight that is passed over, as the latest pass over the fleet left it; and how many passes there were.
+    ejected: f64,
+    passes: u64,
     weights_at: Micros,
     /// Caches that serve.
     caches: usize,
@@ -459,6 +462,8 @@
             ask_pause: ASK_AGAIN,
             asked: false,
             weight_sum: 0.0,
+            ejected: 0.0,
+            passes: 0,
             weights_at: 0,
             caches: 0,
         }
@@ -745,6 +750,7 @@
 
     /// Ejects servers that fail or are slow, worst first, while enough weight is left.
     fn judge(&mut self, now: Micros) {
+        self.passes += 1;
         let mut latencies: Vec<f64> = Vec::new();
         let mut ejected = 0.0;
         for s in self.servers.iter().filter(|s| s.weight > 0.0) {
@@ -772,13 +778,16 @@
                 h.next_trial = now + TRIAL_FIRST;
             }
         }
+        self.ejected = ejected;
     }
 
     /// Judges the fleet after an outcome only if this cache gives cause: a pass for each would cost too much,
     /// and `weigh` makes one ten times a second anyway.
     fn suspect(&mut self, now: Micros, i: usize) {
-        let health = &self.servers[i].health;
-        if health.failing > FAILING || health.latency > self.window.aim * LATE {
+        let Server { health, weight, .. } = &self.servers[i];
+        let cause = health.failing > FAILING || health.latency > self.window.aim * LATE;
+        // Guards against a pass for each outcome of a fleet of which many fail: no more of it may be passed over.
+        if cause && !health.ejected && self.ejected + weight <= MOST_EJECTED * self.weight_sum {
             self.judge(now);
         }
     }
--- a/src/brain/look.rs
+++ b/src/brain/look.rs
@@ -21,6 +21,8 @@
     pub window: f64,
     /// Servers passed over for now.
     pub ejected: usize,
+    /// Passes over the whole fleet so far, to judge who is to be passed over.
+    pub passes: u64,
 }
 
 impl Brain {
@@ -35,6 +37,7 @@
             keys: self.counts.iter().map(|c| c.len()).sum(),
             window: self.window.w,
             ejected: self.servers.iter().filter(|s| s.health.ejected).count(),
+            passes: self.passes,
         }
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -732,3 +732,23 @@
     assert!(!refusals.is_empty());
     assert!(refusals.iter().all(|a| matches!(a, Action::Refuse { retry_after, .. } if *retry_after >= MS)));
 }
+
+/// Finding 33: where many servers failed, each outcome cost a pass over the whole fleet.
+#[test]
+fn a_fleet_of_which_many_fail_is_not_judged_at_each_outcome() {
+    let (mut brain, _) = large(150);
+    for id in 1..3_000u64 {
+        let now = START + id * MS;
+        let mut asked = sent(&arrive(&mut brain, now, read(id, key_hash(&id.to_le_bytes()), now)));
+        for n in 0..3 {
+            // The origin alone answers.
+            let Some(to) = asked.pop() else { break };
+            let outcome = if to == ORIGIN { Outcome::Ok } else { Outcome::Error };
+            asked = sent(&end(&mut brain, now, id, n, outcome, MS));
+        }
+    }
+    let look = brain.look();
+    assert_eq!(look.ejected, 60, "as many as may be");
+    // Ten a second, and one for each that was passed over.
+    assert!(look.passes <= 30 + 2 * 60, "{look:?}");
+}
