--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1070,7 +1070,7 @@
 
     /// A read that its cache has not answered for long. Guards against a server that takes work and never
     /// answers: its silence is told while it lasts, not when the client has given up.
-    /// `granted` is a layer's leave to send a second copy. Unasked none is sent: they cost more room than they saved.
+    /// `granted` is a layer's leave to send a second copy. Unasked none is sent: they cost more than they saved.
     fn silence(&mut self, now: Micros, id: RequestId, granted: bool, actions: &mut Vec<Action>) {
         let Some(held) = self.held.get_mut(&id).filter(|h| !h.over && !h.streaming) else { return };
         let unheard = |a: &&Attempt| a.state == AttemptState::Out && !a.fetch;
