--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -37,7 +37,7 @@
     policy: Option<String>,
 }
 
-/// The latest time that is taken, in milliseconds: some hundred thousand years.
+/// The clock begins anywhere; this far from 0 it is no clock, in milliseconds: some hundred thousand years.
 const MOST_MILLIS: Millis = 4e15;
 /// Lists are numbered from 0 to 15 and used again.
 const MOST_SHEETS: usize = 16;
@@ -181,7 +181,7 @@
                 return Err(format!("batch {open}: 'sync' of batch {} before 'eob'", sync.round));
             }
             // Beyond that, adding a wait to the time could take it past what a number holds.
-            if !(0.0..=MOST_MILLIS).contains(&sync.t) {
+            if !(-MOST_MILLIS..=MOST_MILLIS).contains(&sync.t) {
                 return Err(format!("batch {}, message 'sync': field `t` is not a time", sync.round));
             }
             self.batch = Some(sync.round);
@@ -363,7 +363,7 @@
         for (text, why) in [
             (format!("{start}{sheets}"), "batch 1, message 'sheet': field `buffer`: more than 16"),
             (start.replace("1.0", "1e300"), "batch 1, message 'sync': field `t` is not a time"),
-            (start.replace("1.0", "-5"), "batch 1, message 'sync': field `t` is not a time"),
+            (start.replace("1.0", "-1e300"), "batch 1, message 'sync': field `t` is not a time"),
             (start.replace("1.0", "1e999"), "before the first batch, message 'sync': number out of range"),
             ("[".repeat(100_000), "before the first batch, message '?': "),
         ] {
