--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -517,6 +517,20 @@
         assert_eq!((proxy.counters.left, proxy.counters.endings(Ending::Cancelled)), (1, 1));
     }
 
+    /// Finding 11: a client that left with a fetch out freed its room, though its request was still held.
+    #[test]
+    fn what_a_client_left_behind_is_held_until_its_fetch_has_ended() {
+        let mut proxy = proxy();
+        let out = take(&mut proxy, 0, T);
+        proxy.ended(T + 10, out[0], Ending::Missed, Brought::default());
+        let fetch = delegated(proxy.take_commands());
+        proxy.left(T + 20, (1, 0));
+        assert_eq!((proxy.owed(), proxy.holds(), delegated(proxy.take_commands()).len()), (0, 1, 0));
+        proxy.ended(T + 30, fetch[0], Ending::Served, served());
+        assert!(answers(proxy.take_commands()).is_empty(), "nobody waits for it");
+        assert_eq!((proxy.holds(), proxy.left_over()), (0, None));
+    }
+
     #[test]
     fn a_request_that_nothing_answers_is_answered_when_it_is_due() {
         let mut proxy = proxy();
