--- a/proxy/src/state/registry.rs
+++ b/proxy/src/state/registry.rs
@@ -258,7 +258,9 @@
         list.targets[1].endpoint = "nowhere".into();
         let applied = registry.apply(list).unwrap();
         assert_eq!((applied.members.len(), registry.workers.len()), (MOST_WORKERS, MOST_WORKERS));
-        assert!(registry.worker(server_id("w1")).is_none() && registry.worker(server_id("w2")).is_some());
+        for (uid, used) in [("w1", false), ("w2", true), ("x".repeat(MOST_NAME + 1).as_str(), false)] {
+            assert_eq!(registry.worker(server_id(uid)).is_some(), used, "{uid}");
+        }
         assert_eq!(registry.apply(update(2, true, &[])).unwrap().dropped.len(), MOST_WORKERS);
     }
 
