--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -333,6 +333,12 @@
         (self.child.wait().unwrap().success(), log)
     }
 
+    /// The log so far, and whether the program still runs: what a failure should tell.
+    pub fn told(&self) -> String {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        format!("{:?}\n{}", stat, self.log.lock().unwrap())
+    }
+
     /// Waits until the log holds this text.
     pub fn logged(&self, text: &str) {
         let until = Instant::now() + PATIENCE;
