--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -47,10 +47,12 @@
 }
 
 fn parse<'a, T: Deserialize<'a>>(line: &'a [u8], m: &str, batch: Option<u64>) -> Result<T, String> {
-    serde_json::from_slice(line).map_err(|e| match batch {
-        Some(batch) => format!("batch {batch}, message '{m}': {e}"),
-        None => format!("before the first batch, message '{m}': {e}"),
-    })
+    serde_json::from_slice(line).map_err(|e| format!("{}, message '{m}': {e}", place(batch)))
+}
+
+/// Where in the input a complaint stands.
+fn place(batch: Option<u64>) -> String {
+    batch.map_or("before the first batch".to_owned(), |batch| format!("batch {batch}"))
 }
 
 fn outcome(code: u32) -> Option<Outcome> {
@@ -202,10 +204,7 @@
 
     /// A complaint, with the place in the input.
     pub fn told(&self, why: &str) -> String {
-        match self.batch {
-            Some(batch) => format!("batch {batch}: {why}"),
-            None => format!("before the first batch: {why}"),
-        }
+        format!("{}: {why}", place(self.batch))
     }
 
     /// Called at the end of the input.
--- a/proxy/src/lifecycle/config.rs
+++ b/proxy/src/lifecycle/config.rs
@@ -182,6 +182,7 @@
         if values.is_nan() || values < 64.0 {
             return Err(format!("EDGE_CONFIG: limits.memory_mb: too little: {}", file.limits.memory_mb));
         }
+        let eighth = (file.limits.memory_mb * 1024.0 * 1024.0 / 8.0) as usize;
         let most_held = file.settings.settings().most_held as usize;
         Ok(Config {
             name: variable("EDGE_NAME").unwrap_or(file.name),
@@ -191,8 +192,8 @@
             most_clients,
             most_delegated: sockets - most_clients,
             most_taken: (values as usize).min(most_held).max(1),
-            most_large: (file.limits.memory_mb * 1024.0 * 1024.0 / 8.0) as usize,
-            most_half_read: (file.limits.memory_mb * 1024.0 * 1024.0 / 8.0) as usize,
+            most_large: eighth,
+            most_half_read: eighth,
             known: file.known,
             settings: file.settings,
             policy: None,
--- a/proxy/src/wire/acceptor.rs
+++ b/proxy/src/wire/acceptor.rs
@@ -55,9 +55,7 @@
                     value
                 }
                 Err(malformed) => {
-                    self.owed.push_back(None);
-                    self.put(place, format!("-ERR Protocol error: {}\r\n", malformed.0).into_bytes());
-                    self.close();
+                    self.end_with(&format!("Protocol error: {}", malformed.0));
                     self.malformed = true;
                     return None;
                 }
@@ -158,9 +156,7 @@
     /// Ends a connection whose client took too long over a command: with an error if some of it has come.
     pub fn expire(&mut self) {
         if self.pending() > 0 {
-            let place = self.first + self.owed.len() as u64;
-            self.owed.push_back(None);
-            self.reject(place, "the command took too long");
+            self.end_with("the command took too long");
         }
         self.close();
         self.silent = true;
@@ -168,11 +164,16 @@
 
     /// Ends a connection whose half-read command takes room that others need.
     pub fn crowd_out(&mut self) {
+        self.end_with("too many half-sent commands");
+        self.malformed = true;
+    }
+
+    /// Tells an error in the place of what would have come next, and reads nothing more.
+    fn end_with(&mut self, text: &str) {
         let place = self.first + self.owed.len() as u64;
         self.owed.push_back(None);
-        self.reject(place, "too many half-sent commands");
+        self.reject(place, text);
         self.close();
-        self.malformed = true;
     }
 
     /// Whether the client took too long over a command.
