--- a/proxy/src/lifecycle/config.rs
+++ b/proxy/src/lifecycle/config.rs
@@ -1,6 +1,7 @@
 //! What the platform tells a proxy: a JSON file, and variables that go before it.
 
 use crate::state::registry::Update;
+use crate::wire::MAX_VALUE;
 use notchdoor_limits::policy::Policy;
 use notchdoor_settings::{file, BootInfo};
 use serde::Deserialize;
@@ -11,8 +12,11 @@
 
 /// The platform's limit on sockets; what the file allows beyond it is not used.
 const MOST_SOCKETS: usize = 1024;
-/// Descriptors for the listener, the registry, the poller, signals, the standard streams and chance.
+/// Descriptors for the two listeners, operators' calls, the handover's files, the registry, the poller, signals, the
+/// standard streams and chance.
 const OTHER_SOCKETS: usize = 32;
+/// With less memory than this there would be room for a few dozen requests only.
+const LEAST_MEMORY_MB: f64 = 12.0;
 
 /// Where the configuration came from and what it said: what a later reading of the file is held against.
 pub struct Source {
@@ -42,16 +46,10 @@
     pub registry: SocketAddr,
     /// For random numbers.
     pub seed: u64,
-    /// The most client connections.
-    pub most_clients: usize,
-    /// The most connections to workers and the origin.
-    pub most_delegated: usize,
-    /// The most requests that are taken and not answered whole.
-    pub most_taken: usize,
-    /// The most bytes of answers that are read at once, beyond one value's size each.
-    pub most_large: usize,
-    /// The most bytes of commands that are half read, on all client connections together.
-    pub most_half_read: usize,
+    /// Where operators call, if anywhere.
+    pub admin: Option<SocketAddr>,
+    /// The limits on what is held.
+    pub limits: Limits,
     /// The list as this proxy had it last.
     pub known: Option<Update>,
     /// The deployment's settings.
@@ -64,10 +62,12 @@
 struct File {
     name: String,
     listen: String,
+    #[serde(default)]
+    admin_addr: Option<String>,
     discovery: String,
     seed: String,
     #[serde(default)]
-    limits: Limits,
+    limits: LimitsLine,
     #[serde(default)]
     known: Option<Update>,
     settings: BootInfo,
@@ -75,14 +75,56 @@
 
 #[derive(Deserialize)]
 #[serde(default)]
-struct Limits {
+struct LimitsLine {
     memory_mb: f64,
     sockets: usize,
 }
 
-impl Default for Limits {
+impl Default for LimitsLine {
     fn default() -> Self {
-        Limits { memory_mb: 192.0, sockets: MOST_SOCKETS }
+        LimitsLine { memory_mb: 192.0, sockets: MOST_SOCKETS }
+    }
+}
+
+/// What the proxy may hold, however many processes it is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    memory: f64,
+    sockets: usize,
+    most_held: usize,
+}
+
+/// One process's part of the limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// The most client connections.
+    pub clients: usize,
+    /// The most connections to workers and the origin.
+    pub delegated: usize,
+    /// The most requests that are taken and not answered whole.
+    pub taken: usize,
+    /// The most bytes of answers that are read at once, beyond one value's size each.
+    pub large: usize,
+    /// The most bytes of commands that are half read, on all client connections together.
+    pub half_read: usize,
+}
+
+impl Limits {
+    /// The part of one of so many processes that live at once.
+    pub fn room(&self, processes: usize) -> Room {
+        let processes = processes.max(1);
+        let sockets = (self.sockets / processes).saturating_sub(OTHER_SOCKETS).max(16);
+        let clients = sockets * 3 / 5;
+        let memory = self.memory / processes as f64;
+        // A request may hold a value of the largest size; a third of the memory may go to such.
+        let values = memory / (3 * MAX_VALUE) as f64;
+        Room {
+            clients,
+            delegated: sockets - clients,
+            taken: (values as usize).min(self.most_held).max(1),
+            large: (memory / 8.0) as usize,
+            half_read: (memory / 8.0) as usize,
+        }
     }
 }
 
@@ -128,7 +170,7 @@
         let registry = Config::parse(text, |_| None)?.registry;
         let mut wants_restart = Vec::new();
         let new = fields(text)?;
-        for name in ["name", "listen", "seed", "limits", "settings"] {
+        for name in ["name", "listen", "admin_addr", "seed", "limits", "settings"] {
             match (self.fields.get(name), new.get(name)) {
                 (Some(Value::Object(a)), Some(Value::Object(b))) => {
                     let mut inner: Vec<&String> =
@@ -172,28 +214,30 @@
         };
         let seed = u64::from_str_radix(&file.seed, 16)
             .map_err(|_| format!("EDGE_CONFIG: seed: not a hex number: {:?}", file.seed))?;
-        let sockets = file.limits.sockets.min(MOST_SOCKETS).saturating_sub(OTHER_SOCKETS);
-        if sockets < 16 {
+        let sockets = file.limits.sockets.min(MOST_SOCKETS);
+        if sockets < OTHER_SOCKETS + 16 {
             return Err(format!("EDGE_CONFIG: limits.sockets: too few: {}", file.limits.sockets));
         }
-        let most_clients = sockets * 3 / 5;
-        // A request may hold a value of the largest size; a third of the memory may go to such.
-        let values = file.limits.memory_mb * 16.0 / 3.0;
-        if values.is_nan() || values < 64.0 {
+        if file.limits.memory_mb.is_nan() || file.limits.memory_mb < LEAST_MEMORY_MB {
             return Err(format!("EDGE_CONFIG: limits.memory_mb: too little: {}", file.limits.memory_mb));
         }
-        let eighth = (file.limits.memory_mb * 1024.0 * 1024.0 / 8.0) as usize;
-        let most_held = file.settings.settings().most_held as usize;
+        let limits = Limits {
+            memory: file.limits.memory_mb * 1024.0 * 1024.0,
+            sockets,
+            most_held: file.settings.settings().most_held as usize,
+        };
+        let admin = match (variable("EDGE_ADMIN_ADDR"), file.admin_addr) {
+            (Some(text), _) => Some(address(&text, "EDGE_ADMIN_ADDR")?),
+            (None, Some(text)) => Some(address(&text, "EDGE_CONFIG: admin_addr")?),
+            (None, None) => None,
+        };
         Ok(Config {
             name: variable("EDGE_NAME").unwrap_or(file.name),
             listen: place("EDGE_LISTEN", "EDGE_CONFIG: listen", file.listen)?,
             registry: place("EDGE_DISCOVERY", "EDGE_CONFIG: discovery", file.discovery)?,
             seed,
-            most_clients,
-            most_delegated: sockets - most_clients,
-            most_taken: (values as usize).min(most_held).max(1),
-            most_large: eighth,
-            most_half_read: eighth,
+            admin,
+            limits,
             known: file.known,
             settings: file.settings,
             policy: None,
@@ -215,7 +259,11 @@
     fn the_file_is_read_and_variables_go_before_it() {
         let config = Config::parse(TEXT.as_bytes(), |_| None).ok().unwrap();
         assert_eq!((config.name.as_str(), config.listen.port(), config.seed >> 56), ("n3", 6379, 0x8c));
-        assert!(config.most_clients + config.most_delegated + OTHER_SOCKETS <= MOST_SOCKETS);
+        for processes in [1, 2] {
+            let room = config.limits.room(processes);
+            assert!(processes * (room.clients + room.delegated + OTHER_SOCKETS) <= MOST_SOCKETS);
+            assert!(processes * room.taken * MAX_VALUE * 3 <= 192 << 20);
+        }
         let listen = |name: &str| (name == "EDGE_LISTEN").then(|| "127.0.0.9:1".to_owned());
         assert_eq!(Config::parse(TEXT.as_bytes(), listen).ok().unwrap().listen.port(), 1);
     }
@@ -227,6 +275,7 @@
             ("8c1f30d27a5be964", "xyz", "seed: not a hex number"),
             ("127.0.0.1:6379", "nowhere", "listen: not an address"),
             ("127.0.0.2:8500", "127.0.0.2", "discovery: not an address"),
+            ("\"seed\"", "\"admin_addr\":\"here\",\"seed\"", "EDGE_CONFIG: admin_addr: not an address"),
             ("\"sockets\":4096", "\"sockets\":40", "limits.sockets: too few"),
             ("\"memory_mb\":192", "\"memory_mb\":1", "limits.memory_mb: too little"),
             ("\"mostHeld\":20000", "\"mostHeld\":\"x\"", "settings.limits.mostHeld: invalid type"),
@@ -238,6 +287,13 @@
             let error = Config::parse(TEXT.replacen(from, to, 1).as_bytes(), |_| None).err().unwrap();
             assert!(error.contains(told) && !error.contains('\n'), "{told}: {error}");
         }
+        let text = TEXT.replacen("\"seed\"", "\"admin_addr\":\"127.0.0.1:9\",\"seed\"", 1);
+        let admin = |variable: Option<&str>| {
+            let variable = |name: &str| variable.filter(|_| name == "EDGE_ADMIN_ADDR").map(str::to_owned);
+            Config::parse(text.as_bytes(), variable).map(|c| c.admin.map(|a| a.port()))
+        };
+        assert_eq!((admin(None), admin(Some("127.0.0.1:8"))), (Ok(Some(9)), Ok(Some(8))));
+        assert!(admin(Some("x")).unwrap_err().starts_with("EDGE_ADMIN_ADDR: not an address"));
         let variable = |name: &str| (name == "EDGE_DISCOVERY").then(|| "here".to_owned());
         let error = Config::parse(TEXT.as_bytes(), variable).err().unwrap();
         assert!(error.starts_with("EDGE_DISCOVERY: "), "{error}");
--- a/proxy/src/lifecycle/serve.rs
+++ b/proxy/src/lifecycle/serve.rs
@@ -2,13 +2,12 @@
 
 use super::config::Config;
 use super::{log, signals};
-use crate::wire::driver::Shell;
+use crate::state::handover::Handover;
+use crate::wire::driver::{admin, overlap, Executors, Shell, Sockets};
 use ::log::info;
-use async_executor::LocalExecutor;
-use async_io::Async;
 use async_signal::{Signal, Signals};
-use std::net::TcpListener;
-use std::rc::Rc;
+use futures_lite::future;
+use std::net::SocketAddr;
 
 /// Serves until a signal asks for a stop; `policy` is the operators' file of limits. The error names the field or
 /// the variable at fault, in one line, or each of a policy file's problems in one.
@@ -18,17 +17,37 @@
         .map_err(|e| format!("signals: {e}"))?;
     let (config, source) = Config::load(policy)?;
     log::start(&config.name, format, level);
-    let listener = Async::<TcpListener>::bind(config.listen)
+    let clients = overlap::bind(config.listen)
         .map_err(|e| format!("EDGE_LISTEN: cannot listen on {}: {e}", config.listen))?;
+    let told = |a: SocketAddr| move |e| format!("EDGE_ADMIN_ADDR: cannot listen on {a}: {e}");
+    let operators = config.admin.map(|a| admin::bind(a).map_err(told(a))).transpose()?;
+    let folder = std::env::temp_dir();
+    let handover = match Handover::join(&folder, &config.name, &config.listen.to_string()) {
+        Ok((handover, None)) => Some(handover),
+        Ok((handover, Some(why))) => {
+            ::log::error!("handover: the state is of no use, no worker is out by hand: {why}");
+            Some(handover)
+        }
+        Err(why) => {
+            ::log::error!("handover: none, an upgrade will not know of this process: {why}");
+            None
+        }
+    };
     if let Some(policy) = &config.policy {
         let (routes, budgets) = (policy.routes.len(), policy.budgets.len());
         info!(routes, budgets; "policy: {routes} routes, {budgets} budgets");
     }
     let (listen, registry) = (config.listen, config.registry);
     info!(listen:%, registry:%; "started, listening on {listen}, registry at {registry}");
-    let executor = Rc::new(LocalExecutor::new());
-    let shell = Shell::start(config, listener, Rc::clone(&executor));
-    async_io::block_on(executor.run(signals::until_stopped(&shell, &source, signals)));
+    if let Some(admin) = config.admin {
+        info!(admin:%; "operators call at {admin}");
+    }
+    let executors = Executors::default();
+    let shell = Shell::start(config, Sockets { clients, operators }, handover, executors.clone());
+    let operators = executors.operators.run(future::pending());
+    let clients = executors.clients.run(signals::until_stopped(&shell, &source, signals));
+    // Operators' calls first: each turn of the clients' executor ends after some hundred steps.
+    async_io::block_on(future::or(operators, clients));
     shell.report("counters at exit");
     Ok(())
 }
--- a/proxy/src/lifecycle/signals.rs
+++ b/proxy/src/lifecycle/signals.rs
@@ -81,8 +81,11 @@
 async fn stop(shell: &Rc<Shell>) {
     let limit = Instant::now() + answering(shell.network.longest_deadline);
     shell.begin_stop();
-    Timer::after(STILL_ACCEPTING).await;
-    shell.stop_accepting();
+    // With a successor on the same address, new connections go there once the listener is closed.
+    if !shell.has_successor() {
+        Timer::after(STILL_ACCEPTING).await;
+    }
+    shell.stop_accepting().await;
     while shell.clients_open() > 0 && Instant::now() < limit {
         shell.retire_clients();
         Timer::after(Duration::from_millis(5)).await;
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -2,14 +2,15 @@
 //! what it is about and how long its client waits, and whatever else was said travels along unread.
 
 use crate::ending::Ending;
-use crate::state::counters::Counters;
-use crate::state::registry::{Registry, Update};
+use crate::state::counters::{ByClass, Counters};
+use crate::state::figures::Figures;
+use crate::state::registry::{Applied, Registry, Update, Worker};
 use crate::state::timers::{TimerKey, Timers};
 use notchdoor::{key_hash, Action, Decide, Event, Micros, Outcome, Request, RequestId, ServerId, Settings};
 use notchdoor_limits::policy::Policy;
 use notchdoor_limits::stack::Stack;
 use notchdoor_settings::{position, Names};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -93,6 +94,7 @@
 
 struct Held<C> {
     name: Vec<u8>,
+    class: u32,
     place: Place,
     call: Rc<C>,
     attempts: Vec<Attempt>,
@@ -133,18 +135,18 @@
         let registry = Registry::new(names.clone(), settings.origin_kind);
         Proxy {
             stack: Stack::new(settings, policy, seed, now),
-            names,
             registry,
             held: HashMap::new(),
             open: HashSet::new(),
             places: HashMap::new(),
             delegations: HashMap::new(),
             timers: Timers::default(),
-            counters: Counters::default(),
+            counters: Counters::new(names.classes.len()),
             next_request: 1,
             next_delegation: 1,
             commands: Vec::new(),
             inputs: VecDeque::new(),
+            names,
             actions: Vec::new(),
         }
     }
@@ -206,6 +208,7 @@
         self.places.insert(taken.place, id);
         let held = Held {
             name: taken.id,
+            class,
             place: taken.place,
             call: Rc::new(taken.call),
             attempts: Vec::new(),
@@ -244,7 +247,7 @@
             if outcome == Outcome::Ok && !held.over {
                 held.over = true;
                 self.places.remove(&held.place);
-                self.counters.served += 1;
+                count(&mut self.counters, held.class, |c| &mut c.served);
                 let answer = Answer::Served(reply.value.unwrap_or_default());
                 self.commands.push(Command::Answer(held.place, answer));
             }
@@ -264,6 +267,10 @@
             log::warn!(version = rev; "registry: changes up to {rev} came after {}", self.registry.rev());
             return;
         };
+        self.list(now, applied);
+    }
+
+    fn list(&mut self, now: Micros, applied: Applied) {
         for server in applied.dropped {
             self.commands.push(Command::DropConnections(server));
         }
@@ -277,6 +284,32 @@
         self.settle(now);
     }
 
+    /// These workers are out by hand from here on and no others; those put back lately count as cold from then.
+    pub fn set_out(&mut self, now: Micros, out: BTreeSet<String>, back: BTreeMap<String, Micros>) {
+        let applied = self.registry.set_out(out, back);
+        if !applied.members.is_empty() {
+            self.list(now, applied);
+        }
+    }
+
+    /// What operators are shown.
+    pub fn figures(&self) -> Figures<'_> {
+        let avoided: HashSet<ServerId> = self.stack.brain().avoided().collect();
+        let excluded = |(id, w): &(ServerId, &Worker)| self.registry.is_out(w) || avoided.contains(id);
+        let by_class = |n: fn(&ByClass) -> u64| {
+            self.names.classes.iter().map(String::as_str).zip(self.counters.classes.iter().map(n)).collect()
+        };
+        Figures {
+            served: by_class(|c| c.served),
+            refused: by_class(|c| c.refused),
+            failed: by_class(|c| c.failed),
+            attempts: self.counters.attempts,
+            in_flight: self.owed(),
+            cache_nodes_known: self.registry.caches().count(),
+            cache_nodes_excluded: self.registry.caches().filter(excluded).count(),
+        }
+    }
+
     /// A watch could not be begun, or has ended.
     pub fn registry_failed(&mut self, now: Micros, ending: Ending) {
         self.counters.ended(ending);
@@ -354,8 +387,8 @@
         held.over = true;
         self.places.remove(&held.place);
         match answer {
-            Answer::Refused { .. } => self.counters.refused += 1,
-            _ => self.counters.failed += 1,
+            Answer::Refused { .. } => count(&mut self.counters, held.class, |c| &mut c.refused),
+            _ => count(&mut self.counters, held.class, |c| &mut c.failed),
         }
         self.commands.push(Command::Answer(held.place, answer));
         self.forget(id);
@@ -389,6 +422,13 @@
     }
 }
 
+/// Counts how a request of this class ended.
+fn count(counters: &mut Counters, class: u32, which: fn(&mut ByClass) -> &mut u64) {
+    if let Some(class) = counters.classes.get_mut(class as usize) {
+        *which(class) += 1;
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/proxy/src/state/counters.rs
+++ b/proxy/src/state/counters.rs
@@ -3,6 +3,17 @@
 use crate::ending::Ending;
 use std::collections::HashMap;
 
+/// How the requests of one class ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ByClass {
+    /// Answered with a value or receipt.
+    pub served: u64,
+    /// Answered with an overload reply.
+    pub refused: u64,
+    /// Answered with an error.
+    pub failed: u64,
+}
+
 /// Counts since the start.
 #[derive(Clone, Debug, Default)]
 pub struct Counters {
@@ -12,12 +23,10 @@
     pub rejected: u64,
     /// Delegations begun.
     pub sent: u64,
-    /// Requests answered with a value or receipt.
-    pub served: u64,
-    /// Requests answered with an overload reply.
-    pub refused: u64,
-    /// Requests answered with an error.
-    pub failed: u64,
+    /// Delegations whose command was written whole to a worker; the origin is none.
+    pub attempts: u64,
+    /// How requests ended, by class in the order of the settings.
+    pub classes: Vec<ByClass>,
     /// Requests whose client left before the answer.
     pub left: u64,
     /// Client connections accepted.
@@ -36,6 +45,20 @@
 }
 
 impl Counters {
+    /// Nothing counted yet, with a place for each class.
+    pub fn new(classes: usize) -> Self {
+        Counters { classes: vec![ByClass::default(); classes], ..Counters::default() }
+    }
+
+    /// How the requests of all classes ended.
+    pub fn all(&self) -> ByClass {
+        self.classes.iter().fold(ByClass::default(), |all, c| ByClass {
+            served: all.served + c.served,
+            refused: all.refused + c.refused,
+            failed: all.failed + c.failed,
+        })
+    }
+
     /// Counts one ending.
     pub fn ended(&mut self, ending: Ending) {
         *self.endings.entry(ending).or_default() += 1;
@@ -50,14 +73,16 @@
 impl Counters {
     /// Every count with its name, in the order in which they are printed.
     pub fn figures(&self) -> Vec<(String, u64)> {
+        let all = self.all();
         let named = [
             ("taken", self.taken),
             ("rejected", self.rejected),
-            ("served", self.served),
-            ("refused", self.refused),
-            ("failed", self.failed),
+            ("served", all.served),
+            ("refused", all.refused),
+            ("failed", all.failed),
             ("left", self.left),
             ("sent", self.sent),
+            ("attempts", self.attempts),
             ("accepted", self.accepted),
             ("opened", self.opened),
             ("reused", self.reused),
--- /dev/null
+++ b/proxy/src/state/figures.rs
@@ -0,0 +1,23 @@
+//! The figures that operators fetch: read from what is counted and held, as one JSON object.
+
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// What `GET /_vars` shows. The names are the operators' own.
+#[derive(Debug, Default, PartialEq, Serialize)]
+pub struct Figures<'a> {
+    /// Requests answered with a value or a receipt, by class.
+    pub served: BTreeMap<&'a str, u64>,
+    /// Requests answered with an overload reply, by class.
+    pub refused: BTreeMap<&'a str, u64>,
+    /// Requests answered with an error, by class.
+    pub failed: BTreeMap<&'a str, u64>,
+    /// Delegations whose command was written whole to a worker.
+    pub attempts: u64,
+    /// Requests taken and not ended yet.
+    pub in_flight: usize,
+    /// Workers in the registry's list; the origin is none.
+    pub cache_nodes_known: usize,
+    /// Those of them that are avoided now, by hand or by choice.
+    pub cache_nodes_excluded: usize,
+}
--- /dev/null
+++ b/proxy/src/state/handover.rs
@@ -0,0 +1,364 @@
+//! What outlives a process, and how two processes of one proxy know of each other: a few small files in one folder,
+//! under the proxy's name and address.
+//!
+//! The state file is replaced by rename, so that a process that dies on the way leaves the old one. A lock on one of
+//! the slots tells that its holder lives: it goes with the process, however that ends.
+
+use notchdoor::Micros;
+use serde::{Deserialize, Serialize};
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io::{Read, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+
+/// The format and its version; a file of another one is not ours.
+const FORMAT: &str = "notchdoor-handover";
+const VERSION: u32 = 1;
+/// Processes of one proxy that can know of each other: two of an upgrade, and one more that is still leaving.
+const SLOTS: usize = 4;
+/// The largest file that is read.
+const MOST_BYTES: u64 = 256 * 1024;
+/// The most workers that can be out by hand.
+pub const MOST_OUT: usize = 256;
+
+/// A worker that was put back lately.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Back {
+    /// Its name.
+    pub worker: String,
+    /// When, in Unix microseconds.
+    pub at: Micros,
+}
+
+/// What outlives a process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct State {
+    format: String,
+    version: u32,
+    name: String,
+    /// Goes up with every change.
+    pub serial: u64,
+    /// Workers that are out by hand.
+    pub out: Vec<String>,
+    /// Those put back so lately that they may not be warm yet.
+    pub back: Vec<Back>,
+}
+
+impl State {
+    /// Nothing is out.
+    pub fn empty(name: &str) -> Self {
+        State {
+            format: FORMAT.to_owned(),
+            version: VERSION,
+            name: name.to_owned(),
+            serial: 0,
+            out: Vec::new(),
+            back: Vec::new(),
+        }
+    }
+
+    /// Takes a file's bytes; the error says why they are of no use.
+    fn parse(bytes: &[u8], name: &str) -> Result<Self, String> {
+        let state: State = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
+        if state.format != FORMAT || state.version != VERSION {
+            return Err(format!("format {:.40} version {} is not ours", state.format, state.version));
+        }
+        if state.name != name {
+            return Err(format!("it is of a proxy named {:.80}", state.name));
+        }
+        if state.out.len() > MOST_OUT || state.back.len() > MOST_OUT {
+            return Err("too many workers".to_owned());
+        }
+        Ok(state)
+    }
+
+    /// Whether this worker is out by hand.
+    pub fn is_out(&self, worker: &str) -> bool {
+        self.out.iter().any(|w| w == worker)
+    }
+
+    /// Takes a worker out. False if there is no room for another.
+    pub fn detach(&mut self, worker: &str) -> bool {
+        if self.is_out(worker) {
+            return true;
+        }
+        if self.out.len() >= MOST_OUT {
+            return false;
+        }
+        self.out.push(worker.to_owned());
+        self.back.retain(|b| b.worker != worker);
+        true
+    }
+
+    /// Puts a worker back; those that are warm by now are forgotten.
+    pub fn attach(&mut self, worker: &str, now: Micros, cold: Micros) {
+        self.back.retain(|b| b.at.saturating_add(cold) > now);
+        if self.is_out(worker) {
+            self.out.retain(|w| w != worker);
+            if self.back.len() >= MOST_OUT {
+                self.back.remove(0);
+            }
+            self.back.push(Back { worker: worker.to_owned(), at: now });
+        }
+    }
+}
+
+/// What another process of this proxy says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Other {
+    /// It takes clients.
+    pub open: bool,
+    /// The latest change of the state that it heeds.
+    pub heeded: u64,
+}
+
+/// This process's part in the handover.
+pub struct Handover {
+    name: String,
+    base: PathBuf,
+    slot: usize,
+    lock: File,
+    open: bool,
+    /// The state that this process heeds.
+    pub state: State,
+}
+
+/// Whether a change of the state may be made now.
+pub enum Change {
+    /// It was made; all that is out or back is in it.
+    Made,
+    /// Another process is making one: try again in a moment.
+    Busy,
+}
+
+fn read(path: &Path) -> std::io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    File::open(path)?.take(MOST_BYTES).read_to_end(&mut bytes)?;
+    Ok(bytes)
+}
+
+fn lockable(path: &Path) -> std::io::Result<File> {
+    OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
+}
+
+impl Handover {
+    /// Takes a slot in this folder and the state that is there. The error says why there is no handover; what is
+    /// wrong with the state alone is told in the second place, and then nothing is out.
+    pub fn join(folder: &Path, name: &str, address: &str) -> Result<(Self, Option<String>), String> {
+        let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '_' };
+        let file: String = format!("{name:.64}-{address}").chars().map(plain).collect();
+        let base = folder.join(format!("notchdoor-{file}"));
+        for slot in 0..SLOTS {
+            let path = slot_path(&base, slot);
+            let lock = lockable(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+            match lock.try_lock() {
+                Ok(()) => {}
+                Err(TryLockError::WouldBlock) => continue,
+                Err(TryLockError::Error(e)) => return Err(format!("{}: {e}", path.display())),
+            }
+            let state = State::empty(name);
+            let mut joined = Handover { name: name.to_owned(), base, slot, lock, open: false, state };
+            let wrong = joined.refresh().err();
+            joined.tell();
+            return Ok((joined, wrong));
+        }
+        Err(format!("{}: more than {SLOTS} processes", base.display()))
+    }
+
+    fn state_path(&self) -> PathBuf {
+        self.base.with_extension("state")
+    }
+
+    /// Reads the state again. True if it has changed; the error says why the file is of no use, and then what was
+    /// held stays.
+    pub fn refresh(&mut self) -> Result<bool, String> {
+        let path = self.state_path();
+        let bytes = match read(&path) {
+            Ok(bytes) => bytes,
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(false),
+            Err(e) => return Err(format!("{}: {e}", path.display())),
+        };
+        let state = State::parse(&bytes, &self.name).map_err(|e| format!("{}: {e}", path.display()))?;
+        let changed = state != self.state;
+        self.state = state;
+        Ok(changed)
+    }
+
+    /// Makes a change of the state and writes it, unless another process is about to. The error says why it could
+    /// not be kept, and then nothing has changed.
+    pub fn change(&mut self, make: impl FnOnce(&mut State)) -> Result<Change, String> {
+        let path = self.base.with_extension("change");
+        let told = |e: std::io::Error| format!("{}: {e}", path.display());
+        let lock = lockable(&path).map_err(told)?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => return Ok(Change::Busy),
+            Err(TryLockError::Error(e)) => return Err(told(e)),
+        }
+        // What the other process has changed counts; a file of no use is written anew.
+        let _ = self.refresh();
+        let mut next = self.state.clone();
+        make(&mut next);
+        if next == self.state {
+            return Ok(Change::Made);
+        }
+        next.serial += 1;
+        let new = self.base.with_extension("new");
+        let text = serde_json::to_vec(&next).map_err(|e| e.to_string())?;
+        std::fs::write(&new, text)
+            .and_then(|()| std::fs::rename(&new, self.state_path()))
+            .map_err(|e| format!("{}: {e}", new.display()))?;
+        self.state = next;
+        Ok(Change::Made)
+    }
+
+    /// This process takes clients, or does so no more.
+    pub fn set_open(&mut self, open: bool) {
+        self.open = open;
+        self.tell();
+    }
+
+    /// Tells the others which state this process heeds now.
+    pub fn tell(&mut self) {
+        let text = format!("{} {}\n", if self.open { "open" } else { "closed" }, self.state.serial);
+        // In one write over the old text, padded to a fixed length: a reader never finds half of one.
+        let written = self
+            .lock
+            .seek(SeekFrom::Start(0))
+            .and_then(|_| self.lock.write_all(format!("{text:<40}").as_bytes()));
+        if let Err(error) = written {
+            log::warn!("handover: cannot tell the other process: {error}");
+        }
+    }
+
+    /// The other processes of this proxy that live.
+    pub fn others(&self) -> Vec<Other> {
+        (0..SLOTS)
+            .filter(|&slot| slot != self.slot)
+            .filter_map(|slot| other(&slot_path(&self.base, slot)))
+            .collect()
+    }
+}
+
+fn slot_path(base: &Path, slot: usize) -> PathBuf {
+    base.with_extension(format!("{slot}.slot"))
+}
+
+/// Who holds this slot, if anybody does.
+fn other(path: &Path) -> Option<Other> {
+    let mut file = File::open(path).ok()?;
+    // Shared, so that two who look at once do not take each other for the holder.
+    match file.try_lock_shared() {
+        Err(TryLockError::WouldBlock) => {}
+        _ => return None,
+    }
+    let mut text = String::new();
+    Read::by_ref(&mut file).take(64).read_to_string(&mut text).ok()?;
+    let mut words = text.split_whitespace();
+    let open = words.next() == Some("open");
+    Some(Other { open, heeded: words.next().and_then(|w| w.parse().ok()).unwrap_or(0) })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn folder(name: &str) -> PathBuf {
+        let folder = std::env::temp_dir().join(format!("notchdoor-handover-{}-{name}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        folder
+    }
+
+    fn join(folder: &Path) -> Handover {
+        let (joined, wrong) = Handover::join(folder, "n3", "127.0.0.1:6379").unwrap();
+        assert_eq!(wrong, None);
+        joined
+    }
+
+    #[test]
+    fn two_processes_heed_one_state_and_know_of_each_other() {
+        let folder = folder("two");
+        let mut old = join(&folder);
+        old.set_open(true);
+        assert!(old.others().is_empty());
+        assert!(matches!(old.change(|s| assert!(s.detach("w1") && s.detach("w1"))), Ok(Change::Made)));
+        old.tell();
+        let mut new = join(&folder);
+        assert_eq!((new.state.out.as_slice(), new.state.serial), (["w1".to_owned()].as_slice(), 1));
+        assert_eq!(new.others(), [Other { open: true, heeded: 1 }]);
+        assert_eq!(old.others(), [Other { open: false, heeded: 1 }]);
+        // The other's change is not lost by one of our own.
+        assert!(matches!(new.change(|s| assert!(s.detach("w2"))), Ok(Change::Made)));
+        assert!(matches!(old.change(|s| s.attach("w1", 5_000, 1_000)), Ok(Change::Made)));
+        assert_eq!(old.state.out, ["w2"]);
+        assert_eq!((new.refresh(), &new.state), (Ok(true), &old.state));
+        assert_eq!(new.state.back, [Back { worker: "w1".into(), at: 5_000 }]);
+        new.tell();
+        assert_eq!(old.others().first().map(|o| o.heeded), Some(3));
+        // Put back a second time it is no later; once warm it is forgotten.
+        assert!(matches!(new.change(|s| s.attach("w1", 5_500, 1_000)), Ok(Change::Made)));
+        assert_eq!(new.state.back.len(), 1);
+        assert!(matches!(new.change(|s| s.attach("w1", 6_000, 1_000)), Ok(Change::Made)));
+        assert!(new.state.back.is_empty());
+        drop(old);
+        assert!(new.others().is_empty(), "a lock goes with its holder");
+    }
+
+    #[test]
+    fn a_state_of_no_use_is_told_and_nothing_is_out() {
+        let folder = folder("useless");
+        let good = serde_json::to_string(&State { out: vec!["w".into()], ..State::empty("n3") }).unwrap();
+        let path = join(&folder).state_path();
+        let many: Vec<String> = (0..=MOST_OUT).map(|n| n.to_string()).collect();
+        let cases = [
+            (String::new(), "EOF"),
+            (good[..good.len() - 2].to_owned(), "EOF"),
+            (good.replace("\"version\":1", "\"version\":2"), "is not ours"),
+            (good.replace(FORMAT, "elsewhere"), "is not ours"),
+            (good.replace("n3", "n4"), "proxy named n4"),
+            (serde_json::to_string(&State { out: many, ..State::empty("n3") }).unwrap(), "too many"),
+            ("[1]".to_owned(), "invalid"),
+        ];
+        for (text, told) in cases {
+            std::fs::write(&path, &text).unwrap();
+            let (joined, wrong) = Handover::join(&folder, "n3", "127.0.0.1:6379").unwrap();
+            assert!(wrong.as_ref().is_some_and(|w| w.contains(told)), "{told}: {wrong:?}");
+            assert!(joined.state.out.is_empty(), "{text}");
+        }
+        std::fs::write(&path, good).unwrap();
+        assert_eq!(join(&folder).state.out, ["w"]);
+        assert!(
+            Handover::join(&folder.join("nowhere"), "n3", "a").is_err(),
+            "a folder that cannot be written"
+        );
+    }
+
+    #[test]
+    fn a_process_killed_between_writing_and_renaming_leaves_the_old_state() {
+        let folder = folder("killed");
+        let mut first = join(&folder);
+        assert!(matches!(first.change(|s| assert!(s.detach("w1"))), Ok(Change::Made)));
+        std::fs::write(first.base.with_extension("new"), b"{\"format\":").unwrap();
+        drop(first);
+        let mut second = join(&folder);
+        assert_eq!(second.state.out, ["w1"]);
+        assert!(matches!(second.change(|s| assert!(s.detach("w2"))), Ok(Change::Made)));
+        assert_eq!(join(&folder).state.out, ["w1", "w2"]);
+    }
+
+    #[test]
+    fn the_set_is_bounded_and_one_that_writes_keeps_the_others_out() {
+        let folder = folder("bounded");
+        let mut joined = join(&folder);
+        for n in 0..MOST_OUT {
+            assert!(joined.state.detach(&n.to_string()));
+        }
+        assert!(!joined.state.detach("one more") && joined.state.detach("7"));
+        let lock = lockable(&joined.base.with_extension("change")).unwrap();
+        lock.lock().unwrap();
+        assert!(matches!(joined.change(|_| {}), Ok(Change::Busy)));
+        drop(lock);
+        assert!(matches!(joined.change(|_| {}), Ok(Change::Made)));
+    }
+}
--- a/proxy/src/state/mod.rs
+++ b/proxy/src/state/mod.rs
@@ -1,6 +1,8 @@
 //! What is kept between one event and the next.
 
 pub mod counters;
+pub mod figures;
+pub mod handover;
 pub mod pool;
 pub mod registry;
 pub mod timers;
--- a/proxy/src/state/pool.rs
+++ b/proxy/src/state/pool.rs
@@ -20,22 +20,34 @@
 /// So many sockets and no more.
 pub struct Budget {
     used: Rc<Cell<usize>>,
-    most: usize,
+    most: Cell<usize>,
 }
 
 impl Budget {
     /// A budget of which nothing is used.
     pub fn new(most: usize) -> Self {
-        Budget { used: Rc::default(), most }
+        Budget { used: Rc::default(), most: Cell::new(most) }
+    }
+
+    /// So many from here on; what is used beyond that stays until it is given back.
+    pub fn resize(&self, most: usize) {
+        self.most.set(most);
+    }
+
+    /// How many there may be.
+    pub fn most(&self) -> usize {
+        self.most.get()
+    }
+
+    /// One more socket, whether there is room or not.
+    pub fn overdraw(&self) -> Ticket {
+        self.used.set(self.used.get() + 1);
+        Ticket(Rc::clone(&self.used))
     }
 
     /// One more socket, if there is room.
     pub fn take(&self) -> Option<Ticket> {
-        let room = self.used.get() < self.most;
-        room.then(|| {
-            self.used.set(self.used.get() + 1);
-            Ticket(Rc::clone(&self.used))
-        })
+        (self.used.get() < self.most.get()).then(|| self.overdraw())
     }
 
     /// How many are used.
--- a/proxy/src/state/registry.rs
+++ b/proxy/src/state/registry.rs
@@ -3,7 +3,7 @@
 use notchdoor::{Member, Micros, ServerId, ServerState};
 use notchdoor_settings::{position, Millis, Names, Readiness};
 use serde::Deserialize;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 
 /// The most workers that are kept, those that are gone included.
@@ -64,6 +64,8 @@
     /// Whether it is the origin, which speaks HTTP.
     pub origin: bool,
     boot: Micros,
+    /// The list's line for the module, before anything is taken out by hand.
+    listed: Member,
     /// Whether it may be sent anything.
     pub serving: bool,
 }
@@ -84,6 +86,11 @@
     names: Names,
     origin_kind: Option<u32>,
     workers: HashMap<ServerId, Worker>,
+    /// Workers out by hand, by name, whether they are listed or not.
+    out: BTreeSet<String>,
+    /// Those put back lately, and when: they are taken for started then, unless the list names a later start. Guards
+    /// against a full share for a worker that was restarted meanwhile: the registry tells of it seconds late.
+    back: BTreeMap<String, Micros>,
     rev: u64,
 }
 
@@ -96,7 +103,14 @@
 impl Registry {
     /// An empty list.
     pub fn new(names: Names, origin_kind: Option<u32>) -> Self {
-        Registry { names, origin_kind, workers: HashMap::new(), rev: 0 }
+        Registry {
+            names,
+            origin_kind,
+            workers: HashMap::new(),
+            out: BTreeSet::new(),
+            back: BTreeMap::new(),
+            rev: 0,
+        }
     }
 
     /// The version held, from which a watch goes on.
@@ -114,6 +128,45 @@
         self.workers.iter().filter(|(_, w)| w.serving).map(|(&id, w)| (id, w))
     }
 
+    /// The caches in the list; the origin is none.
+    pub fn caches(&self) -> impl Iterator<Item = (ServerId, &Worker)> {
+        self.workers.iter().filter(|(_, w)| !w.origin).map(|(&id, w)| (id, w))
+    }
+
+    /// Whether the list has a cache in service, taken out by hand or not.
+    pub fn lists_any(&self) -> bool {
+        self.caches().any(|(_, w)| w.listed.state == ServerState::Serving)
+    }
+
+    /// Whether this worker is out by hand.
+    pub fn is_out(&self, worker: &Worker) -> bool {
+        self.out.contains(&worker.uid)
+    }
+
+    /// Whether a cache of this name can be taken out or put back: it is listed, or it is out.
+    pub fn knows(&self, uid: &str) -> bool {
+        self.out.contains(uid) || self.workers.get(&server_id(uid)).is_some_and(|w| w.uid == uid && !w.origin)
+    }
+
+    /// Takes these workers out and no others, those put back at these times among the rest.
+    pub fn set_out(&mut self, out: BTreeSet<String>, back: BTreeMap<String, Micros>) -> Applied {
+        (self.out, self.back) = (out, back);
+        let mut applied = Applied::default();
+        for (&server, worker) in &mut self.workers {
+            let member = overlaid(&self.out, &self.back, &worker.uid, &worker.listed);
+            let serving = member.state == ServerState::Serving;
+            if worker.serving != serving {
+                worker.serving = serving;
+                if !serving {
+                    applied.dropped.push(server);
+                }
+                applied.members.push(member);
+            }
+        }
+        applied.members.sort_by_key(|m| m.server);
+        applied
+    }
+
     /// Takes a list or changes. `None` for changes older than what is held.
     pub fn apply(&mut self, update: Update) -> Option<Applied> {
         if !update.all && update.rev < self.rev {
@@ -170,10 +223,21 @@
         }
         let gone = target.state == Readiness::Terminated;
         let kind = position(&self.names.kinds, &target.model).unwrap_or(u32::MAX);
-        let serving = target.state == Readiness::InService;
         // Whole milliseconds come through without loss; a new start must never look like the old one.
         let boot = notchdoor_settings::micros(target.boot_ms);
-        let new = Worker { uid: target.uid, endpoint, origin: self.origin_kind == Some(kind), boot, serving };
+        let listed = Member {
+            server,
+            kind,
+            zone: position(&self.names.zones, &target.az).unwrap_or(u32::MAX),
+            cell: target.pod_group,
+            size: target.capacity_hint,
+            up_since: boot,
+            state: ServerState::from(target.state),
+        };
+        let member = overlaid(&self.out, &self.back, &target.uid, &listed);
+        let serving = member.state == ServerState::Serving;
+        let origin = self.origin_kind == Some(kind);
+        let new = Worker { uid: target.uid, endpoint, origin, boot, listed, serving };
         if let Some(old) = self.workers.insert(server, new) {
             if old.endpoint != endpoint || old.boot != boot || !serving {
                 dropped.push(server);
@@ -182,16 +246,20 @@
         if gone {
             self.workers.remove(&server);
         }
-        Ok(Member {
-            server,
-            kind,
-            zone: position(&self.names.zones, &target.az).unwrap_or(u32::MAX),
-            cell: target.pod_group,
-            size: target.capacity_hint,
-            up_since: boot,
-            state: ServerState::from(target.state),
-        })
+        Ok(member)
+    }
+}
+
+/// What the module is told of a worker: the stricter of the list's line and what was done by hand.
+fn overlaid(out: &BTreeSet<String>, back: &BTreeMap<String, Micros>, uid: &str, listed: &Member) -> Member {
+    let mut member = listed.clone();
+    if member.state == ServerState::Serving && out.contains(uid) {
+        member.state = ServerState::Draining;
+    }
+    if let Some(&at) = back.get(uid) {
+        member.up_since = member.up_since.max(at);
     }
+    member
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/proxy/src/wire/admin.rs
@@ -0,0 +1,320 @@
+//! The operators' side: one HTTP/1.1 call to each connection, fed as bytes; a call comes out, or why it is none.
+
+/// The longest head and the most header lines.
+const MAX_HEAD: usize = 8 * 1024;
+const MAX_HEADERS: usize = 64;
+/// The longest body, with the marks of its pieces: one worker's name and some white space.
+const MAX_BODY: usize = 4 * 1024;
+
+/// What an operator wants.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process takes clients.
+    Ready,
+    /// The figures.
+    Vars,
+    /// Nothing more to this worker.
+    Detach(String),
+    /// Put this worker back.
+    Attach(String),
+}
+
+/// Why something is no call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The bytes are not HTTP, or the body names no worker.
+    Bad(&'static str),
+    /// There is no such path.
+    NotFound,
+    /// The path takes another method: this one.
+    Method(&'static str),
+    /// The head is too long.
+    HeadTooLarge,
+    /// The body is too long.
+    BodyTooLarge,
+}
+
+/// An answer to a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// The status.
+    pub status: u16,
+    /// The body, as text or, where it begins with a brace, as JSON.
+    pub body: String,
+    /// What a wrong method should have been.
+    pub allow: Option<&'static str>,
+}
+
+impl Reply {
+    /// An answer of one line.
+    pub fn line(status: u16, text: &str) -> Self {
+        Reply { status, body: format!("{text}\n"), allow: None }
+    }
+
+    /// As it is written.
+    pub fn encode(&self) -> Vec<u8> {
+        let reason = match self.status {
+            200 => "OK",
+            400 => "Bad Request",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            408 => "Request Timeout",
+            409 => "Conflict",
+            413 => "Content Too Large",
+            431 => "Request Header Fields Too Large",
+            500 => "Internal Server Error",
+            _ => "Service Unavailable",
+        };
+        let kind = if self.body.starts_with('{') { "application/json" } else { "text/plain; charset=utf-8" };
+        let allow = self.allow.map(|method| format!("Allow: {method}\r\n")).unwrap_or_default();
+        format!(
+            "HTTP/1.1 {} {reason}\r\nContent-Type: {kind}\r\nContent-Length: {}\r\n{allow}Cache-Control: no-store\r\n\
+             Connection: close\r\n\r\n{}",
+            self.status,
+            self.body.len(),
+            self.body
+        )
+        .into_bytes()
+    }
+}
+
+impl From<Refusal> for Reply {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::Bad(why) => Reply::line(400, why),
+            Refusal::NotFound => Reply::line(404, "no such path"),
+            Refusal::Method(allow) => {
+                Reply { allow: Some(allow), ..Reply::line(405, &format!("this path takes {allow}")) }
+            }
+            Refusal::HeadTooLarge => Reply::line(431, "the head is too long"),
+            Refusal::BodyTooLarge => Reply::line(413, "the body is too long"),
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Path {
+    Ready,
+    Vars,
+    Detach,
+    Attach,
+}
+
+impl Path {
+    fn of(target: &str) -> Result<Self, Refusal> {
+        match target.split(['?', '#']).next().unwrap_or_default() {
+            "/_ready" => Ok(Path::Ready),
+            "/_vars" => Ok(Path::Vars),
+            "/_cache-nodes/detach" => Ok(Path::Detach),
+            "/_cache-nodes/attach" => Ok(Path::Attach),
+            _ => Err(Refusal::NotFound),
+        }
+    }
+
+    fn method(self) -> &'static str {
+        match self {
+            Path::Ready | Path::Vars => "GET",
+            Path::Detach | Path::Attach => "POST",
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Body {
+    Length(usize),
+    Chunks,
+}
+
+/// Reads one call.
+#[derive(Default)]
+pub struct Reader {
+    buffer: Vec<u8>,
+    /// What the head says, once it is whole, and where the body begins.
+    head: Option<(Path, Body, usize)>,
+}
+
+impl Reader {
+    /// Takes what has come in; a call or a refusal once it can be told. What follows it is not read.
+    pub fn feed(&mut self, bytes: &[u8]) -> Option<Result<Call, Refusal>> {
+        // Guards against a caller that sends on and on: what is over the bounds is refused before it is kept.
+        let room = (MAX_HEAD + MAX_BODY).saturating_sub(self.buffer.len());
+        self.buffer.extend_from_slice(bytes.get(..room.min(bytes.len())).unwrap_or_default());
+        self.step().transpose()
+    }
+
+    fn step(&mut self) -> Result<Option<Call>, Refusal> {
+        let (path, body, at) = match self.head {
+            Some(head) => head,
+            None => match self.parse_head()? {
+                Some(head) => *self.head.insert(head),
+                None => return Ok(None),
+            },
+        };
+        let id = match path {
+            Path::Ready => return Ok(Some(Call::Ready)),
+            Path::Vars => return Ok(Some(Call::Vars)),
+            Path::Detach | Path::Attach => {
+                let rest = self.buffer.get(at..).unwrap_or_default();
+                let bytes = match body {
+                    Body::Length(n) => rest.get(..n).map(<[u8]>::to_vec),
+                    Body::Chunks => unchunked(rest)?,
+                };
+                match bytes {
+                    Some(bytes) => name(&bytes)?,
+                    None if rest.len() > MAX_BODY => return Err(Refusal::BodyTooLarge),
+                    None => return Ok(None),
+                }
+            }
+        };
+        Ok(Some(if matches!(path, Path::Detach) { Call::Detach(id) } else { Call::Attach(id) }))
+    }
+
+    fn parse_head(&self) -> Result<Option<(Path, Body, usize)>, Refusal> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut head = httparse::Request::new(&mut headers);
+        let at = match head.parse(&self.buffer) {
+            Ok(httparse::Status::Complete(at)) if at <= MAX_HEAD => at,
+            Ok(httparse::Status::Partial) if self.buffer.len() <= MAX_HEAD => return Ok(None),
+            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Refusal::HeadTooLarge),
+            Err(_) => return Err(Refusal::Bad("not HTTP/1.1")),
+        };
+        let path = Path::of(head.path.unwrap_or_default())?;
+        if head.method != Some(path.method()) {
+            return Err(Refusal::Method(path.method()));
+        }
+        let (mut length, mut chunked) = (None, false);
+        for header in head.headers.iter() {
+            let value = std::str::from_utf8(header.value).unwrap_or_default().trim();
+            if header.name.eq_ignore_ascii_case("content-length") {
+                let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+                // More digits than a number can hold are a length over any bound.
+                let n = value.parse().unwrap_or(usize::MAX);
+                if !digits || length.is_some_and(|l| l != n) {
+                    return Err(Refusal::Bad("Content-Length makes no sense"));
+                }
+                length = Some(n);
+            } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+                if !value.eq_ignore_ascii_case("chunked") {
+                    return Err(Refusal::Bad("Transfer-Encoding is not known"));
+                }
+                chunked = true;
+            }
+        }
+        match (length, chunked) {
+            (Some(_), true) => Err(Refusal::Bad("Content-Length makes no sense")),
+            (Some(n), _) if n > MAX_BODY => Err(Refusal::BodyTooLarge),
+            (length, false) => Ok(Some((path, Body::Length(length.unwrap_or(0)), at))),
+            (None, true) => Ok(Some((path, Body::Chunks, at))),
+        }
+    }
+}
+
+/// A body in pieces, put together; `None` while its end has not come.
+fn unchunked(mut rest: &[u8]) -> Result<Option<Vec<u8>>, Refusal> {
+    const BAD: Refusal = Refusal::Bad("the body's pieces make no sense");
+    let mut body = Vec::new();
+    loop {
+        let (at, size) = match httparse::parse_chunk_size(rest) {
+            Ok(httparse::Status::Complete((at, size))) => (at, usize::try_from(size).map_err(|_| BAD)?),
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(BAD),
+        };
+        if size == 0 {
+            // Trailers say nothing here.
+            return Ok(Some(body));
+        }
+        if size > MAX_BODY {
+            return Err(Refusal::BodyTooLarge);
+        }
+        rest = rest.get(at..).unwrap_or_default();
+        let Some(piece) = rest.get(..size) else { return Ok(None) };
+        body.extend_from_slice(piece);
+        match rest.get(size..size + 2) {
+            Some(b"\r\n") => rest = rest.get(size + 2..).unwrap_or_default(),
+            Some(_) => return Err(BAD),
+            None => return Ok(None),
+        }
+    }
+}
+
+/// A worker's name as a body holds it.
+fn name(body: &[u8]) -> Result<String, Refusal> {
+    const BAD: Refusal = Refusal::Bad("the body is to be the name of one cache worker");
+    let text = std::str::from_utf8(body).map_err(|_| BAD)?.trim();
+    let plain = !text.is_empty() && !text.contains(|c: char| c.is_whitespace() || c.is_control());
+    plain.then(|| text.to_owned()).ok_or(BAD)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(bytes: &[u8], at: usize) -> Option<Result<Call, Refusal>> {
+        let mut reader = Reader::default();
+        reader.feed(&bytes[..at]).or_else(|| reader.feed(&bytes[at..]))
+    }
+
+    #[test]
+    fn calls_come_out_however_they_are_split() {
+        let id = || "s-5be2a07c".to_owned();
+        let cases: &[(&str, Call)] = &[
+            ("GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n", Call::Ready),
+            ("GET /_vars?pretty HTTP/1.0\r\n\r\n", Call::Vars),
+            ("POST /_cache-nodes/detach HTTP/1.1\r\nContent-Length: 10\r\n\r\ns-5be2a07c", Call::Detach(id())),
+            ("POST /_cache-nodes/attach HTTP/1.1\r\ncontent-length: 14\r\n\r\n\ts-5be2a07c \r\n", Call::Attach(id())),
+            (
+                "POST /_cache-nodes/detach HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ns-5b\r\n6;x=1\r\ne2a07c\r\n0\r\n\r\n",
+                Call::Detach(id()),
+            ),
+        ];
+        for (text, call) in cases {
+            for at in 0..text.len() {
+                assert_eq!(read(text.as_bytes(), at), Some(Ok(call.clone())), "{text:?} split at {at}");
+            }
+        }
+    }
+
+    #[test]
+    fn what_is_no_call_is_told_why() {
+        let post = |rest: &str| format!("POST /_cache-nodes/detach HTTP/1.1\r\n{rest}");
+        let long = format!("GET /_ready HTTP/1.1\r\nX: {}", "y".repeat(MAX_HEAD));
+        let lines = format!("GET /_ready HTTP/1.1\r\n{}\r\n", "X: y\r\n".repeat(MAX_HEADERS + 1));
+        let cases: &[(&str, u16)] = &[
+            ("GET / HTTP/1.1\r\n\r\n", 404),
+            ("GET /_ready/ HTTP/1.1\r\n\r\n", 404),
+            ("POST /_ready HTTP/1.1\r\n\r\n", 405),
+            ("HEAD /_vars HTTP/1.1\r\n\r\n", 405),
+            ("GET /_cache-nodes/attach HTTP/1.1\r\n\r\n", 405),
+            (&post("\r\n"), 400),
+            (&post("Content-Length: 0\r\n\r\n"), 400),
+            (&post("Content-Length: 3\r\n\r\n \r\n"), 400),
+            (&post("Content-Length: 3\r\n\r\na b"), 400),
+            (&post("Content-Length: -3\r\n\r\nabc"), 400),
+            (&post("Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc"), 400),
+            (&post("Content-Length: 99999999999999999999999\r\n\r\n"), 413),
+            (&post("Content-Length: 5000\r\n\r\n"), 413),
+            (&post("Transfer-Encoding: chunked\r\n\r\nzz\r\n"), 400),
+            (&post("Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n"), 400),
+            (&post("Transfer-Encoding: chunked\r\n\r\nffff\r\n"), 413),
+            (&post("Transfer-Encoding: gzip\r\n\r\n"), 400),
+            ("*1\r\n$4\r\nPING\r\n", 400),
+            ("\u{1}\u{2}\u{3}", 400),
+            (&long, 431),
+            (&lines, 431),
+        ];
+        for (text, status) in cases {
+            let refusal = read(text.as_bytes(), 0).and_then(Result::err);
+            let reply = refusal.map(Reply::from);
+            assert_eq!(reply.as_ref().map(|r| r.status), Some(*status), "{text:.80?}");
+            let wrong = reply.is_some_and(|r| r.allow.is_some() != (r.status == 405));
+            assert!(!wrong, "{text:.80?}: Allow is for 405");
+        }
+        // One that never ends is told so, and is not kept.
+        let mut reader = Reader::default();
+        let chunks = post("Transfer-Encoding: chunked\r\n\r\n");
+        assert_eq!(reader.feed(chunks.as_bytes()), None);
+        let told = (0..10_000).find_map(|_| reader.feed(b"1\r\na\r\n"));
+        assert_eq!(told, Some(Err(Refusal::BodyTooLarge)));
+        assert!(reader.buffer.len() <= MAX_HEAD + MAX_BODY);
+    }
+}
--- /dev/null
+++ b/proxy/src/wire/driver/admin.rs
@@ -0,0 +1,171 @@
+//! Operators' calls: accepting, reading one call, answering it. Their tasks run on an executor of their own, which
+//! gets its turn before the clients' one.
+
+use super::Shell;
+use crate::state::handover::{Change, State};
+use crate::wire::admin::{Call, Reader, Reply};
+use async_executor::Task;
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use std::cell::Cell;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Callers at once; their descriptors are set aside. Of more, the one that has kept its call back for longest goes:
+/// guards against idle callers that shut out those who have something to ask.
+const MOST_CALLERS: usize = 12;
+/// The time for a call to come in whole, and for its answer to be taken.
+const TIME: Duration = Duration::from_secs(2);
+/// For so long after the answer the rest of what a caller sends is read: a socket that is closed with unread bytes
+/// is reset, and the answer may be lost.
+const LINGER: Duration = Duration::from_millis(200);
+const LINGER_BYTES: usize = 64 * 1024;
+/// Pause after a failure to accept.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// The longest wait for the other process to write, and to heed, a change. Callers wait a second.
+const WRITING: Duration = Duration::from_millis(200);
+const HEEDING: Duration = Duration::from_millis(500);
+const LOOK_AGAIN: Duration = Duration::from_millis(5);
+
+/// Opens the address where operators call.
+pub fn bind(address: SocketAddr) -> std::io::Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(address)
+}
+
+/// Takes calls until the task is dropped.
+pub async fn accept(shell: Rc<Shell>, listener: Async<TcpListener>) {
+    // Oldest first; those whose call is being carried out are not sent away.
+    let mut callers: Vec<(Rc<Cell<bool>>, Task<()>)> = Vec::new();
+    loop {
+        match listener.accept().await {
+            Ok((io, _)) => {
+                callers.retain(|(_, task)| !task.is_finished());
+                if callers.len() >= MOST_CALLERS {
+                    let idle = callers.iter().position(|(called, _)| !called.get());
+                    drop(callers.remove(idle.unwrap_or(0)));
+                }
+                let called = Rc::new(Cell::new(false));
+                let serving = serve(Rc::clone(&shell), io, Rc::clone(&called));
+                callers.push((called, shell.operators.spawn(serving)));
+            }
+            Err(error) => {
+                log::debug!("operators: cannot accept: {error}");
+                Timer::after(ACCEPT_AGAIN).await;
+            }
+        }
+    }
+}
+
+async fn within<T>(limit: Duration, work: impl std::future::Future<Output = Option<T>>) -> Option<T> {
+    let late = async {
+        Timer::after(limit).await;
+        None
+    };
+    future::or(work, late).await
+}
+
+async fn serve(shell: Rc<Shell>, mut io: Async<TcpStream>, called: Rc<Cell<bool>>) {
+    let _ = io.get_ref().set_nodelay(true);
+    // A caller that says nothing in its time is owed nothing.
+    let Some(call) = within(TIME, read(&mut io)).await else { return };
+    called.set(true);
+    let reply = match call {
+        Ok(call) => carry_out(&shell, call).await,
+        Err(refusal) => refusal.into(),
+    };
+    let bytes = reply.encode();
+    let written = within(TIME, async { io.write_all(&bytes).await.ok() }).await;
+    if written.is_some() && io.get_ref().shutdown(Shutdown::Write).is_ok() {
+        within(LINGER, rest(&mut io)).await;
+    }
+}
+
+/// One call or refusal; `None` if the caller has gone.
+async fn read(io: &mut Async<TcpStream>) -> Option<Result<Call, crate::wire::admin::Refusal>> {
+    let (mut reader, mut buffer) = (Reader::default(), [0; 2048]);
+    loop {
+        match io.read(&mut buffer).await {
+            Ok(n) if n > 0 => {
+                if let Some(told) = reader.feed(buffer.get(..n).unwrap_or_default()) {
+                    return Some(told);
+                }
+            }
+            _ => return None,
+        }
+    }
+}
+
+async fn rest(io: &mut Async<TcpStream>) -> Option<()> {
+    let (mut buffer, mut read) = ([0; 2048], 0);
+    while read < LINGER_BYTES {
+        match io.read(&mut buffer).await {
+            Ok(n) if n > 0 => read += n,
+            _ => break,
+        }
+    }
+    None
+}
+
+async fn carry_out(shell: &Rc<Shell>, call: Call) -> Reply {
+    match call {
+        Call::Ready if shell.ready() => Reply::line(200, "ready"),
+        Call::Ready => Reply::line(503, "not ready"),
+        Call::Vars => match serde_json::to_string(&shell.proxy.borrow().figures()) {
+            Ok(body) => Reply { status: 200, body, allow: None },
+            Err(error) => Reply::line(500, &error.to_string()),
+        },
+        Call::Detach(worker) => change(shell, &worker, true).await,
+        Call::Attach(worker) => change(shell, &worker, false).await,
+    }
+}
+
+/// Takes a worker out or puts it back: kept for a successor first, then carried out here, then heeded by the other
+/// process if there is one; then the yes.
+async fn change(shell: &Rc<Shell>, worker: &str, out: bool) -> Reply {
+    let (what, cold) = (if out { "out" } else { "back" }, shell.network.cold);
+    if !shell.proxy.borrow().registry.knows(worker) {
+        log::warn!("operators: {worker:.256} {what}: no cache worker has this name");
+        return Reply::line(404, "no cache worker has this name");
+    }
+    let mut full = false;
+    let until = Instant::now() + WRITING;
+    loop {
+        let now = shell.clock.now();
+        let make = |state: &mut State| {
+            if out {
+                full = !state.detach(worker);
+            } else {
+                state.attach(worker, now, cold);
+            }
+        };
+        let made = match shell.handover.borrow_mut().as_mut() {
+            Some(handover) => handover.change(make),
+            None => Err("there is no handover".to_owned()),
+        };
+        match made {
+            Ok(Change::Made) => break,
+            Ok(Change::Busy) if Instant::now() < until => {
+                Timer::after(LOOK_AGAIN).await;
+            }
+            Ok(Change::Busy) => return Reply::line(503, "another change is being made"),
+            Err(why) => {
+                log::error!(
+                    "operators: {worker} {what}: cannot be kept for an upgrade, nothing is changed: {why}"
+                );
+                return Reply::line(500, "cannot be kept for an upgrade, nothing is changed");
+            }
+        }
+    }
+    let serial = shell.heed();
+    if full {
+        log::error!("operators: {worker} {what}: too many workers are out by hand");
+        return Reply::line(409, "too many workers are out by hand");
+    }
+    log::info!(worker; "operators: {worker} {what} by hand");
+    let until = Instant::now() + HEEDING;
+    while shell.others().iter().any(|other| other.heeded < serial) && Instant::now() < until {
+        Timer::after(LOOK_AGAIN).await;
+    }
+    Reply::line(200, what)
+}
--- a/proxy/src/wire/driver/client.rs
+++ b/proxy/src/wire/driver/client.rs
@@ -169,8 +169,33 @@
     }
 }
 
+/// Serves a connection that was accepted.
+pub fn admit(shell: &Rc<Shell>, io: Async<TcpStream>, ticket: Ticket) {
+    let _ = io.get_ref().set_nodelay(true);
+    shell.proxy.borrow_mut().counters.accepted += 1;
+    let id = shell.next_client.get();
+    shell.next_client.set(id + 1);
+    let client = Rc::new(Client {
+        io,
+        session: RefCell::default(),
+        wake: async_channel::bounded(1),
+        broken: Cell::new(false),
+        stalled: Cell::new(false),
+        retiring: Cell::new(false),
+        used: Cell::new(shell.clock.now()),
+        half_since: Cell::new(0),
+        unsent: Rc::clone(&shell.unsent),
+        counted: Cell::new(0),
+        half_read: Rc::clone(&shell.half_read),
+        counted_half: Cell::new(0),
+        moved: Cell::new(0),
+    });
+    shell.clients.borrow_mut().insert(id, Rc::clone(&client));
+    shell.spawn(serve(Rc::clone(shell), id, client, ticket));
+}
+
 /// Accepts connections until the task is dropped.
-pub async fn accept(shell: Rc<Shell>, listener: Async<TcpListener>) {
+pub async fn accept(shell: Rc<Shell>, listener: Rc<Async<TcpListener>>) {
     // Since when room is short. Guards against a crowd of which each has to wait as the first one did.
     let mut short_since = None;
     loop {
@@ -189,34 +214,14 @@
         shell.short.set(false);
         // Guards against a front whose own room for connections is full of those that stay, before ours is: it
         // cannot open another one then, and its clients are turned away without a word from here.
-        if shell.client_budget.used() * 2 > shell.most_clients {
+        if shell.client_budget.used() * 2 > shell.client_budget.most() {
             shell.retire_some(None);
         }
         let free_since = shell.clock.now();
         match listener.accept().await {
             Ok((io, _)) => {
                 short_since = short_since.filter(|_| free_since + CALM > shell.clock.now());
-                let _ = io.get_ref().set_nodelay(true);
-                shell.proxy.borrow_mut().counters.accepted += 1;
-                let id = shell.next_client.get();
-                shell.next_client.set(id + 1);
-                let client = Rc::new(Client {
-                    io,
-                    session: RefCell::default(),
-                    wake: async_channel::bounded(1),
-                    broken: Cell::new(false),
-                    stalled: Cell::new(false),
-                    retiring: Cell::new(false),
-                    used: Cell::new(shell.clock.now()),
-                    half_since: Cell::new(0),
-                    unsent: Rc::clone(&shell.unsent),
-                    counted: Cell::new(0),
-                    half_read: Rc::clone(&shell.half_read),
-                    counted_half: Cell::new(0),
-                    moved: Cell::new(0),
-                });
-                shell.clients.borrow_mut().insert(id, Rc::clone(&client));
-                shell.spawn(serve(Rc::clone(&shell), id, client, ticket));
+                admit(&shell, io, ticket);
             }
             Err(error) => {
                 // Guards against a proxy that dies or spins because a descriptor is missing (EMFILE) or a
@@ -239,7 +244,7 @@
     /// Has the client connections closed that have been idle for longest, if any have been for long enough: by how
     /// long room has been short, `None` while there still is some. Guards against those who connect and stay:
     /// they must not shut others out.
-    fn retire_some(&self, short_for: Option<Micros>) {
+    pub(super) fn retire_some(&self, short_for: Option<Micros>) {
         let (clients, now) = (self.clients.borrow(), self.clock.now());
         let idle = clients.values().filter(|c| {
             let session = c.session.borrow();
@@ -285,7 +290,7 @@
     /// Cuts off the clients that take none of their answers while these fill most of the room. Guards against a
     /// few that read nothing: nobody else's request would be taken for as long as one alone may stall.
     pub(super) fn cut_off_stalled(&self) {
-        if self.unsent.get() / MAX_VALUE * 2 < self.most_taken {
+        if self.unsent.get() / MAX_VALUE * 2 < self.room.get().taken {
             return;
         }
         let now = self.clock.now();
@@ -300,7 +305,7 @@
     /// Ends the connections that have had half a command for longest while such take more room than there is.
     /// Guards against hundreds that each send most of one: together they could be all the memory.
     fn crowd_out(&self) {
-        while self.half_read.get() > self.most_half_read {
+        while self.half_read.get() > self.room.get().half_read {
             let clients = self.clients.borrow();
             // What waits whole for room is no half.
             let half = clients.values().filter(|c| c.counted_half.get() > 0 && c.half_since.get() > 0);
@@ -314,7 +319,7 @@
     /// Whether another request may be taken: each may come to hold a value of the largest size. What is not
     /// read stays in the sockets, and its clients wait.
     fn room(&self) -> bool {
-        self.proxy.borrow().holds() + self.unsent.get() / MAX_VALUE < self.most_taken
+        self.proxy.borrow().holds() + self.unsent.get() / MAX_VALUE < self.room.get().taken
     }
 }
 
--- a/proxy/src/wire/driver/delegation.rs
+++ b/proxy/src/wire/driver/delegation.rs
@@ -35,7 +35,7 @@
         let all = self.shell.large.get() - self.bytes + bytes;
         self.bytes = bytes;
         self.shell.large.set(all);
-        all <= self.shell.most_large || bytes == 0
+        all <= self.shell.room.get().large || bytes == 0
     }
 }
 
@@ -145,7 +145,7 @@
     trace: &mut Trace,
 ) -> Reply {
     let Some((endpoint, is_origin)) =
-        shell.proxy.borrow().registry.worker(server).map(|w| (w.endpoint, w.origin))
+        shell.proxy.borrow().registry.worker(server).filter(|w| w.serving).map(|w| (w.endpoint, w.origin))
     else {
         return Reply::bare(Ending::NotSent);
     };
@@ -155,6 +155,10 @@
         Err(ending) => return Reply::bare(ending),
     };
     trace.connected = shell.clock.now();
+    // Guards against a command that is written to a worker which was taken out while the connection came up.
+    if !shell.proxy.borrow().registry.worker(server).is_some_and(|w| w.serving) {
+        return Reply::bare(Ending::NotSent);
+    }
     let (bytes, mut decoder) = if is_origin {
         (origin::encode(call, &endpoint.to_string()), Decoder::Origin(origin::Decoder::default()))
     } else {
@@ -164,6 +168,9 @@
     if let Err(ending) = write(&connection, &bytes, sent).await {
         return Reply::bare(ending);
     }
+    if !is_origin {
+        shell.proxy.borrow_mut().counters.attempts += 1;
+    }
     drop(bytes);
     trace.written = shell.clock.now();
     let reply = read(shell, &connection, &mut decoder, trace).await;
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -1,15 +1,18 @@
 //! The thin driver: it owns the sockets, feeds bytes to the state machines and carries out what the proxy
 //! wants done. One thread, one executor, a task for each connection and each delegation.
 
+pub mod admin;
 mod client;
 mod delegation;
+pub mod overlap;
 mod watch;
 
 use super::call::Call;
 use crate::ending::Ending;
 use crate::lifecycle::clock::Clock;
-use crate::lifecycle::config::Config;
+use crate::lifecycle::config::{Config, Limits, Room};
 use crate::proxy::{Command, DelegationId, Proxy};
+use crate::state::handover::Handover;
 use crate::state::pool::{Budget, Pools};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
@@ -20,6 +23,7 @@
 use notchdoor::{Discovery, Micros};
 use notchdoor_limits::policy::Policy;
 use notchdoor_settings::Network;
+use socket2::Socket;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
@@ -34,17 +38,40 @@
 /// The longest pause between two watches where the settings name none.
 const PUSHED_ASK_EVERY: Micros = 10_000_000;
 
+/// The sockets that a process begins with.
+pub struct Sockets {
+    /// The clients' address, bound and not listened on yet.
+    pub clients: Socket,
+    /// Where operators call, if anywhere.
+    pub operators: Option<Async<TcpListener>>,
+}
+
+/// Where the tasks run.
+#[derive(Clone, Default)]
+pub struct Executors {
+    /// Everything but operators' calls.
+    pub clients: Rc<LocalExecutor<'static>>,
+    /// Operators' calls.
+    pub operators: Rc<LocalExecutor<'static>>,
+}
+
 /// All that the tasks share.
 pub struct Shell {
     proxy: RefCell<Proxy<Call>>,
     pools: RefCell<Pools<Connection>>,
     executor: Rc<LocalExecutor<'static>>,
+    /// Operators' calls run here: they get their turn before clients.
+    operators: Rc<LocalExecutor<'static>>,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     next_client: Cell<u64>,
     delegations: RefCell<HashMap<DelegationId, Task<()>>>,
     /// The watch on the registry, while one runs.
     watch: RefCell<Option<Task<()>>>,
     acceptor: RefCell<Option<Task<()>>>,
+    /// Where clients connect, while they may.
+    listener: RefCell<Option<Rc<Async<TcpListener>>>>,
+    open: Cell<bool>,
+    handover: RefCell<Option<Handover>>,
     clock: Clock,
     /// Times that the sockets go by.
     pub network: Network,
@@ -53,16 +80,15 @@
     delegated_budget: Budget,
     /// Whether clients wait for a descriptor.
     short: Cell<bool>,
-    most_taken: usize,
-    most_clients: usize,
-    /// Bytes of commands that are half read, on all client connections, and how many there may be.
+    limits: Limits,
+    /// This process's part of them.
+    room: Cell<Room>,
+    /// Bytes of commands that are half read, on all client connections.
     half_read: Rc<Cell<usize>>,
-    most_half_read: usize,
     /// Bytes of answers that clients have not taken yet.
     unsent: Rc<Cell<usize>>,
-    /// Bytes of answers that are being read, beyond one value's size each, and how many there may be.
+    /// Bytes of answers that are being read, beyond one value's size each.
     large: Cell<usize>,
-    most_large: usize,
     /// When the timer task wakes next.
     armed: Cell<Micros>,
     rearm: (Sender<()>, Receiver<()>),
@@ -71,11 +97,12 @@
 }
 
 impl Shell {
-    /// Starts serving on `listener`.
+    /// Starts serving on these sockets.
     pub fn start(
         config: Config,
-        listener: Async<TcpListener>,
-        executor: Rc<LocalExecutor<'static>>,
+        sockets: Sockets,
+        handover: Option<Handover>,
+        executors: Executors,
     ) -> Rc<Self> {
         let clock = Clock::start();
         let (mut settings, network) = (config.settings.settings(), config.settings.network());
@@ -84,28 +111,32 @@
             settings.discovery = Discovery::OnRequest { ask_every: PUSHED_ASK_EVERY };
         }
         let proxy = Proxy::new(settings, config.settings.names(), config.policy, config.seed, clock.now());
+        let processes = 1 + handover.as_ref().map_or(0, |h| h.others().len());
+        let room = config.limits.room(processes);
         let shell = Rc::new(Shell {
             proxy: RefCell::new(proxy),
             pools: RefCell::new(Pools::new(network.idle_close)),
-            executor,
+            executor: executors.clients,
+            operators: executors.operators,
             clients: RefCell::default(),
             next_client: Cell::new(1),
             delegations: RefCell::default(),
             watch: RefCell::default(),
             acceptor: RefCell::default(),
+            listener: RefCell::default(),
+            open: Cell::new(false),
+            handover: RefCell::new(handover),
             clock,
             network,
             registry: Cell::new(config.registry),
-            client_budget: Budget::new(config.most_clients),
-            delegated_budget: Budget::new(config.most_delegated),
+            client_budget: Budget::new(room.clients),
+            delegated_budget: Budget::new(room.delegated),
             short: Cell::new(false),
-            most_taken: config.most_taken,
-            most_clients: config.most_clients,
+            limits: config.limits,
+            room: Cell::new(room),
             half_read: Rc::default(),
-            most_half_read: config.most_half_read,
             unsent: Rc::default(),
             large: Cell::new(0),
-            most_large: config.most_large,
             armed: Cell::new(Micros::MAX),
             rearm: async_channel::bounded(1),
             heard: Cell::new(false),
@@ -114,6 +145,7 @@
         // The module asks for a watch once it is given a list, even one without lines.
         let known =
             config.known.unwrap_or(crate::state::registry::Update { rev: 0, all: true, targets: Vec::new() });
+        shell.heed();
         shell.drive(|proxy, now| proxy.update(now, crate::state::registry::Update { all: true, ..known }));
         shell.spawn(Shell::run_timers(Rc::clone(&shell)));
         shell.spawn(Shell::run_sweeps(Rc::clone(&shell)));
@@ -122,7 +154,11 @@
             Timer::after(FIRST_LIST).await;
             first.heard.set(true);
         });
-        let acceptor = shell.executor.spawn(client::accept(Rc::clone(&shell), listener));
+        if let Some(listener) = sockets.operators {
+            shell.operators.spawn(admin::accept(Rc::clone(&shell), listener)).detach();
+        }
+        shell.operators.spawn(Shell::run_overlap(Rc::clone(&shell))).detach();
+        let acceptor = shell.executor.spawn(Shell::open(Rc::clone(&shell), sockets.clients));
         shell.acceptor.replace(Some(acceptor));
         shell
     }
@@ -222,10 +258,14 @@
         }
     }
 
+    /// Whether clients' requests can be served: the registry was heard, or waited for, and lists a worker.
+    fn able(&self) -> bool {
+        self.heard.get() && self.proxy.borrow().registry.lists_any()
+    }
+
     /// Whether clients should be sent here.
     pub fn ready(&self) -> bool {
-        let listed = || self.proxy.borrow().registry.serving().next().is_some();
-        self.heard.get() && !self.stopping.get() && listed()
+        self.able() && self.open.get() && !self.stopping.get()
     }
 
     /// Requests whose answer is owed.
@@ -243,11 +283,6 @@
         self.stopping.set(true);
     }
 
-    /// Takes no new connections.
-    pub fn stop_accepting(&self) {
-        self.acceptor.replace(None);
-    }
-
     /// Has every client connection closed once all that was taken on it is answered.
     pub fn retire_clients(&self) {
         for client in self.clients.borrow().values() {
--- /dev/null
+++ b/proxy/src/wire/driver/overlap.rs
@@ -0,0 +1,144 @@
+//! Two processes on one address: listening next to another, leaving in its favour, heeding one state.
+
+use super::{client, Shell};
+use crate::state::handover::{Handover, Other};
+use async_io::{Async, Timer};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
+/// How often the state is looked at, alone and next to another process.
+const LOOK: Duration = Duration::from_millis(100);
+const LOOK_CLOSELY: Duration = Duration::from_millis(10);
+/// How often a process that may not listen yet looks whether it may.
+const READY_YET: Duration = Duration::from_millis(5);
+/// Connections that are taken beyond the room for them when the listener is closed; for more it waits so long.
+const OVERDRAFT: usize = 12;
+const EMPTYING: Duration = Duration::from_millis(200);
+
+/// Takes the clients' address, next to another process of this proxy if there is one. It is not listened on yet.
+pub fn bind(address: SocketAddr) -> std::io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+impl Shell {
+    /// Listens and accepts until the task is dropped: at once if alone, else once clients can be served. From then on
+    /// the system hands this process its part of the new connections.
+    pub(super) async fn open(self: Rc<Self>, socket: Socket) {
+        while !self.able() && !self.others().is_empty() {
+            Timer::after(READY_YET).await;
+        }
+        let listener =
+            socket.listen(BACKLOG).and_then(|()| Async::new(TcpListener::from(socket))).map(Rc::new);
+        let listener = match listener {
+            Ok(listener) => listener,
+            Err(error) => return log::error!("acceptor: cannot listen: {error}"),
+        };
+        self.listener.replace(Some(Rc::clone(&listener)));
+        self.set_open(true);
+        client::accept(self, listener).await;
+    }
+
+    pub(super) fn set_open(&self, open: bool) {
+        self.open.set(open);
+        if let Some(handover) = self.handover.borrow_mut().as_mut() {
+            handover.set_open(open);
+        }
+    }
+
+    /// The other processes of this proxy that live.
+    pub(super) fn others(&self) -> Vec<Other> {
+        self.handover.borrow().as_ref().map(Handover::others).unwrap_or_default()
+    }
+
+    /// Whether another process takes clients in this one's stead.
+    pub fn has_successor(&self) -> bool {
+        self.others().iter().any(|other| other.open)
+    }
+
+    /// Carries out the state that is held, and tells the other process so; its version.
+    pub(super) fn heed(self: &Rc<Self>) -> u64 {
+        let Some(state) = self.handover.borrow().as_ref().map(|h| h.state.clone()) else { return 0 };
+        let out = state.out.into_iter().collect();
+        let back = state.back.into_iter().map(|b| (b.worker, b.at)).collect();
+        self.drive(|proxy, now| proxy.set_out(now, out, back));
+        if let Some(handover) = self.handover.borrow_mut().as_mut() {
+            handover.tell();
+        }
+        state.serial
+    }
+
+    /// Keeps up with the other process: what it takes out or puts back, and whether it lives.
+    pub(super) async fn run_overlap(self: Rc<Self>) {
+        let (mut processes, mut told) = (1 + self.others().len(), String::new());
+        loop {
+            Timer::after(if processes > 1 { LOOK_CLOSELY } else { LOOK }).await;
+            let refreshed = match self.handover.borrow_mut().as_mut() {
+                Some(handover) => handover.refresh(),
+                None => return,
+            };
+            match refreshed {
+                Ok(true) => {
+                    self.heed();
+                }
+                Ok(false) => {}
+                // Told once for as long as it lasts.
+                Err(why) if why == told => {}
+                Err(why) => {
+                    log::error!("handover: the state cannot be read, what is held stays: {why}");
+                    told = why;
+                }
+            }
+            let now = 1 + self.others().len();
+            if now != processes {
+                log::info!(processes = now; "handover: {now} processes, was {processes}");
+                processes = now;
+                self.share(processes);
+            }
+        }
+    }
+
+    /// Takes this process's part of the limits while so many live.
+    pub(super) fn share(&self, processes: usize) {
+        let room = self.limits.room(processes);
+        self.room.set(room);
+        self.client_budget.resize(room.clients);
+        self.delegated_budget.resize(room.delegated);
+        while self.delegated_budget.used() > room.delegated && self.pools.borrow_mut().evict() {}
+    }
+
+    /// Takes no new connections. Guards against connections that wait in the queue when the listener is closed: their
+    /// clients would find them reset, with a request on them that nobody has read.
+    pub async fn stop_accepting(self: &Rc<Self>) {
+        self.acceptor.replace(None);
+        let until = Instant::now() + EMPTYING;
+        let Some(listener) = self.listener.replace(None) else { return };
+        loop {
+            let room = self.client_budget.used() < self.client_budget.most() + OVERDRAFT;
+            if !room && Instant::now() < until {
+                self.retire_some(Some(0));
+                Timer::after(READY_YET).await;
+                continue;
+            }
+            match listener.get_ref().accept() {
+                Ok((stream, _)) => {
+                    if let Ok(io) = Async::new(stream) {
+                        client::admit(self, io, self.client_budget.overdraw());
+                    }
+                }
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                // Empty: closed before anything else is done.
+                Err(_) => break,
+            }
+        }
+        drop(listener);
+        self.set_open(false);
+    }
+}
--- a/proxy/src/wire/mod.rs
+++ b/proxy/src/wire/mod.rs
@@ -1,6 +1,7 @@
 //! What is spoken. Everything but [`driver`] is fed bytes and knows no socket.
 
 pub mod acceptor;
+pub mod admin;
 pub mod call;
 pub mod driver;
 pub mod http;
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -185,6 +185,8 @@
     pub idle_close: Micros,
     /// The longest deadline of any class.
     pub longest_deadline: Micros,
+    /// The time within which a started server is warm.
+    pub cold: Micros,
 }
 
 impl Network {
@@ -279,6 +281,7 @@
         Network {
             connect_timeout: micros(self.limits.connect_timeout),
             idle_close: micros(self.limits.idle_close),
+            cold: micros(self.obligations.cold),
             longest_deadline: self.grades.iter().map(|g| micros(g.deadline)).max().unwrap_or(0),
         }
     }
--- a/src/brain/look.rs
+++ b/src/brain/look.rs
@@ -1,6 +1,7 @@
 //! What a balancer holds, to look at: for checks and charts. Nothing is decided here.
 
 use super::Brain;
+use crate::interface::{ServerId, ServerState};
 
 /// What a balancer holds at one moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -41,6 +42,12 @@
         }
     }
 
+    /// The servers in the list that are passed over by choice, for what their own outcomes tell.
+    pub fn avoided(&self) -> impl Iterator<Item = ServerId> + '_ {
+        let listed = self.servers.iter().filter(|s| s.member.state != ServerState::Gone);
+        listed.filter(|s| s.health.ejected).map(|s| s.member.server)
+    }
+
     /// Requests held, and attempts that the windows count as out: what [`Brain::look`] says of these, in no time.
     pub fn load(&self) -> (usize, u64) {
         (self.held.len(), u64::from(self.window.out) + u64::from(self.pool.out))
