--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -173,11 +173,22 @@
     }
 }
 
+/// What a proxy's processes share: its folder for what outlives one of them, gone with the last of them.
+pub struct Folder(pub PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 /// The program, killed when it is dropped.
 pub struct Proxy {
     pub child: Child,
     pub listen: SocketAddr,
-    path: PathBuf,
+    /// Where operators call.
+    pub admin: SocketAddr,
+    pub folder: Arc<Folder>,
     log: Arc<Mutex<String>>,
     logging: Option<JoinHandle<()>>,
 }
@@ -186,11 +197,17 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.path);
-        let _ = std::fs::remove_file(self.path.with_extension("policy.toml"));
     }
 }
 
+/// An address of this process's own and a port below those that the system hands out: one that is asked for and given
+/// back could be taken by another test's connection.
+fn address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(10_000);
+    let [.., a, b] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, 77, a, b.clamp(1, 254)], NEXT.fetch_add(1, Ordering::Relaxed)))
+}
+
 fn config(
     registry: &Registry,
     listen: SocketAddr,
@@ -235,24 +252,69 @@
 
     /// The same with limits on descriptors and on memory, in MiB.
     pub fn within(registry: &Registry, lines: &[String], limits: (u32, u32), policy: Option<&str>) -> Proxy {
-        // An address of this process's own and a port below those that the system hands out: one that is
-        // asked for and given back could be taken by another test's connection.
-        static NEXT: AtomicU16 = AtomicU16::new(10_000);
-        let [.., a, b] = std::process::id().to_be_bytes();
-        let port = NEXT.fetch_add(1, Ordering::Relaxed);
-        let listen = SocketAddr::from(([127, 77, a, b.clamp(1, 254)], port));
-        let path =
-            std::env::temp_dir().join(format!("notchdoor-test-{}-{}", std::process::id(), listen.port()));
-        std::fs::write(&path, config(registry, listen, lines, limits)).unwrap();
-        let policy_path = path.with_extension("policy.toml");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_notchdoor"));
+        let listen = address();
+        let name = format!("notchdoor-test-{}-{}", std::process::id(), listen.port());
+        let folder = Arc::new(Folder(std::env::temp_dir().join(name)));
+        std::fs::create_dir_all(&folder.0).unwrap();
+        std::fs::write(folder.0.join("config"), config(registry, listen, lines, limits)).unwrap();
         if let Some(text) = policy {
-            std::fs::write(&policy_path, text).unwrap();
-            command.args(["serve", "--policy"]).arg(&policy_path);
+            std::fs::write(folder.0.join("policy.toml"), text).unwrap();
+        }
+        let proxy = Proxy::spawn(registry, listen, folder);
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Ok(stream) = TcpStream::connect(listen) {
+                if Client::new(stream).ask(&["PING"]) == Value::Simple(b"PONG".to_vec()) {
+                    break;
+                }
+            }
+            assert!(Instant::now() < until, "never ready");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        proxy
+    }
+
+    /// Starts a second process beside this one and waits until it says yes.
+    pub fn beside(&self, registry: &Registry) -> Proxy {
+        let second = Proxy::spawn(registry, self.listen, Arc::clone(&self.folder));
+        let until = Instant::now() + PATIENCE;
+        while second.call("GET", "/_ready", "").map(|(status, _)| status) != Some(200) {
+            assert!(Instant::now() < until, "never ready");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        second
+    }
+
+    /// An operator's call: the status and the body; `None` if there is no answer.
+    pub fn call(&self, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        let mut stream = TcpStream::connect(self.admin).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let length = body.len();
+        write!(stream, "{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{body}")
+            .ok()?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text).ok()?;
+        let (head, body) = text.split_once("\r\n\r\n")?;
+        Some((head.split(' ').nth(1)?.parse().ok()?, body.to_owned()))
+    }
+
+    /// The figures.
+    pub fn vars(&self) -> serde_json::Value {
+        serde_json::from_str(&self.call("GET", "/_vars", "").expect("figures").1).unwrap()
+    }
+
+    fn spawn(registry: &Registry, listen: SocketAddr, folder: Arc<Folder>) -> Proxy {
+        let admin = address();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_notchdoor"));
+        let policy = folder.0.join("policy.toml");
+        if policy.exists() {
+            command.args(["serve", "--policy"]).arg(&policy);
         }
         let mut child = command
-            .env("EDGE_CONFIG", &path)
+            .env("EDGE_CONFIG", folder.0.join("config"))
             .env("EDGE_DISCOVERY", registry.endpoint.to_string())
+            .env("EDGE_ADMIN_ADDR", admin.to_string())
+            .env("TMPDIR", &folder.0)
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -264,29 +326,18 @@
                 told.lock().unwrap().push_str(&(line + "\n"));
             }
         });
-        let proxy = Proxy { child, listen, path, log, logging: Some(logging) };
-        let until = Instant::now() + PATIENCE;
-        loop {
-            if let Ok(stream) = TcpStream::connect(listen) {
-                if Client::new(stream).ask(&["PING"]) == Value::Simple(b"PONG".to_vec()) {
-                    break;
-                }
-            }
-            assert!(Instant::now() < until, "never ready");
-            std::thread::sleep(Duration::from_millis(5));
-        }
-        proxy
+        Proxy { child, listen, admin, folder, log, logging: Some(logging) }
     }
 
     /// Puts another text in the policy file's place and sends SIGHUP.
     pub fn reload_policy(&self, text: &str) {
-        std::fs::write(self.path.with_extension("policy.toml"), text).unwrap();
+        std::fs::write(self.folder.0.join("policy.toml"), text).unwrap();
         self.signal("HUP");
     }
 
     /// Puts another text in the configuration's place and sends SIGHUP.
     pub fn reload(&self, text: &str) {
-        std::fs::write(&self.path, text).unwrap();
+        std::fs::write(self.folder.0.join("config"), text).unwrap();
         self.signal("HUP");
     }
 
@@ -381,6 +432,14 @@
         }
     }
 
+    /// Whether the other side has ended the connection.
+    pub fn closed(&self) -> bool {
+        self.stream.set_nonblocking(true).unwrap();
+        let ended = matches!(self.stream.peek(&mut [0]), Ok(0));
+        self.stream.set_nonblocking(false).unwrap();
+        ended
+    }
+
     pub fn ask(&mut self, words: &[&str]) -> Value {
         self.send(words);
         self.next().expect("an answer")
