--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -283,7 +283,7 @@
             "started" => {
                 let e: wire::Started = parse(line, m, batch)?;
                 return self.feed(&e.who, m, round, reply, |i| {
-                    Some(Event::Started { id: *i.numbers.get(&*e.ticket)?, attempt: e.attempt })
+                    Some(Event::Started { id: *i.numbers.get(&*e.ticket)?, attempt: e.attempt, took: None })
                 });
             }
             "timeoutFired" => {
--- a/lab/src/day/proxies.rs
+++ b/lab/src/day/proxies.rs
@@ -34,7 +34,7 @@
         Event::ListChange(members) => (11, members.len() as u64, 0),
         Event::ListError => (12, 0, 0),
         Event::Arrived(request) => (13, request.id, request.key.unwrap_or(0)),
-        Event::Started { id, attempt } => (14, *id, u64::from(*attempt)),
+        Event::Started { id, attempt, .. } => (14, *id, u64::from(*attempt)),
         Event::Ended { id, attempt, outcome, last, .. } => {
             (15, *id, u64::from(*attempt) << 8 | (*outcome as u64) << 1 | u64::from(*last))
         }
--- a/limits/src/layer.rs
+++ b/limits/src/layer.rs
@@ -645,11 +645,11 @@
                 self.forget(id);
             }
             Event::Timer(token) if token & OWN != 0 => self.timer(now, token, actions),
-            Event::Started { id, attempt } => {
+            Event::Started { id, attempt, took } => {
                 let number = |a: &Attempt| a.number == Some(attempt);
                 let n = self.held.get(&id).and_then(|h| h.attempts.iter().position(number));
                 let attempt = n.map_or(attempt, |n| n as u32);
-                self.pass(now, Event::Started { id, attempt }, actions);
+                self.pass(now, Event::Started { id, attempt, took }, actions);
             }
             Event::WholeList(members) => {
                 self.list(members, true);
--- a/proxy/src/ending.rs
+++ b/proxy/src/ending.rs
@@ -39,6 +39,8 @@
     ClientStalled,
     /// The client sent what is no command; its connection was closed after the answers it was owed.
     ClientMalformed,
+    /// An answer that was being passed on could not be ended; the connection was closed in the middle of it.
+    AnswerCut,
     /// The client sent no whole command in the time that it has for one.
     ClientSilent,
     /// An idle connection was closed to make room or to stop.
@@ -51,7 +53,7 @@
 
 impl Ending {
     /// All of them, in the order of the counters.
-    pub const ALL: [Ending; 21] = [
+    pub const ALL: [Ending; 22] = [
         Ending::Served,
         Ending::Missed,
         Ending::Errored,
@@ -69,6 +71,7 @@
         Ending::ClientLeft,
         Ending::ClientStalled,
         Ending::ClientMalformed,
+        Ending::AnswerCut,
         Ending::ClientSilent,
         Ending::ClosedIdle,
         Ending::RegistryBroken,
@@ -96,6 +99,7 @@
             Ending::ClientLeft
             | Ending::ClientStalled
             | Ending::ClientMalformed
+            | Ending::AnswerCut
             | Ending::ClientSilent
             | Ending::ClosedIdle
             | Ending::RegistryBroken
@@ -123,6 +127,7 @@
             Ending::ClientLeft => "client_left",
             Ending::ClientStalled => "client_stalled",
             Ending::ClientMalformed => "client_malformed",
+            Ending::AnswerCut => "answer_cut",
             Ending::ClientSilent => "client_silent",
             Ending::ClosedIdle => "closed_idle",
             Ending::RegistryBroken => "registry_broken",
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -31,6 +31,10 @@
     },
     /// Failed; nothing is promised about its effect.
     Failed,
+    /// The value has been passed on as it came, and all of it made sense.
+    PassedOn,
+    /// The value was being passed on and does not go on; the client has to be able to tell.
+    Cut,
 }
 
 /// A client's request, whatever protocol it came in.
@@ -100,6 +104,8 @@
     attempts: Vec<Attempt>,
     timers: Vec<TimerKey>,
     over: bool,
+    /// The attempt whose answer is being passed on, or is about to be.
+    passing: Option<u32>,
 }
 
 /// The module with what it needs round it.
@@ -214,6 +220,7 @@
             attempts: Vec::new(),
             timers: Vec::new(),
             over: false,
+            passing: None,
         };
         self.held.insert(id, held);
         self.feed(now, Event::Arrived(request));
@@ -232,6 +239,21 @@
         }
     }
 
+    /// A delegation brings a value that is passed on as it comes: from here on the answer is its. Where that goes;
+    /// `None` if nobody waits for it any more. The time is that from the command to its first byte, as
+    /// [`Brought::took`].
+    pub fn begun(&mut self, now: Micros, delegation: DelegationId, took: Option<Micros>) -> Option<Place> {
+        let &(id, attempt) = self.delegations.get(&delegation)?;
+        let held = self.held.get_mut(&id)?;
+        if held.over || held.passing.is_some() {
+            return None;
+        }
+        held.passing = Some(attempt);
+        let place = held.place;
+        self.feed(now, Event::Started { id, attempt, took });
+        Some(place)
+    }
+
     /// A delegation has ended.
     pub fn ended(&mut self, now: Micros, delegation: DelegationId, ending: Ending, reply: Brought) {
         // What was called off has ended already: its late answer is nobody's.
@@ -244,12 +266,22 @@
                 attempt.out = false;
                 waited = now.saturating_sub(attempt.sent);
             }
-            if outcome == Outcome::Ok && !held.over {
+            let passed = held.passing == Some(n);
+            if outcome == Outcome::Ok && !held.over && (passed || held.passing.is_none()) {
                 held.over = true;
                 self.places.remove(&held.place);
                 count(&mut self.counters, held.class, |c| &mut c.served);
-                let answer = Answer::Served(reply.value.unwrap_or_default());
+                let answer = match passed {
+                    true => Answer::PassedOn,
+                    false => Answer::Served(reply.value.unwrap_or_default()),
+                };
                 self.commands.push(Command::Answer(held.place, answer));
+            } else if passed && !held.over {
+                // Some of it is with the client: no other attempt can be joined to that.
+                held.over = true;
+                self.places.remove(&held.place);
+                count(&mut self.counters, held.class, |c| &mut c.failed);
+                self.commands.push(Command::Answer(held.place, Answer::Cut));
             }
             last = held.over;
         }
--- a/proxy/src/wire/acceptor.rs
+++ b/proxy/src/wire/acceptor.rs
@@ -28,6 +28,10 @@
     closing: bool,
     malformed: bool,
     silent: bool,
+    /// The oldest answer is being passed on as it comes.
+    passing: bool,
+    /// It could not be passed on to its end: what has come of it goes out, and the connection is closed.
+    cut: bool,
     /// Whole commands that have come.
     asked: u64,
 }
@@ -94,15 +98,71 @@
                 bytes.extend_from_slice(format!("-BUSY {}\r\n", retry_after.div_ceil(1000)).as_bytes());
             }
             Answer::Failed => bytes.extend_from_slice(b"-ERR failed\r\n"),
+            Answer::PassedOn => return self.end_passing(place),
+            Answer::Cut if self.passing && place == self.first => {
+                self.cut = true;
+                return self.close();
+            }
+            // Nothing of it has gone out yet.
+            Answer::Cut => bytes.extend_from_slice(b"-ERR failed\r\n"),
         }
         self.put(place, bytes);
     }
 
+    /// Whether this answer is the next one to go out.
+    pub fn is_next(&self, place: u64) -> bool {
+        place == self.first && matches!(self.owed.front(), Some(None))
+    }
+
+    /// Begins to pass an answer on: a value of so many bytes. It has to be the next one.
+    pub fn begin_passing(&mut self, length: usize) {
+        self.passing = true;
+        self.append(format!("${length}\r\n").as_bytes());
+    }
+
+    /// Passes on some of its bytes.
+    pub fn pass(&mut self, bytes: &[u8]) {
+        if self.passing && !self.cut {
+            self.append(bytes);
+        }
+    }
+
+    fn end_passing(&mut self, place: u64) {
+        if self.passing && place == self.first {
+            self.passing = false;
+            self.append(b"\r\n");
+            self.owed.pop_front();
+            self.first += 1;
+            self.advance();
+        }
+    }
+
+    /// Whether an answer is being passed on: no further command is taken meanwhile.
+    pub fn passing(&self) -> bool {
+        self.passing
+    }
+
+    /// Whether an answer was cut.
+    pub fn was_cut(&self) -> bool {
+        self.cut
+    }
+
+    fn append(&mut self, bytes: &[u8]) {
+        // What is written makes room before more is kept.
+        self.out.drain(..std::mem::take(&mut self.written));
+        self.out.extend_from_slice(bytes);
+    }
+
     fn put(&mut self, place: u64, bytes: Vec<u8>) {
         let slot = place.checked_sub(self.first).and_then(|i| self.owed.get_mut(i as usize));
         if let Some(slot @ None) = slot {
             *slot = Some(bytes);
         }
+        self.advance();
+    }
+
+    /// Has those answers written that no other is owed before.
+    fn advance(&mut self) {
         while let Some(Some(bytes)) = self.owed.front_mut() {
             if self.written == self.out.len() {
                 (self.out, self.written) = (std::mem::take(bytes), 0);
@@ -194,7 +254,7 @@
 
     /// Whether all that was taken is answered and nothing more will be read.
     pub fn finished(&self) -> bool {
-        self.closing && !self.busy()
+        self.closing && (!self.busy() || self.cut && self.output().is_empty())
     }
 
     /// Whether anything may still be read.
@@ -243,6 +303,43 @@
         }
     }
 
+    #[test]
+    fn an_answer_that_is_passed_on_ends_whole_or_visibly_cut() {
+        let begin = || {
+            let mut session = Session::default();
+            let mut bytes = Vec::new();
+            write_command(&mut bytes, GET);
+            write_command(&mut bytes, GET);
+            assert_eq!(asks(&mut session, &bytes), 2);
+            assert!(session.is_next(0) && !session.is_next(1));
+            session.begin_passing(5);
+            session.pass(b"ab");
+            session.wrote(4);
+            session.pass(b"cd");
+            session
+        };
+        let mut whole = begin();
+        // The one behind it waits, whatever becomes of it.
+        whole.answer(1, Answer::Failed);
+        whole.pass(b"e");
+        assert_eq!((whole.output(), whole.passing()), (b"abcde".as_slice(), true));
+        whole.answer(0, Answer::PassedOn);
+        assert_eq!((whole.output(), whole.passing()), (b"abcde\r\n-ERR failed\r\n".as_slice(), false));
+        let mut cut = begin();
+        cut.answer(0, Answer::Cut);
+        cut.pass(b"e");
+        assert_eq!((cut.output(), cut.finished()), (b"abcd".as_slice(), false), "what came goes out");
+        cut.wrote(4);
+        assert!(cut.finished() && cut.was_cut() && cut.owed_places() == [0, 1]);
+        // One that has not begun is told as any other.
+        let mut early = Session::default();
+        let mut bytes = Vec::new();
+        write_command(&mut bytes, GET);
+        assert_eq!(asks(&mut early, &bytes), 1);
+        early.answer(0, Answer::Cut);
+        assert_eq!((early.output(), early.was_cut()), (b"-ERR failed\r\n".as_slice(), false));
+    }
+
     #[test]
     fn what_is_crowded_out_is_told_and_keeps_no_room() {
         let mut session = Session::default();
--- a/proxy/src/wire/driver/client.rs
+++ b/proxy/src/wire/driver/client.rs
@@ -9,6 +9,7 @@
 use crate::wire::MAX_VALUE;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
+use event_listener::Event;
 use futures_lite::future;
 use notchdoor::Micros;
 use std::cell::{Cell, RefCell};
@@ -17,6 +18,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// Bytes of an answer that is passed on that may wait for its client before no more of it is read.
+const MOST_PASSING: usize = MAX_VALUE / 2;
 /// Answers that one connection may be owed before no more of it is read.
 const MOST_OWED: usize = 64;
 /// Bytes of answers that may wait on one connection before no more of it is read. Guards against a client
@@ -67,6 +70,8 @@
     used: Cell<Micros>,
     /// Since when half a command is there; 0 while there is none.
     half_since: Cell<Micros>,
+    /// Tells those who pass an answer on that there is room for more of it, or that the connection is over.
+    room: Rc<Event>,
     /// Bytes of answers that wait on any connection, and this one's part of them.
     unsent: Rc<Cell<usize>>,
     counted: Cell<usize>,
@@ -92,6 +97,12 @@
         self.flush(now);
     }
 
+    /// Whether an answer may be passed on now: it is the next one, and little of what went before waits.
+    fn passes(&self, place: u64) -> bool {
+        let session = self.session.borrow();
+        session.is_next(place) && session.output().len() < MOST_PASSING
+    }
+
     /// Has the connection closed once nothing is owed on it.
     pub fn retire(&self) {
         self.retiring.set(true);
@@ -135,7 +146,11 @@
             }
             break;
         }
+        let room = session.output().len() < MOST_PASSING;
         drop(session);
+        if room {
+            self.room.notify(usize::MAX);
+        }
         self.recount();
         if self.over().is_some() || !self.session.borrow().output().is_empty() {
             self.wake();
@@ -157,6 +172,7 @@
             Some(Ending::ClientStalled)
         } else if session.finished() {
             Some(match session.malformed() {
+                _ if session.was_cut() => Ending::AnswerCut,
                 true => Ending::ClientMalformed,
                 false if session.silent() => Ending::ClientSilent,
                 false => Ending::ClosedIdle,
@@ -184,6 +200,7 @@
         retiring: Cell::new(false),
         used: Cell::new(shell.clock.now()),
         half_since: Cell::new(0),
+        room: Rc::default(),
         unsent: Rc::clone(&shell.unsent),
         counted: Cell::new(0),
         half_read: Rc::clone(&shell.half_read),
@@ -194,6 +211,36 @@
     shell.spawn(serve(Rc::clone(shell), id, client, ticket));
 }
 
+impl Shell {
+    /// Waits until an answer may be passed on to its client. False if nobody waits for it any more.
+    pub(super) async fn may_pass(&self, (id, place): (u64, u64)) -> bool {
+        loop {
+            let Some(client) = self.clients.borrow().get(&id).map(Rc::clone) else { return false };
+            if client.session.borrow().was_cut() {
+                return false;
+            }
+            if client.passes(place) {
+                return true;
+            }
+            // Only the event is held on to: the connection may end meanwhile.
+            let room = Rc::clone(&client.room);
+            drop(client);
+            room.listen().await;
+        }
+    }
+
+    /// Does something with the session of a client and writes what comes of it.
+    pub(super) fn pass(&self, (id, _): (u64, u64), what: impl FnOnce(&mut Session)) {
+        let client = self.clients.borrow().get(&id).map(Rc::clone);
+        if let Some(client) = client {
+            let now = self.clock.now();
+            client.used.set(now);
+            what(&mut client.session.borrow_mut());
+            client.flush(now);
+        }
+    }
+}
+
 /// Accepts connections until the task is dropped.
 pub async fn accept(shell: Rc<Shell>, listener: Rc<Async<TcpListener>>) {
     // Since when room is short. Guards against a crowd of which each has to wait as the first one did.
@@ -330,6 +377,7 @@
         linger(&shell, &client).await;
     }
     shell.clients.borrow_mut().remove(&id);
+    client.room.notify(usize::MAX);
     shell.count_ending(ending);
     let places = client.session.borrow().owed_places();
     for place in places {
@@ -401,6 +449,10 @@
     let mut read_at = shell.clock.now();
     loop {
         loop {
+            // Guards against requests that a cut would take along: they are left unread until the answer is whole.
+            while client.session.borrow().passing() {
+                client.room.listen().await;
+            }
             let Some(ask) = client.session.borrow_mut().next_ask() else { break };
             // Guards against a whole command that is closed on, or told to have taken too long, while it waits for
             // room: it is owed an answer from here on.
--- a/proxy/src/wire/driver/delegation.rs
+++ b/proxy/src/wire/driver/delegation.rs
@@ -5,7 +5,7 @@
 use crate::proxy::{Brought, DelegationId};
 use crate::state::pool::Ticket;
 use crate::wire::call::Call;
-use crate::wire::worker::{self, Reply};
+use crate::wire::worker::{self, Piece, Reply};
 use crate::wire::{origin, MAX_VALUE};
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -19,6 +19,8 @@
 /// A reply that has begun comes on without such a pause. Guards against lengths that promise more than will
 /// ever come: the request would wait for it until its client gives up.
 const STALLED: Duration = Duration::from_millis(100);
+/// And one that is passed on without such a one: its client has part of it, and nothing can be asked again.
+const STALLED_PASSING: Duration = Duration::from_secs(3);
 /// A connection rests so long after a reply before it takes another command. Guards against what comes right
 /// behind a reply, such as a second copy of it: read too early it would be taken for the next one's.
 const REST: Micros = 2_000;
@@ -70,7 +72,7 @@
 }
 
 impl Decoder {
-    fn feed(&mut self, bytes: &[u8]) -> Option<Reply> {
+    fn feed(&mut self, bytes: &[u8]) -> Vec<Piece> {
         match self {
             Decoder::Worker(decoder) => decoder.feed(bytes),
             Decoder::Origin(decoder) => decoder.feed(bytes),
@@ -102,6 +104,31 @@
     first: Micros,
 }
 
+impl Trace {
+    /// From the command to the first byte of its answer, where a new connection's handshake is not in it.
+    fn took(&self) -> Option<Micros> {
+        self.first.checked_sub(self.written).filter(|_| !self.new)
+    }
+}
+
+/// How far a delegation has come.
+#[derive(Clone, Copy)]
+struct Stage<'a> {
+    delegation: DelegationId,
+    /// The command's last byte was written.
+    sent: &'a Cell<bool>,
+    /// Its answer is being passed on.
+    passing: &'a Cell<bool>,
+}
+
+/// Where an answer is passed on to, once more of it may be; `None` when its client has gone.
+async fn still(shell: &Shell, client: Option<(u64, u64)>) -> Option<(u64, u64)> {
+    match client {
+        Some(place) if shell.may_pass(place).await => Some(place),
+        _ => None,
+    }
+}
+
 /// Runs one delegation and tells the proxy how it ended.
 pub async fn run(
     shell: Rc<Shell>,
@@ -114,11 +141,17 @@
     let sent = Cell::new(false);
     let begun = shell.clock.now();
     let mut trace = Trace::default();
+    // Once its answer is passed on, no time ends it any more.
+    let passing = Cell::new(false);
     let given_up = async {
         Timer::at(shell.clock.instant(give_up_at)).await;
+        if passing.get() {
+            future::pending::<()>().await;
+        }
         Reply::bare(if sent.get() { Ending::TimedOutSent } else { Ending::TimedOutUnsent })
     };
-    let reply = future::or(attempt(&shell, server, &call, give_up_at, &sent, &mut trace), given_up).await;
+    let stage = Stage { delegation, sent: &sent, passing: &passing };
+    let reply = future::or(attempt(&shell, server, &call, give_up_at, stage, &mut trace), given_up).await;
     log::debug!(
         delegation, server, ending = reply.ending.name();
         "delegation {delegation} to {server}: {}, {} us, of these {} for a connection, {} to the first byte, new={}",
@@ -131,8 +164,7 @@
     if let Some(task) = shell.delegations.borrow_mut().remove(&delegation) {
         task.detach();
     }
-    let brought =
-        Brought { value: reply.value, took: trace.first.checked_sub(trace.written).filter(|_| !trace.new) };
+    let brought = Brought { value: reply.value, took: trace.took() };
     shell.drive(|proxy, now| proxy.ended(now, delegation, reply.ending, brought));
 }
 
@@ -141,7 +173,7 @@
     server: ServerId,
     call: &Call,
     give_up_at: Micros,
-    sent: &Cell<bool>,
+    stage: Stage<'_>,
     trace: &mut Trace,
 ) -> Reply {
     let Some((endpoint, is_origin)) =
@@ -165,7 +197,7 @@
         let wait = give_up_at.saturating_sub(shell.clock.now());
         (worker::encode(call, wait), Decoder::Worker(worker::Decoder::default()))
     };
-    if let Err(ending) = write(&connection, &bytes, sent).await {
+    if let Err(ending) = write(&connection, &bytes, stage.sent).await {
         return Reply::bare(ending);
     }
     if !is_origin {
@@ -173,7 +205,7 @@
     }
     drop(bytes);
     trace.written = shell.clock.now();
-    let reply = read(shell, &connection, &mut decoder, trace).await;
+    let reply = read(shell, &connection, &mut decoder, stage, trace).await;
     if reply.reusable {
         let now = shell.clock.now();
         shell.pools.borrow_mut().put(now, server, generation, connection);
@@ -251,9 +283,17 @@
     Ok(())
 }
 
-async fn read(shell: &Shell, connection: &Connection, decoder: &mut Decoder, trace: &mut Trace) -> Reply {
+async fn read(
+    shell: &Rc<Shell>,
+    connection: &Connection,
+    decoder: &mut Decoder,
+    stage: Stage<'_>,
+    trace: &mut Trace,
+) -> Reply {
     let mut buffer = vec![0; MAX_VALUE / 4];
     let (mut got, mut large) = (0, Large { shell, bytes: 0 });
+    // Where the answer is passed on to, once it is and while its client is there.
+    let mut client = None;
     loop {
         match connection.io.get_ref().read(&mut buffer) {
             Ok(0) => return decoder.closed(),
@@ -262,17 +302,36 @@
                     trace.first = shell.clock.now();
                 }
                 got += n;
-                if !large.grown(got) {
+                if !stage.passing.get() && !large.grown(got) {
                     return Reply::bare(Ending::NoRoom);
                 }
-                if let Some(reply) = decoder.feed(buffer.get(..n).unwrap_or_default()) {
-                    return reply;
+                for piece in decoder.feed(buffer.get(..n).unwrap_or_default()) {
+                    match piece {
+                        Piece::Begun(length) => {
+                            stage.passing.set(true);
+                            let (delegation, took) = (stage.delegation, trace.took());
+                            client = shell.drive(|proxy, now| proxy.begun(now, delegation, took));
+                            client = still(shell, client).await;
+                            if let Some(place) = client {
+                                shell.pass(place, |session| session.begin_passing(length));
+                            }
+                        }
+                        Piece::Data(data) => {
+                            if let Some(place) = client {
+                                shell.pass(place, |session| session.pass(&data));
+                            }
+                        }
+                        Piece::Over(reply) => return reply,
+                    }
                 }
+                // No more is read than its client takes; one that has gone holds nothing up.
+                client = still(shell, client).await;
             }
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
                 let stalled = async {
                     match decoder.begun() {
+                        _ if stage.passing.get() => Timer::after(STALLED_PASSING).await,
                         true => Timer::after(STALLED).await,
                         false => future::pending().await,
                     };
--- a/proxy/src/wire/mod.rs
+++ b/proxy/src/wire/mod.rs
@@ -12,6 +12,8 @@
 
 /// The largest value that a client may store, and what one is reckoned at where room is shared out.
 pub const MAX_VALUE: usize = 64 * 1024;
-/// The largest value that is taken for an answer. Values of some hundred KiB have been seen, though what is
-/// stored today is no larger than [`MAX_VALUE`]; what claims to be larger than this is no value.
-pub const MAX_ANSWER: usize = 1024 * 1024;
+/// The largest value there is; what claims to be larger is none. What is larger than [`MAX_VALUE`] is passed on as it
+/// comes.
+pub const MAX_LARGE: usize = 4 * 1024 * 1024;
+/// The most of an answer that is kept whole where nothing tells its length beforehand.
+pub const MAX_UNTOLD: usize = 1024 * 1024;
--- a/proxy/src/wire/resp.rs
+++ b/proxy/src/wire/resp.rs
@@ -30,6 +30,22 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Malformed(pub &'static str);
 
+/// How an array begins, for what is too large to be kept.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Head {
+    /// Too little has come to tell.
+    Unknown,
+    /// It does not begin with that many items of which the first is a string.
+    Other,
+    /// Its first string has this length and begins so many bytes on.
+    Bulk {
+        /// The string's length.
+        length: usize,
+        /// Where it begins.
+        at: usize,
+    },
+}
+
 /// Takes bytes as they come and gives values once they are whole.
 pub struct Reader {
     /// The longest string.
@@ -145,6 +161,65 @@
         self.buffer.len() - self.read
     }
 
+    /// How the next value begins: whether it is an array of one of these lengths whose first item is a string.
+    pub fn head(&self, items: &[usize]) -> Result<Head, Malformed> {
+        let bytes = self.buffer.get(self.read..).unwrap_or_default();
+        let mut cursor = Cursor { most: usize::MAX, bytes, at: 0 };
+        let mut told = || -> Result<Head, Stop> {
+            if bytes.first().is_some_and(|&b| b != b'*') {
+                return Ok(Head::Other);
+            }
+            let line = cursor.line()?;
+            let count = Cursor::length(line.get(1..).unwrap_or_default(), MAX_ITEMS)?;
+            if !count.is_some_and(|n| items.contains(&n)) {
+                return Ok(Head::Other);
+            }
+            if bytes.get(cursor.at).is_some_and(|&b| b != b'$') {
+                return Ok(Head::Other);
+            }
+            let line = cursor.line()?;
+            let length = Cursor::length(line.get(1..).unwrap_or_default(), usize::MAX)?;
+            Ok(length.map_or(Head::Other, |length| Head::Bulk { length, at: cursor.at }))
+        };
+        match told() {
+            Ok(head) => Ok(head),
+            Err(Stop::More(_)) => Ok(Head::Unknown),
+            Err(Stop::Malformed(malformed)) => Err(malformed),
+        }
+    }
+
+    /// Passes over so many bytes.
+    pub fn skip(&mut self, n: usize) {
+        self.read = (self.read + n).min(self.buffer.len());
+    }
+
+    /// Takes so many bytes, or as many as there are.
+    pub fn take(&mut self, n: usize) -> Vec<u8> {
+        let bytes = self.buffer.get(self.read..).unwrap_or_default();
+        let taken = bytes.get(..n.min(bytes.len())).unwrap_or_default().to_vec();
+        self.skip(taken.len());
+        taken
+    }
+
+    /// The end of a string and so many values behind it; `None` while they are not whole.
+    pub fn after_bulk(&mut self, values: usize) -> Result<Option<Vec<Value>>, Malformed> {
+        let bytes = self.buffer.get(self.read..).unwrap_or_default();
+        if !b"\r\n".starts_with(bytes.get(..bytes.len().min(2)).unwrap_or_default()) {
+            return Err(Malformed("string does not end in CR LF"));
+        }
+        let mut cursor = Cursor { most: self.most, bytes, at: 2.min(bytes.len()) };
+        match (0..values).map(|_| cursor.value(1)).collect::<Result<Vec<Value>, Stop>>() {
+            Ok(values) => {
+                let at = cursor.at;
+                self.skip(at);
+                Ok(Some(values))
+            }
+            Err(Stop::More(_)) if bytes.len() <= self.most + MAX_AROUND => Ok(None),
+            Err(Stop::More(_)) => Err(Malformed("message too large")),
+            Err(Stop::Malformed(malformed)) => Err(malformed),
+        }
+    }
+
     /// The next whole value, `None` while there is none.
     pub fn next_value(&mut self) -> Result<Option<Value>, Malformed> {
         let bytes = self.buffer.get(self.read..).unwrap_or_default();
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -367,6 +367,8 @@
     full: bool,
     /// The server may be asked again for this request.
     again: bool,
+    /// Its answer is being passed on.
+    passed: bool,
     /// The flight that a read's fetch leads.
     flight: Option<(Key, usize)>,
 }
@@ -482,7 +484,7 @@
             Event::ListChange(members) => self.list(now, members, false, actions),
             Event::ListError => self.ask_later(actions),
             Event::Arrived(request) => self.arrived(now, request, actions),
-            Event::Started { id, attempt } => self.started(id, attempt, actions),
+            Event::Started { id, attempt, took } => self.started(now, id, (attempt, took), actions),
             Event::Ended { id, attempt, outcome, took, last, .. } => {
                 self.ended(now, id, attempt as usize, (outcome, took), last, actions);
             }
@@ -936,6 +938,7 @@
             fetch,
             full: false,
             again: false,
+            passed: false,
             flight: None,
         };
         self.held.get_mut(&id).expect("looked up above").attempts.push(attempt);
@@ -1056,16 +1059,29 @@
         }
     }
 
-    fn started(&mut self, id: RequestId, attempt: u32, actions: &mut Vec<Action>) {
-        let Some(held) = self.held.get_mut(&id) else {
-            return;
-        };
+    /// A value begins to be passed on: what follows is the network's and the client's time, and holds no room.
+    fn started(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        (n, took): (u32, Option<Micros>),
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(held) = self.held.get_mut(&id) else { return };
         held.streaming = true;
-        for (n, other) in held.attempts.iter().enumerate() {
-            if n as u32 != attempt && other.state == AttemptState::Out && self.settings.may_cancel {
-                actions.push(Action::Cancel { id, attempt: n as u32 });
+        for (other, attempt) in held.attempts.iter().enumerate() {
+            if other as u32 != n && attempt.state == AttemptState::Out && self.settings.may_cancel {
+                actions.push(Action::Cancel { id, attempt: other as u32 });
             }
         }
+        let out = |a: &&mut Attempt| a.state == AttemptState::Out && !a.passed;
+        let Some(attempt) = held.attempts.get_mut(n as usize).filter(out) else { return };
+        attempt.passed = true;
+        let (what, flight) = ((attempt.server, attempt.fetch, attempt.sent), attempt.flight.take());
+        self.learn_from(now, what, Outcome::Ok, took);
+        if let Some(flight) = flight {
+            self.land(now, flight, true, actions);
+        }
     }
 
     /// A read that its cache has not answered for long. Guards against a server that takes work and never
@@ -1108,12 +1124,48 @@
         attempt.again = matches!(outcome, Outcome::Spoilt | Outcome::Reset) && !attempt.fetch;
         attempt.state = if outcome.never_ran() { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
         let (i, sent, fetch, flight) = (attempt.server, attempt.sent, attempt.fetch, attempt.flight);
+        let passed = attempt.passed;
         let was_over = held.over;
         held.over |= last;
         if outcome == Outcome::Miss && !fetch {
             held.missed = Some(i);
         }
         self.servers[i].out = self.servers[i].out.saturating_sub(1);
+        if !passed {
+            self.learn_from(now, (i, fetch, sent), outcome, took);
+        }
+        if last && !was_over {
+            self.close(id, actions);
+        }
+        let held = &self.held[&id];
+        if !held.over && outcome != Outcome::Ok {
+            let out = held.attempts.iter().any(|a| a.state == AttemptState::Out);
+            let fetching = held.attempts.iter().any(|a| a.state == AttemptState::Out && a.fetch);
+            if fetch {
+                self.fetch_failed(now, id, outcome, actions);
+            } else if outcome == Outcome::Miss && !fetching {
+                self.fetch(now, id, actions);
+            } else if !out {
+                self.read(now, id, false, actions);
+            }
+        }
+        self.forget(id);
+        let goes_on = |a: &Attempt| a.state == AttemptState::Out && a.flight.is_some();
+        let refetched = self.held.get(&id).is_some_and(|h| h.attempts.iter().any(goes_on));
+        if let Some(flight) = flight.filter(|_| !refetched) {
+            // What was spoilt on its way here has been stored all the same.
+            self.land(now, flight, matches!(outcome, Outcome::Ok | Outcome::Spoilt), actions);
+        }
+    }
+
+    /// What an attempt's end, or the beginning of a value that is passed on, tells of its server and of the windows.
+    fn learn_from(
+        &mut self,
+        now: Micros,
+        (i, fetch, sent): (usize, bool, Micros),
+        outcome: Outcome,
+        took: Option<Micros>,
+    ) {
         let breach = matches!(
             outcome,
             Outcome::Error | Outcome::Full | Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset
@@ -1147,28 +1199,6 @@
                 self.observe(now, i, outcome, took.map(|t| t as f64));
             }
         }
-        if last && !was_over {
-            self.close(id, actions);
-        }
-        let held = &self.held[&id];
-        if !held.over && outcome != Outcome::Ok {
-            let out = held.attempts.iter().any(|a| a.state == AttemptState::Out);
-            let fetching = held.attempts.iter().any(|a| a.state == AttemptState::Out && a.fetch);
-            if fetch {
-                self.fetch_failed(now, id, outcome, actions);
-            } else if outcome == Outcome::Miss && !fetching {
-                self.fetch(now, id, actions);
-            } else if !out {
-                self.read(now, id, false, actions);
-            }
-        }
-        self.forget(id);
-        let goes_on = |a: &Attempt| a.state == AttemptState::Out && a.flight.is_some();
-        let refetched = self.held.get(&id).is_some_and(|h| h.attempts.iter().any(goes_on));
-        if let Some(flight) = flight.filter(|_| !refetched) {
-            // What was spoilt on its way here has been stored all the same.
-            self.land(now, flight, matches!(outcome, Outcome::Ok | Outcome::Spoilt), actions);
-        }
     }
 
     /// A fetch or a write has ended without a value. One whose answer was spoilt on its way has been carried
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -217,6 +217,8 @@
         id: RequestId,
         /// Its attempt, counted from 0 in the order of sending.
         attempt: u32,
+        /// How long the server took until then; `None` where nothing tells, as in [`Event::Ended`].
+        took: Option<Micros>,
     },
     /// An attempt has ended. Each [`Action::Send`] owes exactly one.
     Ended {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -752,3 +752,32 @@
     // Ten a second, and one for each that was passed over.
     assert!(look.passes <= 30 + 2 * 60, "{look:?}");
 }
+
+/// Large values: a slow reader held the origin's slot and the reads that waited for the fetch.
+#[test]
+fn a_value_that_is_passed_on_holds_no_room_and_nobody_up() {
+    let mut brain = brain(settings(), &members(6));
+    let home = sent(&arrive(&mut brain, START, read(1, 5, START)));
+    arrive(&mut brain, START, read(2, 5, START));
+    for id in [1, 2] {
+        end(&mut brain, START + MS, id, 0, Outcome::Miss, MS);
+    }
+    assert_eq!(brain.look().out, 1, "one fetch for both");
+    let now = START + 50 * MS;
+    let started = handle(&mut brain, now, Event::Started { id: 1, attempt: 1, took: Some(49 * MS) });
+    assert_eq!(sent(&started), home, "the one that waited finds it in the cache");
+    let room = |brain: &mut Brain, id: RequestId| {
+        let fits = (id..).take_while(|&id| {
+            let request = Request { write: true, class: Some(3), ..read(id, id, now) };
+            !sent(&arrive(brain, now, request)).is_empty()
+        });
+        fits.count()
+    };
+    let mut other = self::brain(settings(), &members(6));
+    assert_eq!(room(&mut brain, 100), room(&mut other, 100), "its slot is free");
+    // It ends long after the request's time, told once and with nothing done anew.
+    let late = now + 20 * S;
+    assert_eq!(handle(&mut brain, late, Event::Timer(1 << 2 | 1)), []);
+    let failed = Event::Ended { id: 1, attempt: 1, outcome: Outcome::Reset, took: None, last: true };
+    assert_eq!(handle(&mut brain, late, failed), []);
+}
