--- a/proxy/src/wire/driver/delegation.rs
+++ b/proxy/src/wire/driver/delegation.rs
@@ -200,9 +200,7 @@
     if let Err(ending) = write(&connection, &bytes, stage.sent).await {
         return Reply::bare(ending);
     }
-    if !is_origin {
-        shell.proxy.borrow_mut().counters.attempts += 1;
-    }
+    shell.proxy.borrow_mut().counters.attempts += 1;
     drop(bytes);
     trace.written = shell.clock.now();
     let reply = read(shell, &connection, &mut decoder, stage, trace).await;
