A cache that answers newer attempts is not passed over for one silent connection

Ruled out: the windows (a single time-out is taken for lone there), clients that leave (cancelled, tell nothing). At fault: brain.rs observe() took the 2 s of one unanswered read for the cache's latency, over three times the median at once; its keys moved, and their misses filled the origin's window.

The test fails with the line switched off.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -319,6 +319,8 @@
     latency: f64,
     samples: u32,
     failing: f64,
+    /// When the newest attempt was sent that it has answered.
+    newest: Micros,
     ejected: bool,
     good_trials: u32,
     trial_pause: Micros,
@@ -1091,7 +1093,7 @@
         let Some(held) = self.held.get_mut(&id).filter(|h| !h.over && !h.streaming) else { return };
         let unheard = |a: &&Attempt| a.state == AttemptState::Out && !a.fetch;
         let Some(attempt) = held.attempts.iter().find(unheard) else { return };
-        if !granted {
+        if !granted && self.servers[attempt.server].health.newest <= attempt.sent {
             self.servers[attempt.server].health.answered((now - attempt.sent) as f64);
         }
         let class = held.request.class.and_then(|c| self.settings.classes.get(c as usize));
@@ -1195,7 +1197,14 @@
             self.pool.complete(now, sent, if breach.is_some() { late } else { delay }, None, timed);
             // Misses tell nothing of what warm caches bear: an empty cold one would draw more, the more it lacks.
             self.answers += u32::from(outcome == Outcome::Ok);
-            if told {
+            let health = &mut self.servers[i].health;
+            if answered {
+                health.newest = health.newest.max(sent);
+            }
+            // Guards against a cache that is passed over for one connection that fell silent: where it has answered
+            // what was sent later, the server is well.
+            let silent = outcome == Outcome::Timeout && health.newest > sent;
+            if told && !silent {
                 self.observe(now, i, outcome, took.map(|t| t as f64));
             }
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -781,3 +781,39 @@
     let failed = Event::Ended { id: 1, attempt: 1, outcome: Outcome::Reset, took: None, last: true };
     assert_eq!(handle(&mut brain, late, failed), []);
 }
+
+/// Silent connections: one read that nobody answered had its whole cache passed over, and its keys went to the origin.
+#[test]
+fn one_silent_connection_tells_nothing_against_a_cache_that_answers_what_came_later() {
+    for answers in [true, false] {
+        let mut brain = brain(settings(), &members(6));
+        for (id, key) in (900..).zip([0, 1, 3, 4].into_iter().flat_map(|other| keys_at(other, 3))) {
+            arrive(&mut brain, START, read(id, key, START));
+            end(&mut brain, START + 30 * MS, id, 0, Outcome::Ok, 30 * MS);
+        }
+        let mut keys = keys_at(2, 30).into_iter();
+        let mut asked = |brain: &mut Brain, id: RequestId, now: Micros| {
+            let key = keys.next().expect("thirty keys");
+            let to = sent(&arrive(brain, now, read(id, key, now)));
+            assert!(!answers || to == [2], "{id}: {to:?}");
+        };
+        for id in 1..15 {
+            asked(&mut brain, id, START + id * 50 * MS);
+            end(&mut brain, START + id * 50 * MS + 30 * MS, id, 0, Outcome::Ok, 30 * MS);
+        }
+        let silent = START + S;
+        for id in 100..110 {
+            let now = silent + (id - 100) * 50 * MS;
+            asked(&mut brain, id, now);
+            // The first one is never answered, and its silence is noticed while it lasts.
+            if answers && id > 100 {
+                end(&mut brain, now + 30 * MS, id, 0, Outcome::Ok, 30 * MS);
+            }
+            handle(&mut brain, now + 40 * MS, Event::Timer(100 << 2));
+        }
+        for id in 100..110 {
+            end(&mut brain, silent + 2 * S + id * MS, id, 0, Outcome::Timeout, 2 * S);
+        }
+        assert_eq!(brain.avoided().next().is_none(), answers, "answers: {answers}");
+    }
+}
