Large writes pass through to the origin in pieces; a head may take 2 s

Seen: a SET over 64 KiB ended its connection with 'too large' (wire/resp.rs). Now wire/upload.rs passes it on with 64 KiB of back-pressure, once 64 KiB have come; the client's time runs from its last byte, the answer goes out behind it, the rest of one that is not taken is skipped, and one that is not finished never runs. A command has 2.3 s, swept each 0.25 s, for heads that take 2 s within the close of 3 s.

Found by the tests: the time from our last write to the origin's answer holds what is still in the sockets of a slow transfer; it cut W until no write was taken in 50 tries. It teaches nothing now.

--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -27,6 +27,11 @@
 }
 
 impl Peer {
+    /// One that somebody else plays, at this address.
+    pub fn at(endpoint: SocketAddr) -> Peer {
+        Peer { endpoint, seen: Arc::default() }
+    }
+
     /// Every request so far.
     pub fn seen(&self) -> Vec<Vec<String>> {
         self.seen.lock().unwrap().clone()
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -65,6 +65,9 @@
     /// From the command to the first byte of its answer; `None` on a new connection, whose first command pays
     /// for the handshake.
     pub took: Option<Micros>,
+    /// How long it was waited for, where that is not since the delegation began: a value that passes through takes its
+    /// client's time before anything can be waited for.
+    pub waited: Option<Micros>,
 }
 
 /// What the driver has to do, in this order.
@@ -264,7 +267,7 @@
         if let Some(held) = self.held.get_mut(&id) {
             if let Some(attempt) = held.attempts.get_mut(n as usize) {
                 attempt.out = false;
-                waited = now.saturating_sub(attempt.sent);
+                waited = reply.waited.unwrap_or(now.saturating_sub(attempt.sent));
             }
             let passed = held.passing == Some(n);
             if outcome == Outcome::Ok && !held.over && (passed || held.passing.is_none()) {
--- a/proxy/src/state/counters.rs
+++ b/proxy/src/state/counters.rs
@@ -23,7 +23,7 @@
     pub rejected: u64,
     /// Delegations begun.
     pub sent: u64,
-    /// Delegations whose command was written whole to a worker; the origin is none.
+    /// Delegations whose command was written whole, to a worker or to the origin.
     pub attempts: u64,
     /// How requests ended, by class in the order of the settings.
     pub classes: Vec<ByClass>,
--- a/proxy/src/state/figures.rs
+++ b/proxy/src/state/figures.rs
@@ -12,7 +12,7 @@
     pub refused: BTreeMap<&'a str, u64>,
     /// Requests answered with an error, by class.
     pub failed: BTreeMap<&'a str, u64>,
-    /// Delegations whose command was written whole to a worker.
+    /// Delegations whose command was written whole, to a worker or to the origin.
     pub attempts: u64,
     /// Requests taken and not ended yet.
     pub in_flight: usize,
--- a/proxy/src/wire/acceptor.rs
+++ b/proxy/src/wire/acceptor.rs
@@ -1,9 +1,12 @@
 //! The client's side of a connection: commands in, answers out in the order of the commands.
 
 use super::call::{self, Call, Command};
-use super::resp::{write_bulk, Reader};
+use super::resp::{write_bulk, Malformed, Reader, Value};
+use super::upload::Upload;
+use super::{MAX_LARGE, MAX_VALUE};
 use crate::proxy::Answer;
 use std::collections::VecDeque;
+use std::rc::Rc;
 
 /// What a client wants, by its place in the order of the connection's commands.
 #[derive(Debug, PartialEq)]
@@ -14,10 +17,23 @@
     Ping(u64),
 }
 
+/// A large value that is coming in.
+struct Incoming {
+    place: u64,
+    upload: Rc<Upload>,
+    /// Bytes of it that have not come.
+    left: usize,
+}
+
+/// Words of the one command that has a value.
+const WRITE_WORDS: usize = 5;
+
 /// One client connection's protocol state.
 #[derive(Default)]
 pub struct Session {
     reader: Reader,
+    /// The large value that is coming in, if one is.
+    incoming: Option<Incoming>,
     /// The answers owed, oldest first; `None` while one is not there.
     owed: VecDeque<Option<Vec<u8>>>,
     /// The place of the oldest of them.
@@ -51,6 +67,15 @@
             if self.closing {
                 return None;
             }
+            match self.come_in() {
+                Ok(true) => {}
+                Ok(false) => return None,
+                Err(malformed) => {
+                    self.abort_incoming(&format!("Protocol error: {}", malformed.0));
+                    self.malformed = true;
+                    return None;
+                }
+            }
             let place = self.first + self.owed.len() as u64;
             let value = match self.reader.next_value() {
                 Ok(value) => {
@@ -59,6 +84,17 @@
                     value
                 }
                 Err(malformed) => {
+                    if let Some((words, length, at)) = self.reader.large_last(WRITE_WORDS, MAX_LARGE) {
+                        // Guards against half commands that hold a place: so much has to come before one is taken.
+                        if self.reader.pending() < at + MAX_VALUE {
+                            return None;
+                        }
+                        self.reader.skip(at);
+                        if let Some(ask) = self.begin_incoming(place, words, length) {
+                            return Some(ask);
+                        }
+                        continue;
+                    }
                     self.end_with(&format!("Protocol error: {}", malformed.0));
                     self.malformed = true;
                     return None;
@@ -73,6 +109,64 @@
         }
     }
 
+    /// Takes up a command whose value passes through. One that is none is told so once all of it has been skipped.
+    fn begin_incoming(&mut self, place: u64, mut words: Vec<Value>, length: usize) -> Option<Ask> {
+        self.asked += 1;
+        self.owed.push_back(None);
+        let upload = Rc::new(Upload::new(length));
+        self.incoming = Some(Incoming { place, upload: Rc::clone(&upload), left: length });
+        words.push(Value::Bulk(Some(Vec::new())));
+        match call::parse(Value::Array(Some(words))) {
+            Ok(Command::Call(mut call)) if call.value.is_some() => {
+                (call.value, call.upload) = (None, Some(upload));
+                Some(Ask::Call(place, call))
+            }
+            Ok(_) => {
+                self.reject(place, "wrong number of arguments");
+                None
+            }
+            Err(text) => {
+                self.reject(place, text);
+                None
+            }
+        }
+    }
+
+    /// Passes on what has come of a large value. False while there is more to come of it.
+    fn come_in(&mut self) -> Result<bool, Malformed> {
+        let Some(incoming) = &mut self.incoming else { return Ok(true) };
+        let data = self.reader.take(incoming.left.min(incoming.upload.room()));
+        incoming.upload.push(&data);
+        incoming.left -= data.len();
+        if incoming.left > 0 || self.reader.end_of_bulk()?.is_none() {
+            return Ok(false);
+        }
+        incoming.upload.finish();
+        self.incoming = None;
+        self.advance();
+        Ok(true)
+    }
+
+    /// The large value that is coming in: whoever passes it on has to make room before more of it is read.
+    pub fn incoming(&self) -> Option<Rc<Upload>> {
+        self.incoming.as_ref().map(|i| Rc::clone(&i.upload))
+    }
+
+    /// The place of the command whose value is coming in.
+    pub fn incoming_place(&self) -> Option<u64> {
+        self.incoming.as_ref().map(|i| i.place)
+    }
+
+    /// The rest of the value that is coming in will never come: its command is told so, and nothing more is read.
+    pub fn abort_incoming(&mut self, text: &str) {
+        if let Some(incoming) = self.incoming.take() {
+            incoming.upload.abort();
+            self.reject(incoming.place, text);
+            self.close();
+            self.advance();
+        }
+    }
+
     /// Answers `PING`.
     pub fn pong(&mut self, place: u64, ready: bool) {
         let line: &[u8] = if ready { b"+PONG\r\n" } else { b"-LOADING not ready\r\n" };
@@ -158,12 +252,20 @@
         if let Some(slot @ None) = slot {
             *slot = Some(bytes);
         }
+        // What is answered already wants no more of its value.
+        if let Some(incoming) = self.incoming.as_ref().filter(|i| i.place == place) {
+            incoming.upload.skip();
+        }
         self.advance();
     }
 
     /// Has those answers written that no other is owed before.
     fn advance(&mut self) {
         while let Some(Some(bytes)) = self.owed.front_mut() {
+            // A command is answered behind its last byte.
+            if self.incoming.as_ref().is_some_and(|i| i.place == self.first) {
+                return;
+            }
             if self.written == self.out.len() {
                 (self.out, self.written) = (std::mem::take(bytes), 0);
             } else {
@@ -215,7 +317,9 @@
 
     /// Ends a connection whose client took too long over a command: with an error if some of it has come.
     pub fn expire(&mut self) {
-        if self.pending() > 0 {
+        if self.incoming.is_some() {
+            self.abort_incoming("the command took too long");
+        } else if self.pending() > 0 {
             self.end_with("the command took too long");
         }
         self.close();
@@ -248,6 +352,9 @@
 
     /// Reads nothing more; see [`Session::finished`].
     pub fn close(&mut self) {
+        if let Some(incoming) = &self.incoming {
+            incoming.upload.abort();
+        }
         self.closing = true;
         self.reader = Reader::default();
     }
@@ -303,6 +410,62 @@
         }
     }
 
+    #[test]
+    fn a_large_write_passes_through_and_is_answered_behind_its_last_byte() {
+        let value: Vec<u8> = (0..MAX_VALUE + 5).map(|n| n as u8).collect();
+        let mut bytes = Vec::new();
+        write_command(&mut bytes, &[b"OBJ.SET", b"k", b"i", b"c=put,t=a,d=480", &value]);
+        let body = bytes.len() - value.len() - 2;
+        write_command(&mut bytes, GET);
+        for at in (0..body + 3).chain(body + MAX_VALUE - 2..body + value.len() + 4).chain([bytes.len()]) {
+            let (mut session, mut got, mut upload) = (Session::default(), Vec::new(), None);
+            let mut calls = 0;
+            for part in [&bytes[..at], &bytes[at..]] {
+                session.feed(part);
+                loop {
+                    if let Some(Ask::Call(place, call)) = session.next_ask() {
+                        assert_eq!((place, call.writes().is_some()), (calls, calls == 0));
+                        calls += 1;
+                        upload = upload.or(call.upload);
+                        continue;
+                    }
+                    let Some(upload) = &upload else { break };
+                    let super::super::upload::Next::Bytes(more) = upload.next() else { break };
+                    got.extend(more);
+                }
+            }
+            assert_eq!(calls, 2, "split at {at}");
+            assert!(got == value && session.pending() == 0, "split at {at}");
+        }
+        // Answered early: nothing goes out before its last byte, and the rest is skipped.
+        let mut session = Session::default();
+        assert_eq!(asks(&mut session, &bytes[..body + MAX_VALUE]), 1);
+        session.answer(0, Answer::Refused { retry_after: 7_000 });
+        assert_eq!(asks(&mut session, &bytes[body + MAX_VALUE..body + MAX_VALUE + 3]), 0);
+        assert!(session.output().is_empty() && session.pending() == 0);
+        assert_eq!(asks(&mut session, &bytes[body + MAX_VALUE + 3..]), 1);
+        assert_eq!(session.output(), b"-BUSY 7\r\n");
+        // Wrong ends and words, values that are too large, and clients that do not go on.
+        let wrong = [&bytes[..body + value.len()], b"xx"].concat();
+        let mut session = Session::default();
+        assert_eq!(asks(&mut session, &wrong), 1);
+        let mut taken = session.incoming().unwrap();
+        while !matches!(taken.next(), super::super::upload::Next::Wait) {}
+        assert_eq!(session.next_ask(), None);
+        assert!(session.malformed() && session.output().starts_with(b"-ERR Protocol error"));
+        assert_eq!(taken.next(), super::super::upload::Next::Gone);
+        let mut session = Session::default();
+        assert_eq!(asks(&mut session, &bytes[..body + MAX_VALUE]), 1);
+        taken = session.incoming().unwrap();
+        session.expire();
+        assert_eq!(session.output(), b"-ERR the command took too long\r\n");
+        assert!(taken.next() == super::super::upload::Next::Gone && !session.reads());
+        let huge = format!("*5\r\n$7\r\nOBJ.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$1\r\nx\r\n${}\r\n", MAX_LARGE + 1);
+        let mut session = Session::default();
+        assert_eq!(asks(&mut session, huge.as_bytes()), 0);
+        assert!(session.malformed());
+    }
+
     #[test]
     fn an_answer_that_is_passed_on_ends_whole_or_visibly_cut() {
         let begin = || {
--- a/proxy/src/wire/call.rs
+++ b/proxy/src/wire/call.rs
@@ -1,7 +1,9 @@
 //! A client's command, taken apart: what the proxy decides on, and what is passed on as it came.
 
 use super::resp::Value;
+use super::upload::Upload;
 use notchdoor::Micros;
+use std::rc::Rc;
 
 /// The longest deadline that a client may name; workers turn away what is far beyond it.
 const MAX_DEADLINE_MS: f64 = 3_600_000.0;
@@ -21,8 +23,10 @@
     pub info: Vec<u8>,
     /// Where in `info` the number of `d` stands.
     deadline_at: (usize, usize),
-    /// The value of a write; `None` for a read.
+    /// The value of a write; `None` for a read, and for a value that passes through.
     pub value: Option<Vec<u8>>,
+    /// The value of a write that passes through.
+    pub upload: Option<Rc<Upload>>,
     /// The class, by its name.
     pub class: String,
     /// The tenant, by its name.
@@ -100,7 +104,19 @@
     let (class, tenant) = (class.to_owned(), tenant.to_owned());
     let wait = notchdoor_settings::micros(wait);
     let deadline_at = (start, start + number.len());
-    Ok(Command::Call(Box::new(Call { command, key, id, info, deadline_at, value, class, tenant, wait })))
+    let upload = None;
+    Ok(Command::Call(Box::new(Call {
+        command,
+        key,
+        id,
+        info,
+        deadline_at,
+        value,
+        upload,
+        class,
+        tenant,
+        wait,
+    })))
 }
 
 impl Call {
@@ -112,6 +128,11 @@
         [before.unwrap_or_default(), number.as_bytes(), after.unwrap_or_default()].concat()
     }
 
+    /// How long the value of a write is; `None` for a read.
+    pub fn writes(&self) -> Option<usize> {
+        self.upload.as_ref().map(|u| u.length).or(self.value.as_ref().map(Vec::len))
+    }
+
     /// Bytes that are kept for it.
     pub fn size(&self) -> usize {
         self.key.len() + self.id.len() + self.info.len() + self.value.as_ref().map_or(0, Vec::len)
--- a/proxy/src/wire/driver/client.rs
+++ b/proxy/src/wire/driver/client.rs
@@ -37,8 +37,11 @@
 const LINGER_SHORT: Duration = Duration::from_millis(40);
 const LINGER_BYTES: usize = 1024 * 1024;
 /// The time that a client has for a command, from its first byte, and for its first one, from connecting. A
-/// sweep acts on it within half a second more.
-const COMMAND: Micros = 2_000_000;
+/// sweep acts on it within a quarter of a second more: some take 2 s over it, and those who never end it are owed an
+/// end within 3 s.
+const COMMAND: Micros = 2_300_000;
+/// The longest that a large value may take to come in, if it never pauses for [`COMMAND`].
+const UPLOAD: Micros = 60_000_000;
 /// Where room is short, connections without an open request are closed after so long, those with half a
 /// command after less, and those that never sent a byte first: who connects to ask does so at once.
 const IDLE: Micros = 2_000_000;
@@ -315,9 +318,9 @@
     }
 
     /// Ends the connections whose clients take too long over a command.
-    pub(super) fn expire_clients(&self) {
-        let now = self.clock.now();
-        for client in self.clients.borrow().values() {
+    pub(super) fn expire_clients(self: &Rc<Self>) {
+        let (now, mut late_places) = (self.clock.now(), Vec::new());
+        for (&id, client) in self.clients.borrow().iter() {
             let session = client.session.borrow();
             let since = match client.half_since.get() {
                 0 if session.asked() > 0 || session.pending() > 0 => continue,
@@ -327,11 +330,16 @@
             let late = session.reads() && since + COMMAND <= now;
             drop(session);
             if late {
+                late_places.extend(client.session.borrow().incoming_place().map(|place| (id, place)));
                 client.session.borrow_mut().expire();
                 client.flush(now);
                 client.wake();
             }
         }
+        // Their commands were never whole: nobody is owed an answer.
+        for place in late_places {
+            self.drive(|proxy, now| proxy.left(now, place));
+        }
     }
 
     /// Cuts off the clients that take none of their answers while these fill most of the room. Guards against a
@@ -379,6 +387,7 @@
     shell.clients.borrow_mut().remove(&id);
     client.room.notify(usize::MAX);
     shell.count_ending(ending);
+    client.session.borrow_mut().close();
     let places = client.session.borrow().owed_places();
     for place in places {
         shell.drive(|proxy, now| proxy.left(now, (id, place)));
@@ -468,9 +477,19 @@
                 Ask::Call(place, call) => take(shell, client, (id, place), *call, read_at),
             }
         }
-        let half = client.session.borrow().pending() > 0;
+        // What the origin does not take yet is not read yet, and that is not the client's doing.
+        let incoming = client.session.borrow().incoming();
+        if let Some(upload) = incoming.as_ref().filter(|u| u.room() == 0) {
+            client.half_since.set(0);
+            upload.change_of().await;
+            read_at = shell.clock.now();
+            continue;
+        }
+        let incoming = incoming.is_some();
+        let half = incoming || client.session.borrow().pending() > 0;
         client.half_since.set(match client.half_since.get() {
-            since if half && since > 0 => since,
+            // A large value has its time from piece to piece.
+            since if half && since > 0 && !incoming => since,
             _ if half => read_at,
             _ => 0,
         });
@@ -497,6 +516,9 @@
 }
 
 fn take(shell: &Rc<Shell>, client: &Client, place: (u64, u64), call: Call, read_at: Micros) {
+    // The client's time runs from its last byte: the delegation sees to that where the value passes through.
+    let wait = call.wait.min(shell.network.longest_wait());
+    let wait = if call.upload.is_some() { wait.saturating_add(UPLOAD) } else { wait };
     let taken = shell.drive(|proxy, now| {
         let taken = Taken {
             id: call.id.clone(),
@@ -504,8 +526,8 @@
             class: call.class.clone(),
             tenant: call.tenant.clone(),
             key: call.key.clone(),
-            write: call.value.is_some(),
-            due: read_at.saturating_add(call.wait.min(shell.network.longest_wait())),
+            write: call.writes().is_some(),
+            due: read_at.saturating_add(wait),
             call,
         };
         proxy.taken(now, taken)
--- a/proxy/src/wire/driver/delegation.rs
+++ b/proxy/src/wire/driver/delegation.rs
@@ -5,6 +5,7 @@
 use crate::proxy::{Brought, DelegationId};
 use crate::state::pool::Ticket;
 use crate::wire::call::Call;
+use crate::wire::upload::{Next, Upload};
 use crate::wire::worker::{self, Piece, Reply};
 use crate::wire::{origin, MAX_VALUE};
 use async_io::{Async, Timer};
@@ -144,7 +145,17 @@
     // Once its answer is passed on, no time ends it any more.
     let passing = Cell::new(false);
     let given_up = async {
-        Timer::at(shell.clock.instant(give_up_at)).await;
+        match &call.upload {
+            // The client's time runs from its last byte.
+            Some(upload) => {
+                upload.until_whole().await;
+                let wait = give_up_at.saturating_sub(begun).min(call.wait).min(shell.network.longest_wait());
+                Timer::after(Duration::from_micros(wait)).await;
+            }
+            None => {
+                Timer::at(shell.clock.instant(give_up_at)).await;
+            }
+        }
         if passing.get() {
             future::pending::<()>().await;
         }
@@ -164,7 +175,14 @@
     if let Some(task) = shell.delegations.borrow_mut().remove(&delegation) {
         task.detach();
     }
-    let brought = Brought { value: reply.value, took: trace.took() };
+    let passed = call.upload.as_ref().map(|_| match trace.written {
+        0 => 0,
+        written => shell.clock.now().saturating_sub(written),
+    });
+    // Guards against a transfer that passes for a jam: what of a large value is still in the sockets when its last byte
+    // is written cannot be told from the origin's time.
+    let took = trace.took().filter(|_| call.upload.is_none());
+    let brought = Brought { value: reply.value, took, waited: passed };
     shell.drive(|proxy, now| proxy.ended(now, delegation, reply.ending, brought));
 }
 
@@ -197,7 +215,16 @@
         let wait = give_up_at.saturating_sub(shell.clock.now());
         (worker::encode(call, wait), Decoder::Worker(worker::Decoder::default()))
     };
-    if let Err(ending) = write(&connection, &bytes, stage.sent).await {
+    let written = match &call.upload {
+        None => write(&connection, &bytes, stage.sent).await,
+        Some(upload) if upload.untouched() => {
+            let tail: &[u8] = if is_origin { b"" } else { b"\r\n" };
+            pass_through(&connection, &bytes, upload, tail, stage.sent).await
+        }
+        // Its bytes are gone: they were sent, or nobody wants them any more.
+        Some(_) => Err(Ending::NotSent),
+    };
+    if let Err(ending) = written {
         return Reply::bare(ending);
     }
     shell.proxy.borrow_mut().counters.attempts += 1;
@@ -264,6 +291,35 @@
     Ok(Connection { io, _ticket: ticket })
 }
 
+/// Writes a command whose value passes through. `sent` is set with its last byte and not before: a client that goes
+/// away in the middle has asked for nothing.
+async fn pass_through(
+    connection: &Connection,
+    head: &[u8],
+    upload: &Upload,
+    tail: &[u8],
+    sent: &Cell<bool>,
+) -> Result<(), Ending> {
+    let unfinished = Cell::new(false);
+    let mut bytes = head.to_vec();
+    loop {
+        let stalled = async {
+            Timer::after(STALLED_PASSING).await;
+            Err(Ending::BrokenUnsent)
+        };
+        future::or(write(connection, &bytes, &unfinished), stalled).await?;
+        bytes = loop {
+            let change = upload.change_of();
+            match upload.next() {
+                Next::Bytes(bytes) => break bytes,
+                Next::Wait => change.await,
+                Next::End => return write(connection, tail, sent).await,
+                Next::Gone => return Err(Ending::NotSent),
+            }
+        };
+    }
+}
+
 /// Writes the command. `sent` is set with its last byte and not before.
 async fn write(connection: &Connection, mut bytes: &[u8], sent: &Cell<bool>) -> Result<(), Ending> {
     while !bytes.is_empty() {
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -32,7 +32,7 @@
 use std::time::Duration;
 
 /// How often idle connections are looked over.
-const SWEEP: Duration = Duration::from_millis(500);
+const SWEEP: Duration = Duration::from_millis(250);
 /// A proxy whose registry says nothing at the start serves with the list that it was started with.
 const FIRST_LIST: Duration = Duration::from_millis(1500);
 /// The longest pause between two watches where the settings name none.
--- a/proxy/src/wire/mod.rs
+++ b/proxy/src/wire/mod.rs
@@ -8,6 +8,7 @@
 pub mod origin;
 pub mod registry;
 pub mod resp;
+pub mod upload;
 pub mod worker;
 
 /// The largest value that a client may store, and what one is reckoned at where room is shared out.
--- a/proxy/src/wire/origin.rs
+++ b/proxy/src/wire/origin.rs
@@ -6,9 +6,9 @@
 use super::{MAX_LARGE, MAX_UNTOLD, MAX_VALUE};
 use crate::ending::Ending;
 
-/// `GET /KEY`, or `PUT /KEY` with the value, with the id and the list of names and values as it came.
+/// `GET /KEY`, or `PUT /KEY` with the value (unless that passes through and follows in pieces), with the id and the list of names and values as it came.
 pub fn encode(call: &Call, host: &str) -> Vec<u8> {
-    let method = if call.value.is_some() { "PUT" } else { "GET" };
+    let method = if call.writes().is_some() { "PUT" } else { "GET" };
     let mut out = Vec::with_capacity(call.size() + 256);
     out.extend_from_slice(format!("{method} /").as_bytes());
     for &byte in &call.key {
@@ -23,9 +23,9 @@
     out.extend_from_slice(&call.id);
     out.extend_from_slice(b"\r\nX-Call-Info: ");
     out.extend_from_slice(&call.info);
-    if let Some(value) = &call.value {
-        out.extend_from_slice(format!("\r\nContent-Length: {}\r\n\r\n", value.len()).as_bytes());
-        out.extend_from_slice(value);
+    if let Some(length) = call.writes() {
+        out.extend_from_slice(format!("\r\nContent-Length: {length}\r\n\r\n").as_bytes());
+        out.extend_from_slice(call.value.as_deref().unwrap_or_default());
     } else {
         out.extend_from_slice(b"\r\n\r\n");
     }
--- a/proxy/src/wire/resp.rs
+++ b/proxy/src/wire/resp.rs
@@ -188,6 +188,41 @@
         }
     }
 
+    /// For a command of so many words whose last one is too large to be kept, and is at most `most` bytes: the words
+    /// before it, its length, and where it begins.
+    pub fn large_last(&self, words: usize, most: usize) -> Option<(Vec<Value>, usize, usize)> {
+        let bytes = self.buffer.get(self.read..).unwrap_or_default();
+        let mut cursor = Cursor { most: self.most, bytes, at: 0 };
+        let mut told = || -> Result<_, Stop> {
+            let line = cursor.line()?;
+            if line != format!("*{words}").as_bytes() {
+                return bad("another number of words");
+            }
+            let before = (1..words).map(|_| cursor.value(1)).collect::<Result<Vec<Value>, Stop>>()?;
+            let line = cursor.line()?;
+            let Some(rest) = line.strip_prefix(b"$") else { return bad("no string") };
+            Ok((before, Cursor::length(rest, most)?))
+        };
+        match told() {
+            Ok((before, Some(length))) if length > self.most => Some((before, length, cursor.at)),
+            _ => None,
+        }
+    }
+
+    /// Passes over the end of a string; `None` while it is not there.
+    pub fn end_of_bulk(&mut self) -> Result<Option<()>, Malformed> {
+        let end = self.buffer.get(self.read..).unwrap_or_default();
+        let end = end.get(..end.len().min(2)).unwrap_or_default();
+        match end {
+            b"\r\n" => {
+                self.skip(2);
+                Ok(Some(()))
+            }
+            _ if b"\r\n".starts_with(end) => Ok(None),
+            _ => Err(Malformed("string does not end in CR LF")),
+        }
+    }
+
     /// Passes over so many bytes.
     pub fn skip(&mut self, n: usize) {
         self.read = (self.read + n).min(self.buffer.len());
@@ -264,6 +299,16 @@
     }
 }
 
+/// Appends a command without its last word, which is so long and follows in pieces.
+pub fn write_command_head(mut out: Vec<u8>, words: &[&[u8]], last: usize) -> Vec<u8> {
+    out.extend_from_slice(format!("*{}\r\n", words.len() + 1).as_bytes());
+    for word in words {
+        write_bulk(&mut out, word);
+    }
+    out.extend_from_slice(format!("${last}\r\n").as_bytes());
+    out
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/proxy/src/wire/worker.rs
+++ b/proxy/src/wire/worker.rs
@@ -1,7 +1,7 @@
 //! A worker's side: one command out, one reply back.
 
 use super::call::Call;
-use super::resp::{write_command, Head, Malformed, Reader, Value};
+use super::resp::{write_command, write_command_head, Head, Malformed, Reader, Value};
 use super::{MAX_LARGE, MAX_VALUE};
 use crate::ending::Ending;
 use notchdoor::Micros;
@@ -35,12 +35,16 @@
     Over(Reply),
 }
 
-/// The command as the client sent it, but for how long the proxy will wait.
+/// The command as the client sent it, but for how long the proxy will wait. A value that passes through follows in
+/// pieces, and then a CR LF.
 pub fn encode(call: &Call, wait: Micros) -> Vec<u8> {
     let info = call.info_with_deadline(wait);
     let mut out = Vec::with_capacity(call.size() + 128);
     let mut words: Vec<&[u8]> = vec![&call.command, &call.key, &call.id, &info];
     words.extend(call.value.as_deref());
+    if let Some(upload) = &call.upload {
+        return write_command_head(out, &words, upload.length);
+    }
     write_command(&mut out, &words);
     out
 }
