--- a/cli/tests/operations.rs
+++ b/cli/tests/operations.rs
@@ -261,3 +261,28 @@
     let told = proxy.told();
     assert!(told.contains("cannot be kept for an upgrade"), "{told}");
 }
+
+#[test]
+fn a_process_that_is_leaving_says_no_and_still_answers_operators() {
+    let slow = Peer::worker(Box::new(|words| {
+        std::thread::sleep(Duration::from_millis(1200));
+        value(&words[2])
+    }));
+    let (registry, origin) = (Registry::start(), origin());
+    let proxy =
+        Proxy::start(&registry, &[line("w", &slow, "in_service", 0), line("o", &origin, "in_service", 0)]);
+    let mut held = proxy.client();
+    held.send(&["OBJ.GET", "k", "id", "c=read,t=acme,d=2000"]);
+    let until = Instant::now() + PATIENCE;
+    while proxy.vars()["in_flight"] != 1 {
+        assert!(Instant::now() < until, "never taken");
+    }
+    assert_eq!(status(&proxy, "GET", "/_ready", ""), Some(200));
+    proxy.signal("TERM");
+    proxy.logged("stopping on Term");
+    assert_eq!(status(&proxy, "GET", "/_ready", ""), Some(503));
+    assert_eq!((&proxy.vars()["in_flight"], out(&proxy, "w")), (&1.into(), Some(200)));
+    // Out by hand, but already at work: what it has may finish.
+    assert_eq!(held.next(), Some(bulk("id")));
+    assert!(proxy.wait().0);
+}
