--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1160,7 +1160,7 @@
         }
     }
 
-    /// What an attempt's end, or the beginning of a value that is passed on, tells of its server and of the windows.
+    /// What an attempt's end, or the beginning of a value that is passed on, tells of its server and the windows.
     fn learn_from(
         &mut self,
         now: Micros,
@@ -1201,8 +1201,8 @@
             if answered {
                 health.newest = health.newest.max(sent);
             }
-            // Guards against a cache that is passed over for one connection that fell silent: where it has answered
-            // what was sent later, the server is well.
+            // Guards against a cache that is passed over for one silent connection: where it has answered what was
+            // sent later, the server is well.
             let silent = outcome == Outcome::Timeout && health.newest > sent;
             if told && !silent {
                 self.observe(now, i, outcome, took.map(|t| t as f64));
