--- a/src/brain.rs
+++ b/src/brain.rs
@@ -221,7 +221,13 @@
         let used = if self.sparse() { self.cct.unwrap_or(self.aim) / self.gap } else { 1.0 };
         let half = self.w.min(used) / 2.0;
         let least = half.max(least * used).max(LEAST_WINDOW);
-        self.w = if !self.shared || half >= 0.5 && self.w > 1.0 { 1.0 } else { least };
+        self.w = if !self.shared {
+            self.threshold
+        } else if half >= 0.5 && self.w > 1.0 {
+            1.0
+        } else {
+            least
+        };
         self.cut_at = now;
         self.recent.clear();
         self.calm = false;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -817,3 +817,29 @@
         assert_eq!(brain.avoided().next().is_none(), answers, "answers: {answers}");
     }
 }
+
+/// Workers out by hand: a cache that was slow for a moment refused nearly all of its keys for as long as one fetch at a
+/// time took to regrow its window.
+#[test]
+fn a_breach_halves_the_window_of_a_cache() {
+    let mut brain = brain(settings(), &members(6));
+    let mut keys = keys_at(2, 60).into_iter();
+    let mut at_home = |brain: &mut Brain, id: RequestId, now: Micros| {
+        sent(&arrive(brain, now, read(id, keys.next().expect("sixty keys"), now))) == [2]
+    };
+    for id in 1..9 {
+        assert!(at_home(&mut brain, id, START));
+    }
+    for id in 1..9 {
+        end(&mut brain, START + 30 * MS, id, 0, Outcome::Ok, 30 * MS);
+    }
+    let slow = START + S;
+    for id in 11..17 {
+        assert!(at_home(&mut brain, id, slow));
+    }
+    for id in 11..17 {
+        end(&mut brain, slow + 200 * MS, id, 0, Outcome::Ok, 200 * MS);
+    }
+    let fit = (21..51).filter(|&id| at_home(&mut brain, id, slow + 200 * MS)).count();
+    assert!((3..=8).contains(&fit), "{fit} fit");
+}
