Read over once more: one place for a final answer, for a file read, for a string's end

- proxy.rs ended() and finish() each closed and counted a request; now answer() alone does, by the Answer.
- handover.rs read files on its own; it calls notchdoor_settings::file::bytes.
- resp.rs: two checks of a string's end are ends(), two writers of words write_words(); head() took a list of lengths for its one caller.
- Client::answer was Shell::pass again; Shell::open, the flag, is whether there is a listener.
- worker.rs copied the first piece of a large value twice. brain.rs: Health::well_since for two comparisons. waited was named passed.
- Mended: a process that started between the reckoning of the room and the first look at the others was never shared with; run_overlap begins with the count that the room was reckoned for.
Seen by reading, no test.

--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -270,23 +270,19 @@
                 waited = reply.waited.unwrap_or(now.saturating_sub(attempt.sent));
             }
             let passed = held.passing == Some(n);
-            if outcome == Outcome::Ok && !held.over && (passed || held.passing.is_none()) {
-                held.over = true;
-                self.places.remove(&held.place);
-                count(&mut self.counters, held.class, |c| &mut c.served);
-                let answer = match passed {
-                    true => Answer::PassedOn,
-                    false => Answer::Served(reply.value.unwrap_or_default()),
-                };
-                self.commands.push(Command::Answer(held.place, answer));
-            } else if passed && !held.over {
+            let answer = match outcome {
+                Outcome::Ok if passed => Some(Answer::PassedOn),
+                Outcome::Ok if held.passing.is_none() => {
+                    Some(Answer::Served(reply.value.unwrap_or_default()))
+                }
                 // Some of it is with the client: no other attempt can be joined to that.
-                held.over = true;
-                self.places.remove(&held.place);
-                count(&mut self.counters, held.class, |c| &mut c.failed);
-                self.commands.push(Command::Answer(held.place, Answer::Cut));
+                _ if passed => Some(Answer::Cut),
+                _ => None,
+            };
+            if let Some(answer) = answer {
+                self.answer(id, answer);
             }
-            last = held.over;
+            last = self.held.get(&id).is_none_or(|h| h.over);
         }
         let answered = matches!(ending, Ending::Served | Ending::Missed | Ending::Garbled | Ending::NoRoom);
         let took = if answered { reply.took } else { Some(waited) };
@@ -418,15 +414,23 @@
     }
 
     fn finish(&mut self, id: RequestId, answer: Answer) {
+        self.answer(id, answer);
+        self.forget(id);
+    }
+
+    /// Gives a request its final answer, unless it has one: the one place where how it ended is counted.
+    fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(held) = self.held.get_mut(&id).filter(|h| !h.over) else { return };
         held.over = true;
         self.places.remove(&held.place);
-        match answer {
-            Answer::Refused { .. } => count(&mut self.counters, held.class, |c| &mut c.refused),
-            _ => count(&mut self.counters, held.class, |c| &mut c.failed),
+        if let Some(class) = self.counters.classes.get_mut(held.class as usize) {
+            match answer {
+                Answer::Served(_) | Answer::PassedOn => class.served += 1,
+                Answer::Refused { .. } => class.refused += 1,
+                Answer::Failed | Answer::Cut => class.failed += 1,
+            }
         }
         self.commands.push(Command::Answer(held.place, answer));
-        self.forget(id);
     }
 
     fn set_timer(&mut self, due: Micros, token: u64) {
@@ -457,13 +461,6 @@
     }
 }
 
-/// Counts how a request of this class ended.
-fn count(counters: &mut Counters, class: u32, which: fn(&mut ByClass) -> &mut u64) {
-    if let Some(class) = counters.classes.get_mut(class as usize) {
-        *which(class) += 1;
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/proxy/src/state/handover.rs
+++ b/proxy/src/state/handover.rs
@@ -5,6 +5,7 @@
 //! the slots tells that its holder lives: it goes with the process, however that ends.
 
 use notchdoor::Micros;
+use notchdoor_settings::file;
 use serde::{Deserialize, Serialize};
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{Read, Seek, SeekFrom, Write};
@@ -131,12 +132,6 @@
     Busy,
 }
 
-fn read(path: &Path) -> std::io::Result<Vec<u8>> {
-    let mut bytes = Vec::new();
-    File::open(path)?.take(MOST_BYTES).read_to_end(&mut bytes)?;
-    Ok(bytes)
-}
-
 fn lockable(path: &Path) -> std::io::Result<File> {
     OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
 }
@@ -173,7 +168,7 @@
     /// held stays.
     pub fn refresh(&mut self) -> Result<bool, String> {
         let path = self.state_path();
-        let bytes = match read(&path) {
+        let bytes = match file::bytes(&path, MOST_BYTES) {
             Ok(bytes) => bytes,
             Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(false),
             Err(e) => return Err(format!("{}: {e}", path.display())),
--- a/proxy/src/wire/driver/client.rs
+++ b/proxy/src/wire/driver/client.rs
@@ -2,7 +2,7 @@
 
 use super::Shell;
 use crate::ending::Ending;
-use crate::proxy::{Answer, Taken};
+use crate::proxy::Taken;
 use crate::state::pool::Ticket;
 use crate::wire::acceptor::{Ask, Session};
 use crate::wire::call::Call;
@@ -93,13 +93,6 @@
 }
 
 impl Client {
-    /// Gives an answer and writes as much as the socket takes.
-    pub fn answer(&self, now: Micros, place: u64, answer: Answer) {
-        self.used.set(now);
-        self.session.borrow_mut().answer(place, answer);
-        self.flush(now);
-    }
-
     /// Whether an answer may be passed on now: it is the next one, and little of what went before waits.
     fn passes(&self, place: u64) -> bool {
         let session = self.session.borrow();
@@ -232,7 +225,7 @@
         }
     }
 
-    /// Does something with the session of a client and writes what comes of it.
+    /// Does something with the session of a client, if it is there, and writes what comes of it.
     pub(super) fn pass(&self, (id, _): (u64, u64), what: impl FnOnce(&mut Session)) {
         let client = self.clients.borrow().get(&id).map(Rc::clone);
         if let Some(client) = client {
--- a/proxy/src/wire/driver/delegation.rs
+++ b/proxy/src/wire/driver/delegation.rs
@@ -175,14 +175,14 @@
     if let Some(task) = shell.delegations.borrow_mut().remove(&delegation) {
         task.detach();
     }
-    let passed = call.upload.as_ref().map(|_| match trace.written {
+    let waited = call.upload.as_ref().map(|_| match trace.written {
         0 => 0,
         written => shell.clock.now().saturating_sub(written),
     });
     // Guards against a transfer that passes for a jam: what of a large value is still in the sockets when its last byte
     // is written cannot be told from the origin's time.
     let took = trace.took().filter(|_| call.upload.is_none());
-    let brought = Brought { value: reply.value, took, waited: passed };
+    let brought = Brought { value: reply.value, took, waited };
     shell.drive(|proxy, now| proxy.ended(now, delegation, reply.ending, brought));
 }
 
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -70,7 +70,6 @@
     acceptor: RefCell<Option<Task<()>>>,
     /// Where clients connect, while they may.
     listener: RefCell<Option<Rc<Async<TcpListener>>>>,
-    open: Cell<bool>,
     handover: RefCell<Option<Handover>>,
     clock: Clock,
     /// Times that the sockets go by.
@@ -124,7 +123,6 @@
             watch: RefCell::default(),
             acceptor: RefCell::default(),
             listener: RefCell::default(),
-            open: Cell::new(false),
             handover: RefCell::new(handover),
             clock,
             network,
@@ -157,7 +155,7 @@
         if let Some(listener) = sockets.operators {
             shell.operators.spawn(admin::accept(Rc::clone(&shell), listener)).detach();
         }
-        shell.operators.spawn(Shell::run_overlap(Rc::clone(&shell))).detach();
+        shell.operators.spawn(Shell::run_overlap(Rc::clone(&shell), processes)).detach();
         let acceptor = shell.executor.spawn(Shell::open(Rc::clone(&shell), sockets.clients));
         shell.acceptor.replace(Some(acceptor));
         shell
@@ -197,12 +195,7 @@
                 let task = self.delegations.borrow_mut().remove(&delegation);
                 drop(task);
             }
-            Command::Answer((client, place), answer) => {
-                let client = self.clients.borrow().get(&client).map(Rc::clone);
-                if let Some(client) = client {
-                    client.answer(self.clock.now(), place, answer);
-                }
-            }
+            Command::Answer(place, answer) => self.pass(place, |session| session.answer(place.1, answer)),
             Command::Watch => {
                 // One that a move of the registry has begun serves as well.
                 if self.watch.borrow().is_none() {
@@ -265,7 +258,7 @@
 
     /// Whether clients should be sent here.
     pub fn ready(&self) -> bool {
-        self.able() && self.open.get() && !self.stopping.get()
+        self.able() && self.listener.borrow().is_some() && !self.stopping.get()
     }
 
     /// Requests whose answer is owed.
--- a/proxy/src/wire/driver/overlap.rs
+++ b/proxy/src/wire/driver/overlap.rs
@@ -46,8 +46,7 @@
         client::accept(self, listener).await;
     }
 
-    pub(super) fn set_open(&self, open: bool) {
-        self.open.set(open);
+    fn set_open(&self, open: bool) {
         if let Some(handover) = self.handover.borrow_mut().as_mut() {
             handover.set_open(open);
         }
@@ -76,8 +75,9 @@
     }
 
     /// Keeps up with the other process: what it takes out or puts back, and whether it lives.
-    pub(super) async fn run_overlap(self: Rc<Self>) {
-        let (mut processes, mut told) = (1 + self.others().len(), String::new());
+    /// The limits are shared among so many processes at first.
+    pub(super) async fn run_overlap(self: Rc<Self>, mut processes: usize) {
+        let mut told = String::new();
         loop {
             Timer::after(if processes > 1 { LOOK_CLOSELY } else { LOOK }).await;
             let refreshed = match self.handover.borrow_mut().as_mut() {
@@ -106,7 +106,7 @@
     }
 
     /// Takes this process's part of the limits while so many live.
-    pub(super) fn share(&self, processes: usize) {
+    fn share(&self, processes: usize) {
         let room = self.limits.room(processes);
         self.room.set(room);
         self.client_budget.resize(room.clients);
--- a/proxy/src/wire/resp.rs
+++ b/proxy/src/wire/resp.rs
@@ -161,8 +161,8 @@
         self.buffer.len() - self.read
     }
 
-    /// How the next value begins: whether it is an array of one of these lengths whose first item is a string.
-    pub fn head(&self, items: &[usize]) -> Result<Head, Malformed> {
+    /// How the next value begins: whether it is an array of so many items whose first is a string.
+    pub fn head(&self, items: usize) -> Result<Head, Malformed> {
         let bytes = self.buffer.get(self.read..).unwrap_or_default();
         let mut cursor = Cursor { most: usize::MAX, bytes, at: 0 };
         let mut told = || -> Result<Head, Stop> {
@@ -171,7 +171,7 @@
             }
             let line = cursor.line()?;
             let count = Cursor::length(line.get(1..).unwrap_or_default(), MAX_ITEMS)?;
-            if !count.is_some_and(|n| items.contains(&n)) {
+            if count != Some(items) {
                 return Ok(Head::Other);
             }
             if bytes.get(cursor.at).is_some_and(|&b| b != b'$') {
@@ -211,16 +211,8 @@
 
     /// Passes over the end of a string; `None` while it is not there.
     pub fn end_of_bulk(&mut self) -> Result<Option<()>, Malformed> {
-        let end = self.buffer.get(self.read..).unwrap_or_default();
-        let end = end.get(..end.len().min(2)).unwrap_or_default();
-        match end {
-            b"\r\n" => {
-                self.skip(2);
-                Ok(Some(()))
-            }
-            _ if b"\r\n".starts_with(end) => Ok(None),
-            _ => Err(Malformed("string does not end in CR LF")),
-        }
+        let ended = ends(self.buffer.get(self.read..).unwrap_or_default())?;
+        Ok(ended.then(|| self.skip(2)))
     }
 
     /// Passes over so many bytes.
@@ -239,10 +231,10 @@
     /// The end of a string and so many values behind it; `None` while they are not whole.
     pub fn after_bulk(&mut self, values: usize) -> Result<Option<Vec<Value>>, Malformed> {
         let bytes = self.buffer.get(self.read..).unwrap_or_default();
-        if !b"\r\n".starts_with(bytes.get(..bytes.len().min(2)).unwrap_or_default()) {
-            return Err(Malformed("string does not end in CR LF"));
+        if !ends(bytes)? {
+            return Ok(None);
         }
-        let mut cursor = Cursor { most: self.most, bytes, at: 2.min(bytes.len()) };
+        let mut cursor = Cursor { most: self.most, bytes, at: 2 };
         match (0..values).map(|_| cursor.value(1)).collect::<Result<Vec<Value>, Stop>>() {
             Ok(values) => {
                 let at = cursor.at;
@@ -291,22 +283,31 @@
     out.extend_from_slice(b"\r\n");
 }
 
-/// Appends a command: an array of bulk strings.
-pub fn write_command(out: &mut Vec<u8>, words: &[&[u8]]) {
-    out.extend_from_slice(format!("*{}\r\n", words.len()).as_bytes());
+/// Whether the end of a string has come whole.
+fn ends(bytes: &[u8]) -> Result<bool, Malformed> {
+    let end = bytes.get(..bytes.len().min(2)).unwrap_or_default();
+    let whole = end == b"\r\n";
+    let right = b"\r\n".starts_with(end);
+    right.then_some(whole).ok_or(Malformed("string does not end in CR LF"))
+}
+
+/// Appends the head of an array of so many strings, and these.
+fn write_words(out: &mut Vec<u8>, count: usize, words: &[&[u8]]) {
+    out.extend_from_slice(format!("*{count}\r\n").as_bytes());
     for word in words {
         write_bulk(out, word);
     }
 }
 
+/// Appends a command: an array of bulk strings.
+pub fn write_command(out: &mut Vec<u8>, words: &[&[u8]]) {
+    write_words(out, words.len(), words);
+}
+
 /// Appends a command without its last word, which is so long and follows in pieces.
-pub fn write_command_head(mut out: Vec<u8>, words: &[&[u8]], last: usize) -> Vec<u8> {
-    out.extend_from_slice(format!("*{}\r\n", words.len() + 1).as_bytes());
-    for word in words {
-        write_bulk(&mut out, word);
-    }
+pub fn write_command_head(out: &mut Vec<u8>, words: &[&[u8]], last: usize) {
+    write_words(out, words.len() + 1, words);
     out.extend_from_slice(format!("${last}\r\n").as_bytes());
-    out
 }
 
 #[cfg(test)]
--- a/proxy/src/wire/worker.rs
+++ b/proxy/src/wire/worker.rs
@@ -42,10 +42,10 @@
     let mut out = Vec::with_capacity(call.size() + 128);
     let mut words: Vec<&[u8]> = vec![&call.command, &call.key, &call.id, &info];
     words.extend(call.value.as_deref());
-    if let Some(upload) = &call.upload {
-        return write_command_head(out, &words, upload.length);
+    match &call.upload {
+        Some(upload) => write_command_head(&mut out, &words, upload.length),
+        None => write_command(&mut out, &words),
     }
-    write_command(&mut out, &words);
     out
 }
 
@@ -89,7 +89,7 @@
         let rest = match self.state {
             State::Large(left) => {
                 let (data, rest) = bytes.split_at(left.min(bytes.len()));
-                self.data(left, data, pieces);
+                self.data(left, data.to_vec(), pieces);
                 rest
             }
             _ => bytes,
@@ -99,7 +99,7 @@
         }
         self.reader.feed(rest);
         if matches!(self.state, State::Unknown) {
-            match self.reader.head(&[3])? {
+            match self.reader.head(3)? {
                 Head::Unknown => return Ok(()),
                 Head::Other => self.state = State::Whole,
                 Head::Bulk { length, .. } if length <= MAX_VALUE => self.state = State::Whole,
@@ -108,7 +108,7 @@
                     pieces.push(Piece::Begun(length));
                     self.reader.skip(at);
                     let data = self.reader.take(length);
-                    self.data(length, &data, pieces);
+                    self.data(length, data, pieces);
                 }
             }
         }
@@ -131,12 +131,12 @@
         Ok(())
     }
 
-    fn data(&mut self, left: usize, data: &[u8], pieces: &mut Vec<Piece>) {
-        if !data.is_empty() {
-            pieces.push(Piece::Data(data.to_vec()));
-        }
+    fn data(&mut self, left: usize, data: Vec<u8>, pieces: &mut Vec<Piece>) {
         let left = left - data.len();
         self.state = if left > 0 { State::Large(left) } else { State::Tail };
+        if !data.is_empty() {
+            pieces.push(Piece::Data(data));
+        }
     }
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -340,6 +340,11 @@
         self.latency += gain * (took - self.latency);
     }
 
+    /// Whether it has answered what was sent later than this.
+    fn well_since(&self, sent: Micros) -> bool {
+        self.newest > sent
+    }
+
     fn outcome(&mut self, failed: f64) {
         self.failing += HEALTH_GAIN * (failed - self.failing);
     }
@@ -1099,7 +1104,7 @@
         let Some(held) = self.held.get_mut(&id).filter(|h| !h.over && !h.streaming) else { return };
         let unheard = |a: &&Attempt| a.state == AttemptState::Out && !a.fetch;
         let Some(attempt) = held.attempts.iter().find(unheard) else { return };
-        if !granted && self.servers[attempt.server].health.newest <= attempt.sent {
+        if !granted && !self.servers[attempt.server].health.well_since(attempt.sent) {
             self.servers[attempt.server].health.answered((now - attempt.sent) as f64);
         }
         let class = held.request.class.and_then(|c| self.settings.classes.get(c as usize));
@@ -1209,7 +1214,7 @@
             }
             // Guards against a cache that is passed over for one silent connection: where it has answered what was
             // sent later, the server is well.
-            let silent = outcome == Outcome::Timeout && health.newest > sent;
+            let silent = outcome == Outcome::Timeout && health.well_since(sent);
             if told && !silent {
                 self.observe(now, i, outcome, took.map(|t| t as f64));
             }
