A cold cache's budget by chance and in proportion, not a saving of one send

Lines at fault: `cold_budget` in src/brain.rs saved at most one send (COLD_BURST); with each proxy reading from one cache once in seconds, that let through some half of the budget. Now a read past the budget passes by chance, with the odds of the budget over the reads that came in the last fall_time; the first span is scaled to what of it has passed. The headroom is fall_multiple / 2 (the settings' bound; 1.25 before).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -72,12 +72,6 @@
 const WEIGHED: u64 = 256;
 /// Length of an epoch in which keys are counted.
 const EPOCH: Micros = 1_000_000;
-/// A cold server's budget beside what warm ones of its weight answer: chance, not load, may use it up. It is
-/// never more than half of what would push the server over.
-const COLD_HEADROOM: f64 = 1.25;
-/// Sends that a cold server's unused budget may be saved up to: more, from every balancer at once, could
-/// be all that it can bear.
-const COLD_BURST: f64 = 1.0;
 /// A refusal tells at least this: none at all would tell the client nothing.
 const LEAST_PAUSE: f64 = 1_000.0;
 /// Pause before discovery is asked again after a failure, at first; it doubles up to `ask_every`.
@@ -358,9 +352,11 @@
     named: u32,
     window: Window,
     weight: f64,
-    /// Sends that a cold server may still be given.
+    /// Reads that came to it while it was cold, fading over the time by which a fall is judged.
     budget: f64,
     budget_at: Micros,
+    /// Since when they are counted.
+    budget_since: Micros,
 }
 
 // ---- Requests ------------------------------------------------------------------------------------------
@@ -537,8 +533,7 @@
                         server.health = Health::default();
                         let out = server.window.out;
                         server.window = Window { out, ..Window::new(&self.settings, 0.0) };
-                        server.budget = self.rng.unit();
-                        server.budget_at = now;
+                        (server.budget, server.budget_at, server.budget_since) = (0.0, now, now);
                     }
                     let size = server.member.size;
                     server.member = member.clone();
@@ -556,10 +551,9 @@
                         named: 0,
                         window: Window::new(&self.settings, 0.0),
                         weight: 0.0,
-                        // At a random point of the way to the first send: balancers must not act together,
-                        // and one that earns less than a send while a server is cold still does its part.
-                        budget: self.rng.unit(),
+                        budget: 0.0,
                         budget_at: now,
+                        budget_since: now,
                     };
                     let i = free.pop().unwrap_or(self.servers.len());
                     if i < self.servers.len() {
@@ -711,7 +705,6 @@
                 }
                 let health = &mut self.servers[i].health;
                 health.next_trial = now + health.trial_pause;
-                self.servers[i].budget -= 1.0;
                 return Pick::Server(i);
             }
             if self.warmth(&self.servers[i], now) < 1.0 && !self.cold_budget(now, i) {
@@ -737,7 +730,6 @@
             }
         }
         if let Some((_, i)) = best {
-            self.servers[i].budget -= 1.0;
             return Pick::Server(i);
         }
         if crowded {
@@ -750,15 +742,22 @@
 
     /// Guards against pushing a cold server over: it gets little more than its share of what caches answer
     /// this balancer. The others do the same, so that all together keep to what it can do; demand would
-    /// not do as the measure, for in an overload it is more than any server can bear.
+    /// not do as the measure, for in an overload it is more than any server can bear. Beyond the budget a
+    /// read passes by chance, in proportion: sends saved up come in bursts from all, and a saving of one send
+    /// let through some half of the budget where reads come one at a time, crowding the warm caches instead.
     fn cold_budget(&mut self, now: Micros, i: usize) -> bool {
         let share = self.servers[i].weight / self.weight_sum.max(1e-9);
+        // Half of what would push it over, beside what warm ones of its weight answer: chance may use it up.
+        let headroom = self.settings.fall_multiple / 2.0;
+        let span = self.settings.fall_time.max(1) as f64 / 1e6;
+        let allowed = headroom * self.answer_rate * share * span;
         let server = &mut self.servers[i];
-        let headroom = COLD_HEADROOM.min(self.settings.fall_multiple / 2.0);
-        let gained = headroom * self.answer_rate * share * (now - server.budget_at) as f64 / 1e6;
-        server.budget = (server.budget + gained).min(COLD_BURST);
-        server.budget_at = now;
-        server.budget >= 1.0
+        // Reads over about the span by which a fall is judged, this one not counted, so as not to bias it; in
+        // the first span as many as came, scaled to a whole span: else a fleet that starts at nothing lets all in.
+        let asked = server.budget * (-((now - server.budget_at) as f64 / 1e6) / span).exp();
+        let counted = 1.0 - (-((now - server.budget_since) as f64 / 1e6) / span).exp();
+        (server.budget, server.budget_at) = (asked + 1.0, now);
+        self.rng.unit() * asked < allowed * counted
     }
 
     // ---- Health ----
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -318,3 +318,59 @@
         }
     }
 }
+
+/// Guards against a fleet that holds its new caches back in a mass replacement and jams the few warm ones: each
+/// balancer reads from a cold cache about once in seconds.
+#[test]
+fn caches_replaced_en_masse_get_their_share_of_reads_that_come_one_at_a_time() {
+    let mut list: Vec<Member> = (0..50).chain([ORIGIN]).map(member).collect();
+    let mut brains: Vec<Brain> = (0..200)
+        .map(|seed| {
+            let mut brain = Brain::new(Settings { balancers: 200, ..settings() }, seed, START);
+            handle(&mut brain, START, Event::WholeList(&list));
+            brain
+        })
+        .collect();
+    let mut id = 0;
+    // Five reads a second at each balancer, all hits. Gives the reads that went to servers 0 to 29 and what
+    // their weight had them take.
+    let mut second = |brains: &mut Vec<Brain>, from: Micros, warmth: f64| -> (u32, f64) {
+        let (mut to_cold, mut share) = (0, 0.0);
+        for step in 0..5 {
+            let now = from + step * 200 * MS;
+            for brain in brains.iter_mut() {
+                id += 1;
+                let to = sent(&arrive(brain, now, read(id, key_hash(&id.to_le_bytes()), now)));
+                to_cold += u32::from(to.first().is_some_and(|&s| s < 30));
+                share += 30.0 * warmth / (20.0 + 30.0 * warmth);
+                if !to.is_empty() {
+                    end(brain, now + MS, id, 0, Outcome::Ok, MS);
+                }
+            }
+        }
+        (to_cold, share)
+    };
+    for s in 0..5 {
+        second(&mut brains, START + s * S, 1.0);
+    }
+    let start = START + 5 * S;
+    for member in &mut list[..30] {
+        member.up_since = start;
+    }
+    for brain in &mut brains {
+        handle(brain, start, Event::WholeList(&list));
+    }
+    let (mut all, mut wanted) = (0, 0.0);
+    for s in 0..5u64 {
+        // Mid-second, as the ramp has it: the weight is of when each read ranks its servers.
+        let warmth = 0.1 + 0.9 * (s as f64 + 0.5) / 20.0;
+        let (cold, share) = second(&mut brains, start + s * S, warmth);
+        assert!(
+            f64::from(cold) <= 1.5 * share,
+            "second {s}: {cold} to cold caches whose weight is {share:.0}"
+        );
+        (all, wanted) = (all + cold, wanted + share);
+    }
+    // A saving of one send let some half through.
+    assert!(f64::from(all) >= 0.8 * wanted, "cold caches took {all} of the {wanted:.0} that their weight is");
+}
