--- a/src/brain.rs
+++ b/src/brain.rs
@@ -752,8 +752,8 @@
         let span = self.settings.fall_time.max(1) as f64 / 1e6;
         let allowed = headroom * self.answer_rate * share * span;
         let server = &mut self.servers[i];
-        // Reads over about the span by which a fall is judged, this one not counted, so as not to bias it; in
-        // the first span as many as came, scaled to a whole span: else a fleet that starts at nothing lets all in.
+        // Reads over about the span by which a fall is judged, this one not counted, so as not to bias it. In
+        // the first span the budget is the part of it gone by: else a fleet that starts at nothing lets all in.
         let asked = server.budget * (-((now - server.budget_at) as f64 / 1e6) / span).exp();
         let counted = 1.0 - (-((now - server.budget_since) as f64 / 1e6) / span).exp();
         (server.budget, server.budget_at) = (asked + 1.0, now);
