Signals by a pipe and signal-hook, not by async-signal's pair of Unix sockets

Now each of TERM, INT, USR1 and HUP sets a flag and writes a byte to a std pipe (signal_hook::flag and low_level::pipe, no unsafe of ours); the executor reads the pipe through async-io, and a stop goes before other signals that came with it. Not taken: polling the flags on a timer (wakes every proxy of the fleet for nothing), signalfd (needs the signals blocked in every thread before any is started, and another crate).

--- a/proxy/src/lifecycle/serve.rs
+++ b/proxy/src/lifecycle/serve.rs
@@ -1,11 +1,11 @@
 //! The proxy from its start to its stop.
 
 use super::config::Config;
-use super::{log, signals};
+use super::log;
+use super::signals::{self, Signals};
 use crate::state::handover::Handover;
 use crate::wire::driver::{admin, overlap, Executors, Shell, Sockets};
 use ::log::info;
-use async_signal::{Signal, Signals};
 use futures_lite::future;
 use std::net::SocketAddr;
 
@@ -13,8 +13,7 @@
 /// the variable at fault, in one line, or each of a policy file's problems in one.
 pub fn serve(format: log::Format, level: Option<&str>, policy: Option<String>) -> Result<(), String> {
     // Before anything else: a signal that nothing waits for ends the process.
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup])
-        .map_err(|e| format!("signals: {e}"))?;
+    let signals = Signals::new().map_err(|e| format!("signals: {e}"))?;
     let (config, source) = Config::load(policy)?;
     log::start(&config.name, format, level);
     let clients = overlap::bind(config.listen)
--- a/proxy/src/lifecycle/signals.rs
+++ b/proxy/src/lifecycle/signals.rs
@@ -3,13 +3,67 @@
 
 use super::config::{Reload, Source};
 use crate::wire::driver::Shell;
-use async_io::Timer;
-use async_signal::{Signal, Signals};
-use futures_lite::{future, StreamExt};
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncReadExt};
 use notchdoor::Micros;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
+use std::io::{self, PipeReader};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// A signal that the proxy heeds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Stop in order.
+    Term,
+    /// Stop in order, as for `Term`.
+    Int,
+    /// Write the counters to the log.
+    Usr1,
+    /// Read the configuration again.
+    Hup,
+}
+
+/// The signals as they come. Each sets its flag and writes a byte to a pipe that the executor reads: a pipe,
+/// not a pair of Unix sockets, for platforms that take TCP and UDP alone. Two of one kind before the first is
+/// read are one.
+pub struct Signals {
+    wake: Async<PipeReader>,
+    flags: [(Signal, Arc<AtomicBool>); 4],
+}
+
+impl Signals {
+    /// Takes the four signals over from their defaults.
+    pub fn new() -> io::Result<Self> {
+        let (reader, writer) = io::pipe()?;
+        let flags =
+            [(Signal::Term, SIGTERM), (Signal::Int, SIGINT), (Signal::Usr1, SIGUSR1), (Signal::Hup, SIGHUP)]
+                .map(|(signal, number)| (signal, number, Arc::new(AtomicBool::new(false))));
+        for (_, number, flag) in &flags {
+            // The flag first: a byte read finds it set.
+            signal_hook::flag::register(*number, Arc::clone(flag))?;
+            signal_hook::low_level::pipe::register(*number, writer.try_clone()?)?;
+        }
+        Ok(Self { wake: Async::new(reader)?, flags: flags.map(|(signal, _, flag)| (signal, flag)) })
+    }
+
+    /// The next signal; one to stop comes before the others that came with it.
+    pub async fn next(&mut self) -> io::Result<Signal> {
+        loop {
+            if let Some((signal, _)) = self.flags.iter().find(|(_, flag)| flag.swap(false, Ordering::SeqCst))
+            {
+                return Ok(*signal);
+            }
+            let mut bytes = [0; 16];
+            if (&self.wake).read(&mut bytes).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+}
+
 /// New connections keep coming for up to 0.4 s after SIGTERM, and then the listener is closed.
 const STILL_ACCEPTING: Duration = Duration::from_millis(450);
 /// SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM.
@@ -31,12 +85,14 @@
 async fn heed(shell: &Rc<Shell>, source: &Source, signals: &mut Signals) {
     loop {
         match signals.next().await {
-            Some(Ok(Signal::Usr1)) => shell.report("counters"),
-            Some(Ok(Signal::Hup)) => reload(shell, source),
-            Some(Ok(signal)) => return log::info!("stopping on {signal:?}"),
-            Some(Err(error)) => log::warn!("signals: {error}"),
+            Ok(Signal::Usr1) => shell.report("counters"),
+            Ok(Signal::Hup) => reload(shell, source),
+            Ok(signal) => return log::info!("stopping on {signal:?}"),
             // Without signals the proxy serves until it is killed.
-            None => future::pending().await,
+            Err(error) => {
+                log::warn!("signals: {error}");
+                future::pending().await
+            }
         }
     }
 }
@@ -102,6 +158,17 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_signal_comes_through_the_pipe_and_a_stop_goes_first() {
+        let mut signals = Signals::new().unwrap();
+        signal_hook::low_level::raise(SIGUSR1).unwrap();
+        assert_eq!(async_io::block_on(signals.next()).unwrap(), Signal::Usr1);
+        signal_hook::low_level::raise(SIGHUP).unwrap();
+        signal_hook::low_level::raise(SIGTERM).unwrap();
+        assert_eq!(async_io::block_on(signals.next()).unwrap(), Signal::Term);
+        assert_eq!(async_io::block_on(signals.next()).unwrap(), Signal::Hup);
+    }
+
     #[test]
     fn a_stop_ends_before_it_is_killed() {
         // Guards against a class with a long deadline: SIGKILL comes 3.7 s after SIGTERM all the same.
