Read over: a cold cache's count is named asked, two tests share one fleet of balancers

Seen in a reading of the change: the fields budget, budget_at and budget_since held the reads asked of a cold cache since the mend, not a budget; renamed, no decision changes.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -353,10 +353,10 @@
     window: Window,
     weight: f64,
     /// Reads that came to it while it was cold, fading over the time by which a fall is judged.
-    budget: f64,
-    budget_at: Micros,
+    asked: f64,
+    asked_at: Micros,
     /// Since when they are counted.
-    budget_since: Micros,
+    asked_since: Micros,
 }
 
 // ---- Requests ------------------------------------------------------------------------------------------
@@ -533,7 +533,7 @@
                         server.health = Health::default();
                         let out = server.window.out;
                         server.window = Window { out, ..Window::new(&self.settings, 0.0) };
-                        (server.budget, server.budget_at, server.budget_since) = (0.0, now, now);
+                        (server.asked, server.asked_at, server.asked_since) = (0.0, now, now);
                     }
                     let size = server.member.size;
                     server.member = member.clone();
@@ -551,9 +551,9 @@
                         named: 0,
                         window: Window::new(&self.settings, 0.0),
                         weight: 0.0,
-                        budget: 0.0,
-                        budget_at: now,
-                        budget_since: now,
+                        asked: 0.0,
+                        asked_at: now,
+                        asked_since: now,
                     };
                     let i = free.pop().unwrap_or(self.servers.len());
                     if i < self.servers.len() {
@@ -754,9 +754,9 @@
         let server = &mut self.servers[i];
         // Reads over about the span by which a fall is judged, this one not counted, so as not to bias it. In
         // the first span the budget is the part of it gone by: else a fleet that starts at nothing lets all in.
-        let asked = server.budget * (-((now - server.budget_at) as f64 / 1e6) / span).exp();
-        let counted = 1.0 - (-((now - server.budget_since) as f64 / 1e6) / span).exp();
-        (server.budget, server.budget_at) = (asked + 1.0, now);
+        let asked = server.asked * (-((now - server.asked_at) as f64 / 1e6) / span).exp();
+        let counted = 1.0 - (-((now - server.asked_since) as f64 / 1e6) / span).exp();
+        (server.asked, server.asked_at) = (asked + 1.0, now);
         self.rng.unit() * asked < allowed * counted
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -46,6 +46,18 @@
     (0..n).chain([ORIGIN]).map(member).collect()
 }
 
+/// As many balancers as `count`, each with its own seed, told of the same list at the start.
+pub fn fleet(count: u32, members: &[Member]) -> Vec<Brain> {
+    let settings = Settings { balancers: count, ..settings() };
+    (0..count)
+        .map(|seed| {
+            let mut brain = Brain::new(settings.clone(), u64::from(seed), START);
+            handle(&mut brain, START, Event::WholeList(members));
+            brain
+        })
+        .collect()
+}
+
 pub fn brain(settings: Settings, members: &[Member]) -> Brain {
     let mut brain = Brain::new(settings, 7, START);
     brain.handle(START, Event::WholeList(members), &mut Vec::new());
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -252,14 +252,8 @@
 
 #[test]
 fn hundreds_of_balancers_told_in_one_millisecond_do_not_push_a_cold_server_over() {
-    let mut list: Vec<Member> = (0..50).chain([ORIGIN]).map(member).collect();
-    let mut brains: Vec<Brain> = (0..200)
-        .map(|seed| {
-            let mut brain = Brain::new(Settings { balancers: 200, ..settings() }, seed, START);
-            handle(&mut brain, START, Event::WholeList(&list));
-            brain
-        })
-        .collect();
+    let mut list = members(50);
+    let mut brains = fleet(200, &list);
     let mut id = 0;
     // Each balancer gets five reads a second: a thousand in all, of which server 0 takes twenty while warm.
     let mut second = |brains: &mut Vec<Brain>, from: Micros| -> u32 {
@@ -323,14 +317,8 @@
 /// balancer reads from a cold cache about once in seconds.
 #[test]
 fn caches_replaced_en_masse_get_their_share_of_reads_that_come_one_at_a_time() {
-    let mut list: Vec<Member> = (0..50).chain([ORIGIN]).map(member).collect();
-    let mut brains: Vec<Brain> = (0..200)
-        .map(|seed| {
-            let mut brain = Brain::new(Settings { balancers: 200, ..settings() }, seed, START);
-            handle(&mut brain, START, Event::WholeList(&list));
-            brain
-        })
-        .collect();
+    let mut list = members(50);
+    let mut brains = fleet(200, &list);
     let mut id = 0;
     // Five reads a second at each balancer, all hits. Gives the reads that went to servers 0 to 29 and what
     // their weight had them take.
