notchdoor-coord: the lease table, the leader's expiries, fencing and a Raft member, no I/O

Change: a new package coord/. lease.rs applies acquire, renew, release and expire entries in log order with bounds on names, TTLs and tasks; the fencing token is the granting entry's log index; an Expire names the renewal it counted from, so a renewal applied after it voids it. Expiries are kept on the member's monotonic clock and restarted at a full TTL when it becomes leader. member.rs wraps raft-rs's RawNode (check_quorum, pre_vote) and answers a request only after its entry is applied. fence.rs keeps the highest token per task, bounded: a forgotten task's token goes into a floor, safe because tokens grow across all tasks. client.rs is the holder's side: act until the send time plus TTL*(1-2*1%) less 100 ms, renew at a third, full-jitter back-off from 100 ms to 5 s.

--- /dev/null
+++ b/coord/src/client.rs
@@ -0,0 +1,135 @@
+//! A holder's side of one task, without I/O: when to ask, when it may act, how long to back off.
+//!
+//! The proxies' driver sends what [`TaskClient::due`] says, feeds back what the group answered,
+//! and asks [`TaskClient::token`] before each fleet-wide action. Nothing on the data path waits
+//! on it: a task that is not held is only not done for the fleet.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::holder::Drift;
+use crate::lease::{Command, Millis, Outcome, Refusal};
+use crate::member::Answer;
+
+/// The shortest and the longest back-off after the group did not grant.
+pub const BACKOFF_MS: (Millis, Millis) = (100, 5_000);
+
+/// A request to send, numbered so that a late answer to an older one is told apart.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// The number of this request, growing.
+    pub req: u64,
+    /// What is asked.
+    pub command: Command,
+}
+
+/// One task as its would-be holder sees it.
+pub struct TaskClient {
+    task: String,
+    holder: String,
+    ttl_ms: Millis,
+    drift: Drift,
+    held: Option<(u64, Millis)>,
+    asking: Option<(u64, Millis)>,
+    next_ask: Millis,
+    failures: u32,
+    req: u64,
+    rng: ChaCha8Rng,
+}
+
+impl TaskClient {
+    /// A client that wants `task` for `holder`, with grants of `ttl_ms`.
+    pub fn new(task: &str, holder: &str, ttl_ms: Millis, drift: Drift, seed: u64) -> Self {
+        TaskClient {
+            task: task.to_owned(),
+            holder: holder.to_owned(),
+            ttl_ms,
+            drift,
+            held: None,
+            asking: None,
+            next_ask: 0,
+            failures: 0,
+            req: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// The token to act with at `now`, if this holder may act now.
+    pub fn token(&self, now: Millis) -> Option<u64> {
+        self.held.filter(|&(_, until)| now < until).map(|(token, _)| token)
+    }
+
+    /// Until when this holder may act, if it holds.
+    pub fn until(&self) -> Option<Millis> {
+        self.held.map(|(_, until)| until)
+    }
+
+    /// What to send at `now`: an acquire or a renewal when one is due and none is out. An
+    /// unanswered request counts as lost after a TTL's third.
+    pub fn due(&mut self, now: Millis) -> Option<Ask> {
+        if let Some((_, sent)) = self.asking {
+            if now < sent + self.ttl_ms / 3 {
+                return None;
+            }
+            self.asking = None;
+            self.back_off(now);
+        }
+        if self.held.is_some_and(|(_, until)| now >= until) {
+            self.held = None;
+        }
+        if now < self.next_ask {
+            return None;
+        }
+        self.req += 1;
+        let command = match self.held {
+            Some((token, _)) => {
+                Command::Renew { task: self.task.clone(), holder: self.holder.clone(), token }
+            }
+            None => {
+                Command::Acquire { task: self.task.clone(), holder: self.holder.clone(), ttl_ms: self.ttl_ms }
+            }
+        };
+        self.asking = Some((self.req, now));
+        Some(Ask { req: self.req, command })
+    }
+
+    /// Takes the group's answer to request `req` at `now`; answers to other requests are old.
+    pub fn answered(&mut self, req: u64, answer: &Answer, now: Millis) {
+        let Some((asked, sent)) = self.asking.filter(|&(r, _)| r == req) else { return };
+        debug_assert_eq!(asked, req);
+        self.asking = None;
+        match answer {
+            Answer::Done { outcome: Outcome::Granted { token, ttl_ms }, .. }
+            | Answer::Done { outcome: Outcome::Renewed { token, ttl_ms }, .. } => {
+                self.held = Some((*token, self.drift.act_until(sent, *ttl_ms)));
+                self.next_ask = self.drift.renew_at(sent, *ttl_ms);
+                self.failures = 0;
+            }
+            Answer::Done { outcome: Outcome::Refused(Refusal::Held { .. }), left_ms } => {
+                self.held = None;
+                self.next_ask = now + left_ms.unwrap_or(self.ttl_ms).max(BACKOFF_MS.0);
+            }
+            Answer::Done { outcome: Outcome::Refused(Refusal::NotHolder { .. }), .. } => {
+                // The grant ended at the group; stop acting at once and ask anew.
+                self.held = None;
+                self.next_ask = now;
+            }
+            Answer::Later { retry_after_ms } => self.next_ask = now + retry_after_ms,
+            Answer::NotLeader { .. } | Answer::Done { .. } => self.back_off(now),
+        }
+    }
+
+    /// Forgets a request whose way to the group broke.
+    pub fn lost(&mut self, now: Millis) {
+        if self.asking.take().is_some() {
+            self.back_off(now);
+        }
+    }
+
+    fn back_off(&mut self, now: Millis) {
+        self.failures = self.failures.saturating_add(1);
+        let longest = BACKOFF_MS.0.saturating_mul(1 << self.failures.min(6)).min(BACKOFF_MS.1);
+        // Full jitter, so that proxies that lost the group together do not come back together.
+        self.next_ask = now + BACKOFF_MS.0.min(longest) + self.rng.random_range(0..longest);
+    }
+}
--- /dev/null
+++ b/coord/src/lease.rs
@@ -0,0 +1,349 @@
+//! The lease table, applied from the replicated log, and the leader's clock of expiries.
+//!
+//! The table holds no time: every member applies the same entries in the same order and
+//! reaches the same table. Time enters only through [`Expiries`], which the leader keeps on
+//! its own monotonic clock and which turns into `Expire` entries once a lease has run out.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// Milliseconds on a member's monotonic clock (virtual in the lab).
+pub type Millis = u64;
+
+/// What may be asked of the table; one log entry each.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Take `task` for `holder` for `ttl_ms`, or, if `holder` has it already, renew it.
+    Acquire {
+        /// The task's name.
+        task: String,
+        /// Who asks.
+        holder: String,
+        /// How long the grant lasts, from the moment the holder sent its request.
+        ttl_ms: Millis,
+    },
+    /// Keep the grant that `token` names for another TTL.
+    Renew {
+        /// The task's name.
+        task: String,
+        /// Who asks.
+        holder: String,
+        /// The token of the grant being renewed.
+        token: u64,
+    },
+    /// Give the grant up before its time.
+    Release {
+        /// The task's name.
+        task: String,
+        /// Who asks.
+        holder: String,
+        /// The token of the grant given up.
+        token: u64,
+    },
+    /// The leader's decision that a grant ran out: proposed only by a leader whose clock says so.
+    Expire {
+        /// The task's name.
+        task: String,
+        /// The token of the grant that ran out.
+        token: u64,
+        /// The index of the last grant or renewal that the leader counted from; a renewal
+        /// applied after it makes this entry void, since the holder counts from that renewal.
+        as_of: u64,
+    },
+}
+
+/// A grant in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Who holds it.
+    pub holder: String,
+    /// The fencing token: the log index of the entry that granted it to this holder.
+    pub token: u64,
+    /// The TTL asked for.
+    pub ttl_ms: Millis,
+    /// The index of the entry that granted or last renewed it.
+    pub renewed_at: u64,
+}
+
+/// What applying an entry did.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The task is the holder's, with this token (new, or the same on a repeated acquire).
+    Granted {
+        /// The fencing token.
+        token: u64,
+        /// The TTL granted.
+        ttl_ms: Millis,
+    },
+    /// The grant goes on for another TTL.
+    Renewed {
+        /// The fencing token, unchanged.
+        token: u64,
+        /// The TTL granted.
+        ttl_ms: Millis,
+    },
+    /// The grant was given up.
+    Released {
+        /// The token that ended.
+        token: u64,
+    },
+    /// The grant ran out.
+    Expired {
+        /// The token that ended.
+        token: u64,
+    },
+    /// Nothing changed.
+    Refused(Refusal),
+}
+
+/// Why an entry changed nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// Another holder has the task.
+    Held {
+        /// Who has it.
+        holder: String,
+        /// With which token.
+        token: u64,
+    },
+    /// The grant named is not the one in force (it ended, or was never this holder's).
+    NotHolder {
+        /// The token in force, if any.
+        current: Option<u64>,
+    },
+    /// An `Expire` that a renewal or a new grant overtook; harmless.
+    Overtaken,
+    /// The table holds as many tasks as it may.
+    Full,
+    /// A name or a TTL out of bounds.
+    Invalid(String),
+}
+
+/// Bounds on what the table takes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Tasks held at once.
+    pub max_tasks: usize,
+    /// Bytes of a task's or a holder's name.
+    pub max_name: usize,
+    /// The shortest TTL granted.
+    pub min_ttl_ms: Millis,
+    /// The longest TTL granted.
+    pub max_ttl_ms: Millis,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds { max_tasks: 4096, max_name: 128, min_ttl_ms: 500, max_ttl_ms: 60_000 }
+    }
+}
+
+/// The grants in force, by task. Deterministic: a function of the entries applied.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseTable {
+    grants: BTreeMap<String, Grant>,
+    applied: u64,
+}
+
+impl LeaseTable {
+    /// The grants in force.
+    pub fn grants(&self) -> &BTreeMap<String, Grant> {
+        &self.grants
+    }
+
+    /// The index of the last entry applied.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Applies the entry at `index`. Indexes must come in order; an entry applied twice
+    /// (a replay after a restart) changes nothing and is told as `Overtaken`.
+    pub fn apply(&mut self, index: u64, command: &Command, bounds: &Bounds) -> Outcome {
+        if index <= self.applied {
+            return Outcome::Refused(Refusal::Overtaken);
+        }
+        self.applied = index;
+        match command {
+            Command::Acquire { task, holder, ttl_ms } => {
+                if let Err(why) = check(task, holder, *ttl_ms, bounds) {
+                    return Outcome::Refused(Refusal::Invalid(why));
+                }
+                let full = self.grants.len() >= bounds.max_tasks;
+                match self.grants.get_mut(task) {
+                    // The holder asks again (its answer was lost, or it renews by asking): the
+                    // same grant goes on, so a repeated request never makes a second token.
+                    Some(grant) if grant.holder == *holder => {
+                        grant.renewed_at = index;
+                        grant.ttl_ms = *ttl_ms;
+                        Outcome::Granted { token: grant.token, ttl_ms: *ttl_ms }
+                    }
+                    Some(grant) => {
+                        Outcome::Refused(Refusal::Held { holder: grant.holder.clone(), token: grant.token })
+                    }
+                    None if full => Outcome::Refused(Refusal::Full),
+                    None => {
+                        let grant = Grant {
+                            holder: holder.clone(),
+                            token: index,
+                            ttl_ms: *ttl_ms,
+                            renewed_at: index,
+                        };
+                        self.grants.insert(task.clone(), grant);
+                        Outcome::Granted { token: index, ttl_ms: *ttl_ms }
+                    }
+                }
+            }
+            Command::Renew { task, holder, token } => match self.grants.get_mut(task) {
+                Some(grant) if grant.holder == *holder && grant.token == *token => {
+                    grant.renewed_at = index;
+                    Outcome::Renewed { token: *token, ttl_ms: grant.ttl_ms }
+                }
+                other => Outcome::Refused(Refusal::NotHolder { current: other.map(|g| g.token) }),
+            },
+            Command::Release { task, holder, token } => match self.grants.get(task) {
+                Some(grant) if grant.holder == *holder && grant.token == *token => {
+                    self.grants.remove(task);
+                    Outcome::Released { token: *token }
+                }
+                other => Outcome::Refused(Refusal::NotHolder { current: other.map(|g| g.token) }),
+            },
+            Command::Expire { task, token, as_of } => match self.grants.get(task) {
+                Some(grant) if grant.token == *token && grant.renewed_at == *as_of => {
+                    self.grants.remove(task);
+                    Outcome::Expired { token: *token }
+                }
+                _ => Outcome::Refused(Refusal::Overtaken),
+            },
+        }
+    }
+}
+
+fn check(task: &str, holder: &str, ttl_ms: Millis, bounds: &Bounds) -> Result<(), String> {
+    for (what, name) in [("task", task), ("holder", holder)] {
+        if name.is_empty() || name.len() > bounds.max_name {
+            return Err(format!("{what}: a name of 1 to {} bytes", bounds.max_name));
+        }
+    }
+    if !(bounds.min_ttl_ms..=bounds.max_ttl_ms).contains(&ttl_ms) {
+        return Err(format!("ttl_ms: from {} to {}", bounds.min_ttl_ms, bounds.max_ttl_ms));
+    }
+    Ok(())
+}
+
+/// When each grant runs out, on one member's monotonic clock. Every member keeps it, counting
+/// from when it applied a grant or renewal; only a leader acts on it, and a member that becomes
+/// leader first counts every grant as renewed at its election, since it cannot know how long
+/// its predecessor had left.
+#[derive(Clone, Debug, Default)]
+pub struct Expiries {
+    due: BTreeMap<String, Due>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Due {
+    token: u64,
+    as_of: u64,
+    at: Millis,
+}
+
+impl Expiries {
+    /// Follows what applying an entry did to `task`, at `now`.
+    pub fn follow(&mut self, task: &str, outcome: &Outcome, table: &LeaseTable, now: Millis) {
+        match outcome {
+            Outcome::Granted { .. } | Outcome::Renewed { .. } => {
+                if let Some(grant) = table.grants().get(task) {
+                    let due = Due { token: grant.token, as_of: grant.renewed_at, at: now + grant.ttl_ms };
+                    self.due.insert(task.to_owned(), due);
+                }
+            }
+            Outcome::Released { .. } | Outcome::Expired { .. } => {
+                self.due.remove(task);
+            }
+            Outcome::Refused(_) => {}
+        }
+    }
+
+    /// A new leader's start: every grant in `table` runs a full TTL from `now`.
+    pub fn restart(&mut self, table: &LeaseTable, now: Millis) {
+        self.due = table
+            .grants()
+            .iter()
+            .map(|(task, g)| (task.clone(), Due { token: g.token, as_of: g.renewed_at, at: now + g.ttl_ms }))
+            .collect();
+    }
+
+    /// The `Expire` entries that the leader should propose at `now`.
+    pub fn expired(&self, now: Millis) -> Vec<Command> {
+        self.due
+            .iter()
+            .filter(|(_, due)| due.at <= now)
+            .map(|(task, due)| Command::Expire { task: task.clone(), token: due.token, as_of: due.as_of })
+            .collect()
+    }
+
+    /// How long until `task` is free, at `now`, as far as this member knows.
+    pub fn left(&self, task: &str, now: Millis) -> Option<Millis> {
+        self.due.get(task).map(|due| due.at.saturating_sub(now))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn acquire(task: &str, holder: &str) -> Command {
+        Command::Acquire { task: task.into(), holder: holder.into(), ttl_ms: 3000 }
+    }
+
+    #[test]
+    fn a_second_holder_is_refused_and_tokens_grow_across_holders() {
+        let (mut t, b) = (LeaseTable::default(), Bounds::default());
+        assert_eq!(t.apply(3, &acquire("warm", "a"), &b), Outcome::Granted { token: 3, ttl_ms: 3000 });
+        assert_eq!(
+            t.apply(4, &acquire("warm", "b"), &b),
+            Outcome::Refused(Refusal::Held { holder: "a".into(), token: 3 })
+        );
+        // A repeated acquire keeps the token: a lost answer never makes a second grant.
+        assert_eq!(t.apply(5, &acquire("warm", "a"), &b), Outcome::Granted { token: 3, ttl_ms: 3000 });
+        let expire = Command::Expire { task: "warm".into(), token: 3, as_of: 5 };
+        assert_eq!(t.apply(6, &expire, &b), Outcome::Expired { token: 3 });
+        assert_eq!(t.apply(7, &acquire("warm", "b"), &b), Outcome::Granted { token: 7, ttl_ms: 3000 });
+    }
+
+    #[test]
+    fn an_expiry_that_a_renewal_overtook_is_void() {
+        let (mut t, b) = (LeaseTable::default(), Bounds::default());
+        t.apply(1, &acquire("probe", "a"), &b);
+        let renew = Command::Renew { task: "probe".into(), holder: "a".into(), token: 1 };
+        assert_eq!(t.apply(2, &renew, &b), Outcome::Renewed { token: 1, ttl_ms: 3000 });
+        // The leader decided on the grant of index 1, but the holder now counts from index 2.
+        let stale = Command::Expire { task: "probe".into(), token: 1, as_of: 1 };
+        assert_eq!(t.apply(3, &stale, &b), Outcome::Refused(Refusal::Overtaken));
+        assert_eq!(t.grants()["probe"].holder, "a");
+    }
+
+    #[test]
+    fn a_new_leader_counts_a_full_ttl_from_its_election() {
+        let (mut t, b) = (LeaseTable::default(), Bounds::default());
+        t.apply(1, &acquire("probe", "a"), &b);
+        let mut e = Expiries::default();
+        e.restart(&t, 10_000);
+        assert!(e.expired(12_999).is_empty());
+        assert_eq!(e.expired(13_000), vec![Command::Expire { task: "probe".into(), token: 1, as_of: 1 }]);
+    }
+
+    #[test]
+    fn bad_names_and_ttls_are_refused_by_field() {
+        let (mut t, b) = (LeaseTable::default(), Bounds::default());
+        let long = Command::Acquire { task: "x".repeat(200), holder: "a".into(), ttl_ms: 3000 };
+        assert!(
+            matches!(t.apply(1, &long, &b), Outcome::Refused(Refusal::Invalid(w)) if w.starts_with("task"))
+        );
+        let short = Command::Acquire { task: "x".into(), holder: "a".into(), ttl_ms: 1 };
+        assert!(
+            matches!(t.apply(2, &short, &b), Outcome::Refused(Refusal::Invalid(w)) if w.starts_with("ttl_ms"))
+        );
+        assert!(t.grants().is_empty());
+    }
+}
--- /dev/null
+++ b/coord/src/lib.rs
@@ -0,0 +1,11 @@
+//! The lease group of notchdoor, without I/O: a lease table applied from raft-rs's log, the
+//! leader's clock of expiries, fencing, and the holder's clock. Hosts bring time, bytes and disk.
+//! The design is `docs/leases-design.md`.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod client;
+pub mod fence;
+pub mod holder;
+pub mod lease;
+pub mod member;
