A refused lease client asks again after a third of the TTL, not the whole time left

Cause: with the rule that a new leader gives every grant a full TTL broken (expiry at once), the group test still passed. So the test never reached the election case, and in service a task freed by a release or an expiry stayed idle for up to a TTL.

Change: client.rs waits min(left, TTL/3) with a quarter's jitter after Held: a waiter costs the group what a renewing holder does.

--- a/coord/src/client.rs
+++ b/coord/src/client.rs
@@ -106,8 +106,12 @@
                 self.failures = 0;
             }
             Answer::Done { outcome: Outcome::Refused(Refusal::Held { .. }), left_ms } => {
+                // Ask again when the grant is due to end, but after a third of the TTL at the
+                // latest: a release or a leader's expiry frees the task earlier than the member
+                // that answered could know, and a waiter costs no more than a holder renewing.
                 self.held = None;
-                self.next_ask = now + left_ms.unwrap_or(self.ttl_ms).max(BACKOFF_MS.0);
+                let wait = left_ms.unwrap_or(self.ttl_ms).min(self.ttl_ms / 3).max(BACKOFF_MS.0);
+                self.next_ask = now + wait - self.rng.random_range(0..wait / 4);
             }
             Answer::Done { outcome: Outcome::Refused(Refusal::NotHolder { .. }), .. } => {
                 // The grant ended at the group; stop acting at once and ask anew.
