--- a/coord/src/fence.rs
+++ b/coord/src/fence.rs
@@ -15,7 +15,7 @@
 }
 
 /// The highest token seen per task, bounded.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Fence {
     highest: BTreeMap<String, (u64, u64)>,
     floor: u64,
--- a/coord/src/lease.rs
+++ b/coord/src/lease.rs
@@ -12,7 +12,7 @@
 pub type Millis = u64;
 
 /// What may be asked of the table; one log entry each.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Command {
     /// Take `task` for `holder` for `ttl_ms`, or, if `holder` has it already, renew it.
     Acquire {
@@ -54,7 +54,7 @@
 }
 
 /// A grant in force.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Grant {
     /// Who holds it.
     pub holder: String,
@@ -67,7 +67,7 @@
 }
 
 /// What applying an entry did.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Outcome {
     /// The task is the holder's, with this token (new, or the same on a repeated acquire).
     Granted {
@@ -98,7 +98,7 @@
 }
 
 /// Why an entry changed nothing.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Refusal {
     /// Another holder has the task.
     Held {
@@ -140,7 +140,7 @@
 }
 
 /// The grants in force, by task. Deterministic: a function of the entries applied.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LeaseTable {
     grants: BTreeMap<String, Grant>,
     applied: u64,
@@ -235,12 +235,12 @@
 /// from when it applied a grant or renewal; only a leader acts on it, and a member that becomes
 /// leader first counts every grant as renewed at its election, since it cannot know how long
 /// its predecessor had left.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Expiries {
     due: BTreeMap<String, Due>,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Due {
     token: u64,
     as_of: u64,
