A member's log and hard state on disk in redb, one fsynced transaction a round

Entries from a new leader drop whatever the member held from that index on. The file holds its member's id; a file written by another member is refused, so one folder never votes under two ids.

Checked: a unit test reopens a store and finds term, vote, commit, voters and the log with a replaced suffix; with the truncation taken out it fails (last index 4, not 3). Not yet: compaction, so the log grows with every renewal; a group test over disk; the driver.

--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod holder;
 pub mod lease;
 pub mod member;
+pub mod store;
--- /dev/null
+++ b/coord/src/store.rs
@@ -0,0 +1,263 @@
+//! A member's storage on disk: raft-rs's `MemStorage` to read from, `redb` for what must outlive
+//! the process. Every round's snapshot, entries and hard state go into one write transaction,
+//! committed with `redb`'s immediate durability (an fsync) before [`Keep::keep`] returns, and so
+//! before the member hands out the messages and answers of that round.
+
+use std::path::Path;
+
+use protobuf::Message as _;
+use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
+use raft::storage::MemStorage;
+use raft::{GetEntriesContext, RaftState, Storage, StorageError};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+
+use crate::member::Keep;
+
+const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
+const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+
+/// Why a folder could not be taken as a member's store; each names what was wrong.
+#[derive(Debug)]
+pub struct StoreError(pub String);
+
+impl std::fmt::Display for StoreError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+fn failed(what: &str, e: impl std::fmt::Display) -> StoreError {
+    StoreError(format!("{what}: {e}"))
+}
+
+fn raft_error(e: impl std::fmt::Display) -> raft::Error {
+    raft::Error::Store(StorageError::Other(Box::new(StoreError(e.to_string()))))
+}
+
+/// How a store was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// A new folder that founds the group with the voters given.
+    Founding,
+    /// A new folder that joins a group: it learns the members from the leader.
+    Joining,
+    /// A folder that this member has written before; its log goes on.
+    Kept,
+}
+
+/// A member's store in one `redb` file.
+pub struct DiskStore {
+    mem: MemStorage,
+    db: Database,
+}
+
+impl DiskStore {
+    /// Opens or makes the store of member `id` at `file`. `founders` are the voters of a group
+    /// that starts now; a new file without them waits to be added by the group. A file that
+    /// another member wrote is refused, so that one folder never votes under two ids.
+    pub fn open(file: &Path, id: u64, founders: Option<&[u64]>) -> Result<(DiskStore, Found), StoreError> {
+        let db = Database::create(file).map_err(|e| failed(&format!("{}", file.display()), e))?;
+        let txn = db.begin_write().map_err(|e| failed("store", e))?;
+        let (owner, hard, conf, snap) = {
+            let meta = txn.open_table(META).map_err(|e| failed("store", e))?;
+            let _ = txn.open_table(ENTRIES).map_err(|e| failed("store", e))?;
+            let get = |key: &str| -> Result<Option<Vec<u8>>, StoreError> {
+                Ok(meta.get(key).map_err(|e| failed("store", e))?.map(|v| v.value().to_vec()))
+            };
+            (get("id")?, get("hard")?, get("conf")?, get("snap")?)
+        };
+        txn.commit().map_err(|e| failed("store", e))?;
+        let mem = MemStorage::new();
+        let found = match owner {
+            Some(owner) if owner != id.to_be_bytes() => {
+                let other = owner.try_into().map(u64::from_be_bytes).unwrap_or(0);
+                return Err(StoreError(format!(
+                    "{}: the store of member {other}, not of {id}",
+                    file.display()
+                )));
+            }
+            Some(_) => Found::Kept,
+            None if founders.is_some() => Found::Founding,
+            None => Found::Joining,
+        };
+        let store = DiskStore { mem, db };
+        match found {
+            Found::Kept => store.load(hard, conf, snap)?,
+            Found::Founding => {
+                let conf = ConfState::from((founders.unwrap_or_default().to_vec(), vec![]));
+                store.put_meta(&[("id", id.to_be_bytes().to_vec()), ("conf", encode(&conf)?)])?;
+                store.mem.wl().set_conf_state(conf);
+            }
+            Found::Joining => store.put_meta(&[("id", id.to_be_bytes().to_vec())])?,
+        }
+        Ok((store, found))
+    }
+
+    fn load(
+        &self,
+        hard: Option<Vec<u8>>,
+        conf: Option<Vec<u8>>,
+        snap: Option<Vec<u8>>,
+    ) -> Result<(), StoreError> {
+        let mut core = self.mem.wl();
+        let mut first = 1;
+        if let Some(snap) = snap {
+            let snap = Snapshot::parse_from_bytes(&snap).map_err(|e| failed("store: snapshot", e))?;
+            first = snap.get_metadata().index + 1;
+            core.apply_snapshot(snap).map_err(|e| failed("store: snapshot", e))?;
+        }
+        let txn = self.db.begin_read().map_err(|e| failed("store", e))?;
+        let table = txn.open_table(ENTRIES).map_err(|e| failed("store", e))?;
+        let mut entries = Vec::new();
+        for item in table.range(0u64..).map_err(|e| failed("store: entries", e))? {
+            let (_, value) = item.map_err(|e| failed("store: entries", e))?;
+            entries.push(Entry::parse_from_bytes(value.value()).map_err(|e| failed("store: an entry", e))?);
+        }
+        entries.retain(|e| e.index >= first);
+        core.append(&entries).map_err(|e| failed("store: entries", e))?;
+        if let Some(conf) = conf {
+            core.set_conf_state(ConfState::parse_from_bytes(&conf).map_err(|e| failed("store: conf", e))?);
+        }
+        if let Some(hard) = hard {
+            core.set_hardstate(
+                HardState::parse_from_bytes(&hard).map_err(|e| failed("store: hard state", e))?,
+            );
+        }
+        Ok(())
+    }
+
+    fn put_meta(&self, pairs: &[(&str, Vec<u8>)]) -> Result<(), StoreError> {
+        let txn = self.db.begin_write().map_err(|e| failed("store", e))?;
+        {
+            let mut meta = txn.open_table(META).map_err(|e| failed("store", e))?;
+            for (key, value) in pairs {
+                meta.insert(*key, value.as_slice()).map_err(|e| failed("store", e))?;
+            }
+        }
+        txn.commit().map_err(|e| failed("store", e))
+    }
+}
+
+fn encode(message: &impl protobuf::Message) -> Result<Vec<u8>, StoreError> {
+    message.write_to_bytes().map_err(|e| failed("store: encoding", e))
+}
+
+impl Storage for DiskStore {
+    fn initial_state(&self) -> raft::Result<RaftState> {
+        self.mem.initial_state()
+    }
+
+    fn entries(
+        &self,
+        low: u64,
+        high: u64,
+        max_size: impl Into<Option<u64>>,
+        context: GetEntriesContext,
+    ) -> raft::Result<Vec<Entry>> {
+        self.mem.entries(low, high, max_size, context)
+    }
+
+    fn term(&self, idx: u64) -> raft::Result<u64> {
+        self.mem.term(idx)
+    }
+
+    fn first_index(&self) -> raft::Result<u64> {
+        self.mem.first_index()
+    }
+
+    fn last_index(&self) -> raft::Result<u64> {
+        self.mem.last_index()
+    }
+
+    fn snapshot(&self, request_index: u64, to: u64) -> raft::Result<Snapshot> {
+        self.mem.snapshot(request_index, to)
+    }
+}
+
+impl Keep for DiskStore {
+    fn keep(
+        &self,
+        snapshot: Option<&Snapshot>,
+        entries: &[Entry],
+        hard: Option<&HardState>,
+    ) -> raft::Result<()> {
+        let txn = self.db.begin_write().map_err(raft_error)?;
+        {
+            let mut table = txn.open_table(ENTRIES).map_err(raft_error)?;
+            let mut meta = txn.open_table(META).map_err(raft_error)?;
+            if let Some(snapshot) = snapshot {
+                let upto = snapshot.get_metadata().index;
+                table.retain_in(..=upto, |_, _| false).map_err(raft_error)?;
+                meta.insert("snap", snapshot.write_to_bytes().map_err(raft_error)?.as_slice())
+                    .map_err(raft_error)?;
+                let conf = snapshot.get_metadata().get_conf_state().write_to_bytes().map_err(raft_error)?;
+                meta.insert("conf", conf.as_slice()).map_err(raft_error)?;
+            }
+            if let Some(first) = entries.first() {
+                // A leader's entries replace whatever this member held from that index on.
+                table.retain_in(first.index.., |_, _| false).map_err(raft_error)?;
+                for entry in entries {
+                    table
+                        .insert(entry.index, entry.write_to_bytes().map_err(raft_error)?.as_slice())
+                        .map_err(raft_error)?;
+                }
+            }
+            if let Some(hard) = hard {
+                meta.insert("hard", hard.write_to_bytes().map_err(raft_error)?.as_slice())
+                    .map_err(raft_error)?;
+            }
+        }
+        txn.commit().map_err(raft_error)?;
+        self.mem.keep(snapshot, entries, hard)
+    }
+
+    fn keep_commit(&self, commit: u64) -> raft::Result<()> {
+        self.mem.keep_commit(commit)?;
+        let hard = self.mem.rl().hard_state().clone();
+        let bytes = hard.write_to_bytes().map_err(raft_error)?;
+        self.put_meta(&[("hard", bytes)]).map_err(raft_error)
+    }
+
+    fn keep_conf(&self, conf: ConfState) -> raft::Result<()> {
+        let bytes = conf.write_to_bytes().map_err(raft_error)?;
+        self.put_meta(&[("conf", bytes)]).map_err(raft_error)?;
+        self.mem.keep_conf(conf)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(index: u64, term: u64) -> Entry {
+        Entry { index, term, data: vec![index as u8].into(), ..Default::default() }
+    }
+
+    #[test]
+    fn a_store_reopened_has_its_log_and_votes_and_refuses_another_member() {
+        let dir = std::env::temp_dir().join(format!("notchdoor-store-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        let file = dir.join("member.redb");
+        {
+            let (store, found) = DiskStore::open(&file, 2, Some(&[1, 2, 3])).unwrap();
+            assert_eq!(found, Found::Founding);
+            let hard = HardState { term: 4, vote: 1, commit: 0, ..Default::default() };
+            store.keep(None, &[entry(1, 1), entry(2, 1), entry(3, 4), entry(4, 4)], Some(&hard)).unwrap();
+            // A new leader's entry 3 of term 5 replaces the old 3 and 4, which were never committed.
+            store.keep(None, &[entry(3, 5)], None).unwrap();
+            store.keep_commit(3).unwrap();
+        }
+        let (store, found) = DiskStore::open(&file, 2, None).unwrap();
+        assert_eq!(found, Found::Kept);
+        let state = store.initial_state().unwrap();
+        assert_eq!((state.hard_state.term, state.hard_state.vote, state.hard_state.commit), (4, 1, 3));
+        assert_eq!(state.conf_state.voters, vec![1, 2, 3]);
+        assert_eq!((store.last_index().unwrap(), store.term(3).unwrap()), (3, 5));
+        drop(store);
+        let other = DiskStore::open(&file, 7, None).err().expect("another member's store is refused");
+        assert!(other.0.contains("the store of member 2, not of 7"), "{other}");
+        std::fs::remove_dir_all(&dir).unwrap();
+    }
+}
