--- a/coord/src/member.rs
+++ b/coord/src/member.rs
@@ -28,6 +28,9 @@
     fn keep_commit(&self, commit: u64) -> raft::Result<()>;
     /// Keeps the configuration after a change was applied.
     fn keep_conf(&self, conf: ConfState) -> raft::Result<()>;
+    /// Replaces the log up to `index`, which is applied, by a snapshot of the table, `data`.
+    /// A store that cannot hand the data to a member that fell behind keeps its log instead.
+    fn compact(&self, index: u64, data: Vec<u8>) -> raft::Result<()>;
 }
 
 impl Keep for MemStorage {
@@ -57,8 +60,17 @@
         self.wl().set_conf_state(conf);
         Ok(())
     }
+
+    /// raft-rs's memory store makes snapshots without data, which would hand a member that fell
+    /// behind an empty table; the lab's runs are short, so it keeps the whole log.
+    fn compact(&self, _index: u64, _data: Vec<u8>) -> raft::Result<()> {
+        Ok(())
+    }
 }
 
+/// Entries applied between two compactions.
+pub const COMPACT_EVERY: u64 = 1_000;
+
 /// The pace of a member: how often it ticks and how many ticks make an election or a heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pace {
@@ -188,8 +200,16 @@
         Ok(member)
     }
 
-    /// Applies what the store has committed already: the table after a restart, disk kept.
+    /// Applies what the store has committed already: the table after a restart, disk kept. The
+    /// table of the kept snapshot first, since compaction dropped the entries that made it.
     fn replay(&mut self, upto: u64) -> raft::Result<()> {
+        let snapshot = self.node.store().snapshot(0, 0)?;
+        if !snapshot.get_data().is_empty() {
+            match serde_json::from_slice::<LeaseTable>(snapshot.get_data()) {
+                Ok(table) => self.table = table,
+                Err(e) => return Err(raft::Error::ConfigInvalid(format!("the kept snapshot's table: {e}"))),
+            }
+        }
         let first = self.node.store().first_index()?;
         if upto >= first {
             let entries =
@@ -284,10 +304,12 @@
         let snapshot = (!ready.snapshot().is_empty()).then(|| ready.snapshot().clone());
         self.node.store().keep(snapshot.as_ref(), ready.entries(), ready.hs())?;
         if let Some(snapshot) = snapshot {
-            if let Ok(table) = serde_json::from_slice::<LeaseTable>(snapshot.get_data()) {
-                self.table = table;
-                self.expiries.restart(&self.table, self.now);
-            }
+            // A snapshot comes from a member of the group; one whose table does not decode is a
+            // bug of ours, and going on with the old table would grant what others hold.
+            let table = serde_json::from_slice::<LeaseTable>(snapshot.get_data())
+                .map_err(|e| raft::Error::ConfigInvalid(format!("a snapshot's table: {e}")))?;
+            self.table = table;
+            self.expiries.restart(&self.table, self.now);
         }
         let committed = ready.take_committed_entries();
         self.apply(committed);
@@ -300,6 +322,10 @@
         let committed = light.take_committed_entries();
         self.apply(committed);
         self.node.advance_apply();
+        let applied = self.node.raft.raft_log.applied;
+        if applied >= self.node.store().first_index()? + COMPACT_EVERY {
+            self.node.store().compact(applied, self.snapshot_data())?;
+        }
         Ok(())
     }
 
--- a/coord/src/store.rs
+++ b/coord/src/store.rs
@@ -9,7 +9,7 @@
 use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
 use raft::storage::MemStorage;
 use raft::{GetEntriesContext, RaftState, Storage, StorageError};
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::{Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, TableDefinition};
 
 use crate::member::Keep;
 
@@ -172,7 +172,11 @@
     }
 
     fn snapshot(&self, request_index: u64, to: u64) -> raft::Result<Snapshot> {
-        self.mem.snapshot(request_index, to)
+        // The table's bytes are in the snapshot that compaction kept; raft-rs's own has none.
+        match self.kept_snapshot().map_err(raft_error)? {
+            Some(snap) => Ok(snap),
+            None => self.mem.snapshot(request_index, to),
+        }
     }
 }
 
@@ -225,6 +229,40 @@
         self.put_meta(&[("conf", bytes)]).map_err(raft_error)?;
         self.mem.keep_conf(conf)
     }
+
+    fn compact(&self, index: u64, data: Vec<u8>) -> raft::Result<()> {
+        let mut snap = Snapshot { data: data.into(), ..Default::default() };
+        let meta = snap.mut_metadata();
+        meta.index = index;
+        meta.term = self.mem.term(index)?;
+        meta.set_conf_state(self.mem.initial_state()?.conf_state);
+        let txn = self.db.begin_write().map_err(raft_error)?;
+        {
+            let mut table = txn.open_table(ENTRIES).map_err(raft_error)?;
+            table.retain_in(..=index, |_, _| false).map_err(raft_error)?;
+            let mut meta = txn.open_table(META).map_err(raft_error)?;
+            meta.insert("snap", snap.write_to_bytes().map_err(raft_error)?.as_slice()).map_err(raft_error)?;
+        }
+        txn.commit().map_err(raft_error)?;
+        // The entry at `index` stays in memory, so that its term can still be asked for.
+        self.mem.wl().compact(index)
+    }
+}
+
+impl DiskStore {
+    fn kept_snapshot(&self) -> Result<Option<Snapshot>, StoreError> {
+        let txn = self.db.begin_read().map_err(|e| failed("store", e))?;
+        let meta = txn.open_table(META).map_err(|e| failed("store", e))?;
+        let Some(bytes) = meta.get("snap").map_err(|e| failed("store", e))? else { return Ok(None) };
+        Snapshot::parse_from_bytes(bytes.value()).map(Some).map_err(|e| failed("store: snapshot", e))
+    }
+
+    /// The number of entries on disk, for the figures of a member.
+    pub fn entries_kept(&self) -> Result<u64, StoreError> {
+        let txn = self.db.begin_read().map_err(|e| failed("store", e))?;
+        let table = txn.open_table(ENTRIES).map_err(|e| failed("store", e))?;
+        table.len().map_err(|e| failed("store", e))
+    }
 }
 
 #[cfg(test)]
@@ -255,6 +293,18 @@
         assert_eq!((state.hard_state.term, state.hard_state.vote, state.hard_state.commit), (4, 1, 3));
         assert_eq!(state.conf_state.voters, vec![1, 2, 3]);
         assert_eq!((store.last_index().unwrap(), store.term(3).unwrap()), (3, 5));
+        // Compaction keeps the table's bytes for members that fell behind, and the log after it.
+        store.keep(None, &[entry(4, 5), entry(5, 5)], None).unwrap();
+        store.compact(4, b"table".to_vec()).unwrap();
+        assert_eq!(store.entries_kept().unwrap(), 1);
+        drop(store);
+        let (store, _) = DiskStore::open(&file, 2, None).unwrap();
+        let snap = store.snapshot(4, 0).unwrap();
+        assert_eq!(
+            (snap.get_metadata().index, snap.get_metadata().term, snap.get_data()),
+            (4, 5, &b"table"[..])
+        );
+        assert_eq!((store.first_index().unwrap(), store.last_index().unwrap()), (5, 5));
         drop(store);
         let other = DiskStore::open(&file, 7, None).err().expect("another member's store is refused");
         assert!(other.0.contains("the store of member 2, not of 7"), "{other}");
--- a/coord/tests/group.rs
+++ b/coord/tests/group.rs
@@ -142,3 +142,41 @@
         assert!(handovers >= 1, "seed {seed}: the task never changed hands");
     }
 }
+
+#[test]
+fn a_member_on_disk_compacts_its_log_and_comes_back_with_its_grants() {
+    use notchdoor_coord::lease::Command;
+    use notchdoor_coord::member::Answer;
+    use notchdoor_coord::store::{DiskStore, Found};
+    let dir = std::env::temp_dir().join(format!("notchdoor-group-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let file = dir.join("m1.redb");
+    let (store, found) = DiskStore::open(&file, 1, Some(&[1])).unwrap();
+    assert_eq!(found, Found::Founding);
+    let mut m = Member::new(1, store, Pace::default(), Bounds::default(), 0).unwrap();
+    let (mut now, mut token, mut answered) = (0, None, 0);
+    while answered < 1_200 && now < 1_000_000 {
+        now += STEP;
+        if m.leads() {
+            let ask = Command::Acquire { task: "registry".into(), holder: "p1".into(), ttl_ms: 5_000 };
+            assert_eq!(m.ask(now, ask), None);
+        }
+        for (_, answer) in m.advance(now).unwrap().answers {
+            let Answer::Done { outcome: notchdoor_coord::lease::Outcome::Granted { token: t, .. }, .. } =
+                answer
+            else {
+                panic!("{answer:?}")
+            };
+            assert_eq!(*token.get_or_insert(t), t, "a repeated acquire keeps its token");
+            answered += 1;
+        }
+    }
+    assert_eq!(answered, 1_200);
+    drop(m);
+    let (store, found) = DiskStore::open(&file, 1, None).unwrap();
+    assert_eq!(found, Found::Kept);
+    assert!(store.entries_kept().unwrap() < 1_000, "the log was not compacted");
+    let m = Member::new(1, store, Pace::default(), Bounds::default(), now).unwrap();
+    assert_eq!(m.table().grants()["registry"].token, token.unwrap());
+    std::fs::remove_dir_all(&dir).unwrap();
+}
