--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 pub mod client;
+pub mod config;
 pub mod fence;
 pub mod holder;
 pub mod lease;
