Frames between members and clients, fed bytes, bounded, errors with their offset

Need: the driver of a member carries raft-rs's messages between members and requests and answers between proxies and members on TCP streams; the house style wants the protocol as a state machine fed bytes, and every buffer bounded.

Change: coord/src/wire.rs: a frame is a 4-byte length, a kind and a body (protobuf for peers, JSON for clients); the decoder holds at most one frame of 1 MiB and refuses a longer length before reading the body; an error names the frame's offset in the stream. The model check loses two dead lines.

Checked: two frames fed one byte at a time come out whole and equal; a lying length is refused with its offset.

--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod lease;
 pub mod member;
 pub mod store;
+pub mod wire;
--- /dev/null
+++ b/coord/src/wire.rs
@@ -0,0 +1,168 @@
+//! What members and clients say to each other on a stream, as frames fed in bytes; no socket.
+//!
+//! A frame is a length (4 bytes, big-endian, the kind byte and the body), a kind, and a body:
+//! raft-rs's message in protobuf between members, JSON between a client and a member. The decoder
+//! holds at most one frame's bytes and refuses a length over its bound before reading the body, so
+//! a peer that lies about a length costs nothing.
+
+use protobuf::Message as _;
+use raft::eraftpb::Message;
+use serde::{Deserialize, Serialize};
+
+use crate::lease::Command;
+use crate::member::Answer;
+
+/// The largest frame taken, kind and body.
+pub const MAX_FRAME: usize = 1 << 20;
+
+/// One frame.
+#[derive(Debug, PartialEq)]
+pub enum Frame {
+    /// A message of the Raft group, from one member to another.
+    Peer(Message),
+    /// A client's request.
+    Ask {
+        /// The client's number for it, returned with the answer.
+        req: u64,
+        /// What is asked.
+        command: Command,
+    },
+    /// A member's answer.
+    Answer {
+        /// The request's number.
+        req: u64,
+        /// What was decided.
+        answer: Answer,
+    },
+}
+
+#[derive(Serialize, Deserialize)]
+struct AskBody {
+    req: u64,
+    command: Command,
+}
+
+#[derive(Serialize, Deserialize)]
+struct AnswerBody {
+    req: u64,
+    answer: Answer,
+}
+
+const PEER: u8 = 1;
+const ASK: u8 = 2;
+const ANSWER: u8 = 3;
+
+/// A stream that broke the framing: where and how. The connection is closed on it.
+#[derive(Debug, PartialEq, Eq)]
+pub struct FrameError {
+    /// The offset in the stream of the frame at fault.
+    pub at: u64,
+    /// What was wrong.
+    pub why: String,
+}
+
+impl std::fmt::Display for FrameError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "frame at byte {}: {}", self.at, self.why)
+    }
+}
+
+/// Writes `frame` onto `out`.
+pub fn encode(frame: &Frame, out: &mut Vec<u8>) {
+    let (kind, body) = match frame {
+        Frame::Peer(m) => (PEER, m.write_to_bytes().unwrap_or_default()),
+        Frame::Ask { req, command } => {
+            (ASK, serde_json::to_vec(&AskBody { req: *req, command: command.clone() }).unwrap_or_default())
+        }
+        Frame::Answer { req, answer } => (
+            ANSWER,
+            serde_json::to_vec(&AnswerBody { req: *req, answer: answer.clone() }).unwrap_or_default(),
+        ),
+    };
+    out.extend_from_slice(&((body.len() + 1) as u32).to_be_bytes());
+    out.push(kind);
+    out.extend_from_slice(&body);
+}
+
+/// Frames out of a stream of bytes, fed as they come.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    buf: Vec<u8>,
+    offset: u64,
+}
+
+impl Decoder {
+    /// Takes bytes read from the stream; the caller reads no more than [`Decoder::room`] allows.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// How many more bytes may be fed before a frame must be taken out.
+    pub fn room(&self) -> usize {
+        (MAX_FRAME + 4).saturating_sub(self.buf.len())
+    }
+
+    /// The next whole frame, if one is in.
+    pub fn next_frame(&mut self) -> Result<Option<Frame>, FrameError> {
+        if self.buf.len() < 4 {
+            return Ok(None);
+        }
+        let at = self.offset;
+        let fail = |why: String| FrameError { at, why };
+        let len = u32::from_be_bytes([self.buf[0], self.buf[1], self.buf[2], self.buf[3]]) as usize;
+        if len == 0 || len > MAX_FRAME {
+            return Err(fail(format!("a length of {len}, where 1 to {MAX_FRAME} are taken")));
+        }
+        if self.buf.len() < 4 + len {
+            return Ok(None);
+        }
+        let kind = self.buf[4];
+        let frame = {
+            let body = &self.buf[5..4 + len];
+            match kind {
+                PEER => Message::parse_from_bytes(body)
+                    .map(Frame::Peer)
+                    .map_err(|e| fail(format!("peer: {e}")))?,
+                ASK => serde_json::from_slice::<AskBody>(body)
+                    .map(|b| Frame::Ask { req: b.req, command: b.command })
+                    .map_err(|e| fail(format!("ask: {e}")))?,
+                ANSWER => serde_json::from_slice::<AnswerBody>(body)
+                    .map(|b| Frame::Answer { req: b.req, answer: b.answer })
+                    .map_err(|e| fail(format!("answer: {e}")))?,
+                other => return Err(fail(format!("a kind {other}, where 1 to 3 are taken"))),
+            }
+        };
+        self.buf.drain(..4 + len);
+        self.offset += 4 + len as u64;
+        Ok(Some(frame))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn frames_come_out_whole_from_any_split_and_a_lying_length_is_refused() {
+        let mut bytes = Vec::new();
+        let ask = Frame::Ask {
+            req: 7,
+            command: Command::Release { task: "t".into(), holder: "p".into(), token: 3 },
+        };
+        encode(&ask, &mut bytes);
+        encode(&Frame::Peer(Message { to: 2, from: 1, term: 4, ..Default::default() }), &mut bytes);
+        let mut d = Decoder::default();
+        let mut got = Vec::new();
+        for byte in &bytes {
+            d.feed(std::slice::from_ref(byte));
+            got.extend(d.next_frame().unwrap());
+        }
+        assert_eq!(got.len(), 2);
+        assert_eq!(got[0], ask);
+        d.feed(&[0xff, 0xff, 0xff, 0xff]);
+        assert_eq!(
+            d.next_frame().unwrap_err().to_string(),
+            format!("frame at byte {}: a length of 4294967295, where 1 to 1048576 are taken", bytes.len())
+        );
+    }
+}
--- a/coord/tests/model.rs
+++ b/coord/tests/model.rs
@@ -195,7 +195,7 @@
                         _ => {}
                     }
                 }
-                Msg::Act { c, token } => {
+                Msg::Act { token, .. } => {
                     let admitted = self.variant == Variant::NoFence || s.fence.admit(TASK, token).is_ok();
                     if admitted {
                         if s.last_accepted.is_some_and(|last| token < last) {
@@ -205,7 +205,6 @@
                             s.handed_over = true;
                         }
                         s.last_accepted = Some(s.last_accepted.map_or(token, |l| l.max(token)));
-                        let _ = c;
                     }
                 }
             },
