--- a/coord/src/member.rs
+++ b/coord/src/member.rs
@@ -178,6 +178,8 @@
             pre_vote: true,
             max_size_per_msg: 1 << 20,
             max_inflight_msgs: 256,
+            // What the table holds after replay, so that raft-rs does not hand it over again.
+            applied,
             ..Config::default()
         };
         config.validate()?;
@@ -274,6 +276,9 @@
     /// leader's clock has reached, and hands out one round of writes, messages and answers.
     pub fn advance(&mut self, now: Millis) -> raft::Result<Out> {
         self.now = self.now.max(now);
+        // After a long pause, more ticks than two elections' worth change nothing but the time.
+        let most = 2 * self.pace.election_ticks as u64 * self.pace.tick_ms;
+        self.ticked = self.ticked.max(self.now.saturating_sub(most));
         while self.ticked + self.pace.tick_ms <= self.now {
             self.ticked += self.pace.tick_ms;
             self.node.tick();
@@ -282,7 +287,8 @@
             for expire in self.expiries.expired(self.now) {
                 if let Command::Expire { task, token, as_of } = &expire {
                     if self.expiring.insert((task.clone(), *token, *as_of)) {
-                        let data = Proposal { origin: self.id(), req: 0, command: expire.clone() };
+                        // Origin 0 is no member's: the entry answers no client's request.
+                        let data = Proposal { origin: 0, req: 0, command: expire.clone() };
                         let _ = self.node.propose(Vec::new(), serde_json::to_vec(&data).unwrap_or_default());
                     }
                 }
