notchdoor coord, notchdoor lease, and a proxy's tasks for the fleet (off without a file)

The holder is one start of a process, so that an upgrade's two processes are two holders. deploy/balancer.toml names no file: run is as it was.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod check;
+mod coord;
 mod lab;
 mod load;
 
@@ -52,7 +53,17 @@
         /// A file of limits by route and class. NOTCHDOOR_POLICY where this is not given; none by default.
         #[arg(long, value_name = "FILE")]
         policy: Option<String>,
+        /// A file of the lease group's members and the tasks to do for the fleet. NOTCHDOOR_COORD where this is not
+        /// given; none by default.
+        #[arg(long, value_name = "FILE")]
+        coord: Option<String>,
     },
+    /// Run a member of the lease group, look at the group, or change its members.
+    #[command(subcommand)]
+    Coord(coord::Command),
+    /// Look at the leases of the fleet's tasks, or have one released.
+    #[command(subcommand)]
+    Lease(coord::Lease),
     /// Check a file without using it.
     #[command(subcommand)]
     Check(check::Command),
@@ -71,7 +82,12 @@
     },
 }
 
-fn serve_with(format: Option<Format>, level: Option<String>, policy: Option<String>) -> Outcome {
+fn serve_with(
+    format: Option<Format>,
+    level: Option<String>,
+    policy: Option<String>,
+    coord: Option<String>,
+) -> Outcome {
     let format = match (format, std::env::var("NOTCHDOOR_LOG_FORMAT")) {
         (Some(format), _) => format,
         (None, Ok(text)) => text.parse().map_err(|e| format!("NOTCHDOOR_LOG_FORMAT: {e}"))?,
@@ -79,17 +95,22 @@
     };
     let level = level.or_else(|| std::env::var("NOTCHDOOR_LOG").ok());
     let policy = policy.or_else(|| std::env::var("NOTCHDOOR_POLICY").ok());
-    serve(format, level.as_deref(), policy).map(|()| Exit::Good)
+    let coord = coord.or_else(|| std::env::var("NOTCHDOOR_COORD").ok());
+    serve(format, level.as_deref(), policy, coord).map(|()| Exit::Good)
 }
 
 fn run() -> Outcome {
     // A bare start is what the platform does a thousand times: it needs no parser.
     if std::env::args_os().len() <= 1 {
-        return serve_with(None, None, None);
+        return serve_with(None, None, None, None);
     }
     match Line::parse().command {
-        None => serve_with(None, None, None),
-        Some(Command::Serve { log_format, log_level, policy }) => serve_with(log_format, log_level, policy),
+        None => serve_with(None, None, None, None),
+        Some(Command::Serve { log_format, log_level, policy, coord }) => {
+            serve_with(log_format, log_level, policy, coord)
+        }
+        Some(Command::Coord(command)) => coord::run(&command),
+        Some(Command::Lease(command)) => coord::lease(&command),
         Some(Command::Check(command)) => check::run(&command),
         Some(Command::Lab(command)) => lab::run(&command),
         Some(Command::Load(command)) => load::run(&command),
--- a/proxy/src/lifecycle/config.rs
+++ b/proxy/src/lifecycle/config.rs
@@ -2,6 +2,7 @@
 
 use crate::state::registry::Update;
 use crate::wire::MAX_VALUE;
+use notchdoor_coord::config::{parse_tasks, TasksConfig};
 use notchdoor_limits::policy::Policy;
 use notchdoor_settings::{file, BootInfo};
 use serde::Deserialize;
@@ -148,6 +149,13 @@
     }
 }
 
+/// Reads a file of the lease group's members and the fleet's tasks.
+pub fn tasks(path: &str) -> Result<TasksConfig, String> {
+    let text =
+        file::text(Path::new(path), file::MOST_WRITTEN).map_err(|e| format!("{path}: cannot read: {e}"))?;
+    parse_tasks(path, &text)
+}
+
 fn fields(text: &[u8]) -> Result<Map<String, Value>, String> {
     serde_json::from_slice(text).map_err(|e| format!("EDGE_CONFIG: {e}"))
 }
--- a/proxy/src/lifecycle/serve.rs
+++ b/proxy/src/lifecycle/serve.rs
@@ -1,8 +1,9 @@
 //! The proxy from its start to its stop.
 
-use super::config::Config;
+use super::config::{self, Config};
 use super::log;
 use super::signals::{self, Signals};
+use crate::group::tasks::Tasks;
 use crate::state::handover::Handover;
 use crate::wire::driver::{admin, overlap, Executors, Shell, Sockets};
 use ::log::info;
@@ -11,10 +12,18 @@
 
 /// Serves until a signal asks for a stop; `policy` is the operators' file of limits. The error names the field or
 /// the variable at fault, in one line, or each of a policy file's problems in one.
-pub fn serve(format: log::Format, level: Option<&str>, policy: Option<String>) -> Result<(), String> {
+///
+/// `coord` is a file of the lease group's members and of the tasks to do for the fleet; none by default.
+pub fn serve(
+    format: log::Format,
+    level: Option<&str>,
+    policy: Option<String>,
+    coord: Option<String>,
+) -> Result<(), String> {
     // Before anything else: a signal that nothing waits for ends the process.
     let signals = Signals::new().map_err(|e| format!("signals: {e}"))?;
     let (config, source) = Config::load(policy)?;
+    let fleet = coord.as_deref().map(config::tasks).transpose()?;
     log::start(&config.name, format, level);
     let clients = overlap::bind(config.listen)
         .map_err(|e| format!("EDGE_LISTEN: cannot listen on {}: {e}", config.listen))?;
@@ -42,7 +51,8 @@
         info!(admin:%; "operators call at {admin}");
     }
     let executors = Executors::default();
-    let shell = Shell::start(config, Sockets { clients, operators }, handover, executors.clone());
+    let tasks = fleet.map(|file| Tasks::start(file, &config.name, &executors.clients));
+    let shell = Shell::start(config, Sockets { clients, operators }, handover, tasks, executors.clone());
     let operators = executors.operators.run(future::pending());
     let clients = executors.clients.run(signals::until_stopped(&shell, &source, signals));
     // Operators' calls first: each turn of the clients' executor ends after some hundred steps.
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -9,6 +9,7 @@
 
 use super::call::Call;
 use crate::ending::Ending;
+use crate::group::tasks::Tasks;
 use crate::lifecycle::clock::Clock;
 use crate::lifecycle::config::{Config, Limits, Room};
 use crate::proxy::{Command, DelegationId, Proxy};
@@ -93,6 +94,8 @@
     rearm: (Sender<()>, Receiver<()>),
     heard: Cell<bool>,
     stopping: Cell<bool>,
+    /// What is done for the whole fleet, where a file says so.
+    tasks: Option<Rc<Tasks>>,
 }
 
 impl Shell {
@@ -101,6 +104,7 @@
         config: Config,
         sockets: Sockets,
         handover: Option<Handover>,
+        tasks: Option<Rc<Tasks>>,
         executors: Executors,
     ) -> Rc<Self> {
         let clock = Clock::start();
@@ -139,6 +143,7 @@
             rearm: async_channel::bounded(1),
             heard: Cell::new(false),
             stopping: Cell::new(false),
+            tasks,
         });
         // The module asks for a watch once it is given a list, even one without lines.
         let known =
@@ -274,6 +279,9 @@
     /// Says from here on that it is not ready; everything else goes on.
     pub fn begin_stop(&self) {
         self.stopping.set(true);
+        if let Some(tasks) = &self.tasks {
+            tasks.leave();
+        }
     }
 
     /// Has every client connection closed once all that was taken on it is answered.
