--- /dev/null
+++ b/rig/src/group/check.rs
@@ -0,0 +1,82 @@
+//! The checker of what a stand-in recorded: two holders never act at once.
+
+use super::resource::Action;
+use std::collections::BTreeMap;
+
+/// What a record that holds comes to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Checked {
+    /// Actions let in.
+    pub admitted: usize,
+    /// Actions that the fence refused.
+    pub refused: usize,
+    /// Times that a task went from one holder to another.
+    pub handovers: usize,
+    /// Tasks seen.
+    pub tasks: usize,
+}
+
+/// Checks a record: for each task the admitted tokens only grow, a token has one holder, no two
+/// actions of different holders overlap in time, and none was refused without cause. The error says
+/// which actions break it.
+pub fn check(record: &[Action]) -> Result<Checked, String> {
+    let mut last: BTreeMap<&str, &Action> = BTreeMap::new();
+    let mut holders: BTreeMap<u64, &Action> = BTreeMap::new();
+    let mut checked = Checked::default();
+    let mut by_start: Vec<&Action> = record.iter().collect();
+    by_start.sort_by_key(|a| a.began);
+    for action in by_start {
+        let first = holders.entry(action.token).or_insert(action);
+        if (&first.task, &first.holder) != (&action.task, &action.holder) {
+            return Err(format!("one token of two holders or tasks: {first:?} and {action:?}"));
+        }
+        let before = last.get(action.task.as_str()).copied();
+        if !action.admitted {
+            checked.refused += 1;
+            if before.is_none_or(|b| action.token >= b.token) {
+                return Err(format!(
+                    "refused without a higher token before it: {action:?}, after {before:?}"
+                ));
+            }
+            continue;
+        }
+        checked.admitted += 1;
+        if let Some(before) = before {
+            if action.token < before.token {
+                return Err(format!("an admitted token fell: {before:?}, then {action:?}"));
+            }
+            if action.holder != before.holder {
+                checked.handovers += 1;
+                if action.began < before.ended {
+                    return Err(format!("two holders at once: {before:?} and {action:?}"));
+                }
+            }
+        }
+        last.insert(&action.task, action);
+    }
+    checked.tasks = last.len();
+    Ok(checked)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn act(began: u64, ended: u64, holder: &str, token: u64, admitted: bool) -> Action {
+        Action { began, ended, task: "t".into(), holder: holder.into(), token, admitted }
+    }
+
+    #[test]
+    fn each_way_to_break_the_property_is_found() {
+        let good = [act(0, 5, "a", 2, true), act(6, 9, "b", 4, true), act(10, 10, "a", 2, false)];
+        assert_eq!(check(&good), Ok(Checked { admitted: 2, refused: 1, handovers: 1, tasks: 1 }));
+        let breaks = |actions: &[Action], told: &str| {
+            let error = check(actions).unwrap_err();
+            assert!(error.starts_with(told), "{error}");
+        };
+        breaks(&[act(0, 5, "a", 4, true), act(6, 9, "b", 2, true)], "an admitted token fell");
+        breaks(&[act(0, 5, "a", 2, true), act(4, 9, "b", 4, true)], "two holders at once");
+        breaks(&[act(0, 5, "a", 2, true), act(6, 9, "b", 2, true)], "one token of two holders");
+        breaks(&[act(0, 5, "a", 2, true), act(6, 6, "b", 3, false)], "refused without");
+    }
+}
--- /dev/null
+++ b/rig/src/group/process.rs
@@ -0,0 +1,126 @@
+//! A process of the program under test: started, killed, paused, resumed, started again.
+
+use rustix::process::{kill_process, Pid, Signal};
+use std::fs::File;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+/// How to start the process, each time anew.
+pub type Starter = Box<dyn Fn() -> Command + Send>;
+
+/// A process and the file that its log goes to. It is killed when this is dropped.
+pub struct Process {
+    name: String,
+    start: Starter,
+    log: PathBuf,
+    child: Option<Child>,
+    paused: bool,
+}
+
+impl Process {
+    /// One that is not started yet; its log goes on over all starts.
+    pub fn new(name: &str, folder: &Path, start: Starter) -> Process {
+        let log = folder.join(format!("{name}.log"));
+        Process { name: name.to_owned(), start, log, child: None, paused: false }
+    }
+
+    /// Starts it, if it does not run.
+    pub fn start(&mut self) -> io::Result<()> {
+        if self.runs() {
+            return Ok(());
+        }
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let mut command = (self.start)();
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
+        (self.child, self.paused) = (Some(child), false);
+        Ok(())
+    }
+
+    /// Its name in the fleet.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Whether it runs, paused or not.
+    pub fn runs(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(None)))
+    }
+
+    /// Whether it runs and is paused.
+    pub fn is_paused(&self) -> bool {
+        self.paused
+    }
+
+    /// Its number, while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    fn signal(&self, signal: Signal) -> io::Result<()> {
+        match &self.child {
+            Some(child) => Ok(kill_process(Pid::from_child(child), signal)?),
+            None => Ok(()),
+        }
+    }
+
+    /// Kills it at once: it has no chance to say or write anything.
+    pub fn kill(&mut self) -> io::Result<()> {
+        let Some(mut child) = self.child.take() else { return Ok(()) };
+        child.kill()?;
+        child.wait().map(drop)
+    }
+
+    /// Stops its clockwork where it is.
+    pub fn pause(&mut self) -> io::Result<()> {
+        self.paused = true;
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets it go on.
+    pub fn resume(&mut self) -> io::Result<()> {
+        self.paused = false;
+        self.signal(Signal::CONT)
+    }
+
+    /// Asks it to stop in order, and waits.
+    pub fn stop(&mut self, limit: Duration) -> io::Result<Option<ExitStatus>> {
+        self.signal(Signal::TERM)?;
+        self.wait(limit)
+    }
+
+    /// Waits for its end; `None` if it does not end in time.
+    pub fn wait(&mut self, limit: Duration) -> io::Result<Option<ExitStatus>> {
+        let until = Instant::now() + limit;
+        while let Some(child) = &mut self.child {
+            if let Some(status) = child.try_wait()? {
+                self.child = None;
+                return Ok(Some(status));
+            }
+            if Instant::now() >= until {
+                return Ok(None);
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        Ok(None)
+    }
+
+    /// All that it has logged, over all its starts.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// The lines of its log that have this event, as JSON.
+    pub fn events(&self, event: &str) -> Vec<serde_json::Value> {
+        let lines = self.log();
+        let json = lines.lines().filter_map(|l| serde_json::from_str::<serde_json::Value>(l).ok());
+        json.filter(|v| v["event"] == event).collect()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.kill();
+    }
+}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod group;
 pub mod hosted;
 pub mod play;
 pub mod relay;
