--- /dev/null
+++ b/cli/src/group.rs
@@ -0,0 +1,190 @@
+//! `notchdoor lab group`: the lease group, measured on processes of this very program.
+
+use crate::{Exit, Outcome};
+use clap::{Args, Subcommand};
+use notchdoor_lab::charts::{plot, Line};
+use notchdoor_rig::group::fleet::Plan;
+use notchdoor_rig::group::measure::{self, Loss, Size, Spread};
+use serde::Serialize;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+#[derive(Args)]
+pub struct Group {
+    #[command(subcommand)]
+    what: What,
+    /// A folder for the figures as JSON and a chart.
+    #[arg(long, global = true, value_name = "DIR")]
+    out: Option<PathBuf>,
+    /// The tasks' TTL in milliseconds.
+    #[arg(long, global = true, default_value_t = 2000)]
+    ttl_ms: u64,
+    /// A member's tick in milliseconds; ten make an election.
+    #[arg(long, global = true, default_value_t = 50)]
+    tick_ms: u64,
+    /// Tasks that every proxy wants.
+    #[arg(long, global = true, default_value_t = 1)]
+    tasks: usize,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// How soon another holder acts, after the holder is killed, is cut off, or dies with the group's leader.
+    Takeover {
+        /// Losses of each kind.
+        #[arg(long, default_value_t = 50)]
+        plays: usize,
+    },
+    /// What the group does a second with so many proxies.
+    Load {
+        /// How many proxies, one run after the other.
+        #[arg(long, value_delimiter = ',', default_value = "10,30,100")]
+        proxies: Vec<usize>,
+        /// Seconds that are counted.
+        #[arg(long, default_value_t = 10.0)]
+        seconds: f64,
+    },
+    /// How long the leader takes to answer.
+    Latency {
+        /// Requests of each kind.
+        #[arg(long, default_value_t = 1000)]
+        rounds: u64,
+    },
+    /// A long run of renewals: what the members hold, in memory and on disk.
+    Soak {
+        /// How long.
+        #[arg(long, default_value_t = 60.0)]
+        minutes: f64,
+        /// Proxies.
+        #[arg(long, default_value_t = 10)]
+        proxies: usize,
+    },
+}
+
+/// The most processes that one machine is asked for.
+const MOST_PROXIES: usize = 400;
+
+pub fn run(group: &Group) -> Outcome {
+    let program = std::env::current_exe().map_err(|e| format!("this program's file: {e}"))?;
+    let told = |e: std::io::Error| format!("lab group: {e}");
+    let number = std::cell::Cell::new(0);
+    let plan = |proxies: usize| {
+        number.set(number.get() + 1);
+        let folder =
+            std::env::temp_dir().join(format!("notchdoor-lab-{}-{}", std::process::id(), number.get()));
+        let names = ["warm", "probe", "registry", "sweep"];
+        let name = |n: usize| names.get(n).map_or_else(|| format!("task-{n}"), |n| (*n).to_owned());
+        Plan {
+            proxies,
+            ttl_ms: group.ttl_ms,
+            tick_ms: group.tick_ms,
+            every_ms: 50,
+            tasks: (0..group.tasks.clamp(1, 64)).map(name).collect(),
+            ..Plan::new(&program, folder)
+        }
+    };
+    match &group.what {
+        What::Takeover { plays } => {
+            let mut all = Vec::new();
+            for loss in [Loss::Killed, Loss::CutOff, Loss::WithLeader] {
+                let (of, checked) = measure::takeovers(plan(3), loss, *plays).map_err(told)?;
+                row(&format!("{loss:?}"), &of.took);
+                println!("  {checked:?}");
+                all.push(of);
+            }
+            // Each play beside its rank: the curve is the distribution.
+            let lines: Vec<Line> =
+                all.iter().map(|of| (format!("{:?}", of.loss), ranked(&of.plays))).collect();
+            keep(group, "takeover", &all, |path| {
+                plot(path, "Until another holder acts", "per cent of the plays", "milliseconds", &lines)
+            })?;
+        }
+        What::Load { proxies, seconds } => {
+            let over = Duration::try_from_secs_f64(*seconds).map_err(|e| format!("--seconds: {e}"))?;
+            let mut all = Vec::new();
+            for &count in proxies {
+                if count > MOST_PROXIES {
+                    return Err(format!("--proxies: {MOST_PROXIES} at the most"));
+                }
+                let load = measure::load(plan(count), over).map_err(told)?;
+                println!("{}", serde_json::json!(load));
+                all.push(load);
+            }
+            let line = |name: &str, of: fn(&measure::Load) -> f64| {
+                (name.to_owned(), all.iter().map(|l| (l.proxies as f64, of(l))).collect())
+            };
+            let lines = [
+                line("requests", |l| l.asks),
+                line("messages", |l| l.messages),
+                line("fsyncs", |l| l.syncs),
+                line("entries", |l| l.entries),
+            ];
+            keep(group, "load", &all, |path| plot(path, "The group's load", "proxies", "a second", &lines))?;
+        }
+        What::Latency { rounds } => {
+            let latency = measure::latency(plan(0), *rounds).map_err(told)?;
+            for (name, of) in [
+                ("acquire", &latency.acquire),
+                ("renew", &latency.renew),
+                ("list", &latency.list),
+                ("release", &latency.release),
+            ] {
+                row(name, of);
+            }
+            keep(group, "latency", &latency, |_| Ok(()))?;
+        }
+        What::Soak { minutes, proxies } => {
+            let over = Duration::try_from_secs_f64(minutes * 60.0).map_err(|e| format!("--minutes: {e}"))?;
+            let every = (over / 120).max(Duration::from_secs(1));
+            let mut sizes: Vec<Size> = Vec::new();
+            let each = |size: Size| {
+                println!("{}", serde_json::json!(size));
+                sizes.push(size);
+            };
+            let checked = measure::soak(plan(*proxies), over, every, each).map_err(told)?;
+            println!("{checked:?}");
+            let line = |member: u64, what: &str, of: fn(&Size) -> u64| {
+                let of_member = sizes.iter().filter(|s| s.member == member);
+                let points = of_member.map(|s| (s.at_s / 60.0, of(s) as f64 / f64::from(1 << 20))).collect();
+                (format!("m{member} {what}"), points)
+            };
+            let members = [1, 2, 3].into_iter();
+            let lines: Vec<Line> = members
+                .flat_map(|m| [line(m, "resident", |s| s.resident), line(m, "disk", |s| s.disk)])
+                .collect();
+            keep(group, "soak", &sizes, |path| {
+                plot(path, "A long run of renewals", "minutes", "MiB", &lines)
+            })?;
+        }
+    }
+    Ok(Exit::Good)
+}
+
+fn row(name: &str, of: &Spread) {
+    println!(
+        "{name:12} n {:>5}  least {:>8.2}  median {:>8.2}  p99 {:>8.2}  most {:>8.2} ms",
+        of.n, of.min_ms, of.p50_ms, of.p99_ms, of.max_ms
+    );
+}
+
+fn ranked(plays: &[u64]) -> Vec<(f64, f64)> {
+    let mut sorted = plays.to_vec();
+    sorted.sort_unstable();
+    let rank = |n: usize| 100.0 * (n as f64 + 1.0) / plays.len().max(1) as f64;
+    sorted.iter().enumerate().map(|(n, us)| (rank(n), *us as f64 / 1e3)).collect()
+}
+
+/// Writes the figures and their chart, where a folder is given.
+fn keep(
+    group: &Group,
+    name: &str,
+    figures: &impl Serialize,
+    chart: impl FnOnce(&Path) -> Result<(), String>,
+) -> Result<(), String> {
+    let Some(out) = &group.out else { return Ok(()) };
+    let told = |e: std::io::Error| format!("{}: {e}", out.display());
+    std::fs::create_dir_all(out).map_err(told)?;
+    let json = serde_json::to_string(figures).map_err(|e| e.to_string())?;
+    std::fs::write(out.join(format!("{name}.json")), json).map_err(told)?;
+    chart(&out.join(format!("{name}.svg")))
+}
--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -1,6 +1,6 @@
 //! `notchdoor lab`: days of a whole fleet in virtual time.
 
-use crate::{Exit, Outcome};
+use crate::{group, Exit, Outcome};
 use clap::{Args, Subcommand};
 use notchdoor_lab::policy::{Kind, USUAL};
 use notchdoor_lab::record::Day;
@@ -45,6 +45,12 @@
   notchdoor lab compare results/before results/after
   notchdoor lab compare results/calm results/calm --a rendezvous --b notchdoor")]
     Compare(Compare),
+    /// Measure the lease group on processes: takeovers, load, latency, a long run.
+    #[command(after_help = "Examples:
+  notchdoor lab group takeover --plays 50 --out results/takeover
+  notchdoor lab group load --proxies 10,30,100,300
+  notchdoor lab group soak --minutes 60")]
+    Group(group::Group),
     /// List the built-in scenarios, the policies and the kinds of fault.
     List {
         /// As JSON.
@@ -184,6 +190,7 @@
         Command::Search(search) => find(search),
         Command::Shrink(shrink) => make_small(shrink),
         Command::Compare(compare) => hold_against(compare),
+        Command::Group(group) => group::run(group),
         Command::List { json } => {
             list(*json);
             Ok(Exit::Good)
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -4,6 +4,7 @@
 
 mod check;
 mod coord;
+mod group;
 mod lab;
 mod load;
 
--- a/coord/src/member.rs
+++ b/coord/src/member.rs
@@ -20,7 +20,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::group::{Book, Entry as Said, MemberAddr, State};
-use crate::lease::{Bounds, Command, Expiries, Grant, LeaseTable, Millis, Outcome};
+use crate::lease::{Bounds, Command, Expiries, Grant, LeaseTable, Millis, Outcome, Refusal};
 
 /// A member's storage: raft-rs's `Storage` to read, and one call to keep a round's writes.
 pub trait Keep: Storage {
@@ -478,7 +478,12 @@
             return later;
         }
         let entry = match request {
-            Request::Lease(command) => Said::Lease(command),
+            Request::Lease(command) => {
+                if let Some(refused) = self.held_by_another(&command) {
+                    return Some(refused);
+                }
+                Said::Lease(command)
+            }
             Request::Enlist { id, number } => Said::Enlist { id, number },
             Request::List { task } => {
                 // raft-rs drops a read while the leader has committed nothing of its term.
@@ -503,6 +508,16 @@
         }
     }
 
+    /// A refusal that needs no entry: the task is another's as this leader has it. Nobody acts on a
+    /// refusal, so one that is out of date costs its asker time and nothing else; and most of what
+    /// a large fleet asks is this.
+    fn held_by_another(&self, command: &Command) -> Option<Answer> {
+        let Command::Acquire { task, holder, .. } = command else { return None };
+        let grant = self.state.leases.grants().get(task).filter(|g| g.holder != *holder)?;
+        let outcome = Outcome::Refused(Refusal::Held { holder: grant.holder.clone(), token: grant.token });
+        Some(Answer::Done { outcome, left_ms: self.expiries.left(task, self.now) })
+    }
+
     fn propose(&mut self, origin: Origin, req: u64, entry: Said) -> raft::Result<()> {
         let data = serde_json::to_vec(&Proposal { origin, req, entry }).unwrap_or_default();
         self.node.propose(Vec::new(), data)
--- a/coord/src/wire.rs
+++ b/coord/src/wire.rs
@@ -80,6 +80,8 @@
     }
 }
 
+impl std::error::Error for FrameError {}
+
 /// Writes `frame` onto `out`.
 pub fn encode(frame: &Frame, out: &mut Vec<u8>) {
     let (kind, body) = match frame {
--- a/rig/src/group/fleet.rs
+++ b/rig/src/group/fleet.rs
@@ -369,6 +369,23 @@
         checked
     }
 
+    /// Checks the record so far and forgets what is checked.
+    pub fn check_and_forget(&mut self) -> Result<Checked, String> {
+        let checked = self.check()?;
+        self.resource.forget();
+        Ok(checked)
+    }
+
+    /// The name of a task.
+    pub fn task(&self, n: usize) -> String {
+        self.plan.tasks[n].clone()
+    }
+
+    /// What all members say of themselves.
+    pub fn statuses(&self) -> Vec<Status> {
+        self.members.keys().filter_map(|id| self.status(*id)).collect()
+    }
+
     /// Where logs and disks are.
     pub fn folder(&self) -> &Path {
         &self.plan.folder
--- a/rig/src/group/mod.rs
+++ b/rig/src/group/mod.rs
@@ -5,5 +5,6 @@
 pub mod check;
 pub mod fleet;
 pub mod links;
+pub mod measure;
 pub mod process;
 pub mod resource;
--- a/rig/src/group/process.rs
+++ b/rig/src/group/process.rs
@@ -106,6 +106,13 @@
         Ok(None)
     }
 
+    /// Bytes that it has resident, as the system counts them.
+    pub fn resident(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid()?)).ok()?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+        line.trim().trim_end_matches(" kB").parse::<u64>().ok().map(|kb| kb * 1024)
+    }
+
     /// All that it has logged, over all its starts.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
--- a/rig/src/group/resource.rs
+++ b/rig/src/group/resource.rs
@@ -110,6 +110,17 @@
         self.record.lock().map(|r| r.get(place..).unwrap_or_default().to_vec()).unwrap_or_default()
     }
 
+    /// Forgets all but the last action of each task, which the next check goes on from.
+    pub fn forget(&self) {
+        if let Ok(mut record) = self.record.lock() {
+            let mut last = std::collections::BTreeMap::new();
+            for action in record.drain(..).filter(|a| a.admitted) {
+                last.insert(action.task.clone(), action);
+            }
+            record.extend(last.into_values());
+        }
+    }
+
     /// Microseconds on the record's clock.
     pub fn now(&self) -> u64 {
         self.began.elapsed().as_micros() as u64
