Fault schedules on processes, and the data path shown to wait for no lease

A proxy told a group of paused members as reached, since their connections come up; it is told once it answers, and the log has one line for as long as it lasts.

--- a/cli/src/group.rs
+++ b/cli/src/group.rs
@@ -3,8 +3,10 @@
 use crate::{Exit, Outcome};
 use clap::{Args, Subcommand};
 use notchdoor_lab::charts::{plot, Line};
+use notchdoor_lab::leases::schedule::Schedule;
 use notchdoor_rig::group::fleet::Plan;
 use notchdoor_rig::group::measure::{self, Loss, Size, Spread};
+use notchdoor_rig::group::schedule;
 use serde::Serialize;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -160,6 +162,33 @@
     Ok(Exit::Good)
 }
 
+/// Plays schedules of faults on processes of this program.
+pub fn faults(schedules: &[Schedule], at_once: usize) -> Outcome {
+    let program = std::env::current_exe().map_err(|e| format!("this program's file: {e}"))?;
+    let plan = |n: u64| {
+        let name = format!("notchdoor-faults-{}-{n}", std::process::id());
+        Plan::new(&program, std::env::temp_dir().join(name))
+    };
+    let told = |n| {
+        if n % 10 == 0 {
+            eprintln!("{n} of {} played", schedules.len());
+        }
+    };
+    let played = schedule::plays(plan, schedules, at_once, told);
+    println!(
+        "{} schedules on processes: {} handovers, {} actions let in, {} refused by the fence; {} break a property",
+        played.plays,
+        played.checked.handovers,
+        played.checked.admitted,
+        played.checked.refused,
+        played.found.len()
+    );
+    for found in &played.found {
+        println!("  {found}");
+    }
+    Ok(if played.found.is_empty() { Exit::Good } else { Exit::Lost })
+}
+
 fn row(name: &str, of: &Spread) {
     println!(
         "{name:12} n {:>5}  least {:>8.2}  median {:>8.2}  p99 {:>8.2}  most {:>8.2} ms",
--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -55,6 +55,7 @@
     #[command(after_help = "Examples:
   notchdoor lab faults --plays 1000 --out found
   notchdoor lab faults found/record-17.toml
+  notchdoor lab faults --plays 50 --processes 8
   notchdoor lab faults --plays 200 --broken no-fence --out found")]
     Faults(Faults),
     /// Measure the lease group on processes: takeovers, load, latency, a long run.
@@ -143,8 +144,11 @@
     /// The first seed.
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Play on processes of this program, so many fleets at once, instead of in virtual time. Nothing is shrunk.
+    #[arg(long, value_name = "FLEETS")]
+    processes: Option<usize>,
     /// Break the code on purpose, to see that it is found: no-fence or no-margin.
-    #[arg(long, value_name = "HOW")]
+    #[arg(long, value_name = "HOW", conflicts_with = "processes")]
     broken: Option<String>,
     /// A folder for the schedules that break a property, shrunk.
     #[arg(long, value_name = "DIR")]
@@ -241,6 +245,19 @@
         Some("no-margin") => Variant::NoMargin,
         Some(other) => return Err(format!("--broken: '{other}' is neither no-fence nor no-margin")),
     };
+    let mut schedules = Vec::new();
+    for path in &options.files {
+        let name = path.display().to_string();
+        let text = file::text(path, file::MOST_MADE).map_err(|e| format!("{name}: cannot read: {e}"))?;
+        schedules.push(Schedule::parse(&name, &text)?);
+    }
+    if let Some(at_once) = options.processes {
+        if options.files.is_empty() {
+            let seeds = options.seed..options.seed.saturating_add(options.plays);
+            schedules = seeds.map(leases::search::schedule).collect();
+        }
+        return group::faults(&schedules, at_once);
+    }
     let mut searched = Searched::default();
     if options.files.is_empty() {
         searched = leases::search::search(
@@ -251,11 +268,8 @@
             options.how.json,
         )?;
     }
-    for path in &options.files {
-        let name = path.display().to_string();
-        let text = file::text(path, file::MOST_MADE).map_err(|e| format!("{name}: cannot read: {e}"))?;
-        let schedule = Schedule::parse(&name, &text)?;
-        searched.add(&schedule, leases::world::play_variant(&schedule, variant));
+    for schedule in &schedules {
+        searched.add(schedule, leases::world::play_variant(schedule, variant));
     }
     let small: Vec<Found> = searched.found.iter().take(options.shrink).map(|f| shrink(f, variant)).collect();
     if let Some(out) = options.out.as_ref().filter(|_| !small.is_empty()) {
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -257,13 +257,24 @@
 
     /// The same with limits on descriptors and on memory, in MiB.
     pub fn within(registry: &Registry, lines: &[String], limits: (u32, u32), policy: Option<&str>) -> Proxy {
+        let files: Vec<_> = policy.map(|text| ("policy.toml", text)).into_iter().collect();
+        Proxy::with_files(registry, lines, limits, &files)
+    }
+
+    /// The same with files beside the configuration: `policy.toml`, and `coord.toml` of the lease group.
+    pub fn with_files(
+        registry: &Registry,
+        lines: &[String],
+        limits: (u32, u32),
+        files: &[(&str, &str)],
+    ) -> Proxy {
         let listen = address();
         let name = format!("notchdoor-test-{}-{}", std::process::id(), listen.port());
         let folder = Arc::new(Folder(std::env::temp_dir().join(name)));
         std::fs::create_dir_all(&folder.0).unwrap();
         std::fs::write(folder.0.join("config"), config(registry, listen, lines, limits)).unwrap();
-        if let Some(text) = policy {
-            std::fs::write(folder.0.join("policy.toml"), text).unwrap();
+        for (name, text) in files {
+            std::fs::write(folder.0.join(name), text).unwrap();
         }
         let proxy = Proxy::spawn(registry, listen, folder);
         let until = Instant::now() + PATIENCE;
@@ -315,6 +326,10 @@
         if policy.exists() {
             command.args(["serve", "--policy"]).arg(&policy);
         }
+        let coord = folder.0.join("coord.toml");
+        if coord.exists() {
+            command.env("NOTCHDOOR_COORD", &coord);
+        }
         let mut child = command
             .env("EDGE_CONFIG", folder.0.join("config"))
             .env("EDGE_DISCOVERY", registry.endpoint.to_string())
--- a/cli/tests/group.rs
+++ b/cli/tests/group.rs
@@ -1,11 +1,15 @@
 //! The lease group as processes, with faults between them: after each, the record of the stand-in
 //! that the holders act on must show one holder at a time and tokens that only grow.
 
+mod common;
+
+use common::{bulk, line, value, Peer, Proxy, Registry};
 use notchdoor_coord::check::Checked;
 use notchdoor_coord::group::MemberAddr;
 use notchdoor_coord::member::{Answer, Request};
 use notchdoor_rig::group::fleet::{proxy_of, Fleet, Plan};
 use notchdoor_rig::group::links::{Flow, Way};
+use notchdoor_rig::group::schedule::plays;
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::process::{Command, Output};
@@ -325,6 +329,59 @@
     std::fs::remove_dir_all(folder).unwrap();
 }
 
+/// Clients are served the same with the group there, paused and gone; the log says so once.
+#[test]
+fn the_data_path_waits_for_no_lease() {
+    let mut fleet = Fleet::start(Plan { proxies: 0, ..plan("data-path") }).unwrap();
+    fleet.leader(None, PATIENCE).unwrap();
+    let doors: String = fleet
+        .operators()
+        .iter()
+        .map(|(id, at)| format!("[[member]]\nid = {id}\nclient = \"{at}\"\n"))
+        .collect();
+    let call = fleet.resource.address();
+    let task = format!("[[task]]\nname = \"warm\"\nttl_ms = 1500\nevery_ms = 25\ncall = \"{call}\"\n");
+    let worker = Peer::worker(Box::new(|words| value(&words[1])));
+    let origin = Peer::origin(Box::new(|request| common::http("200 OK", &request[2])));
+    let registry = Registry::start();
+    let list = [line("w", &worker, "in_service", 0), line("o", &origin, "in_service", 0)];
+    let files = [("coord.toml", &*(doors + &task))];
+    let proxy = Proxy::with_files(&registry, &list, (1024, 192), &files);
+    let serves = |when: &str| {
+        let mut client = proxy.client();
+        for n in 0..200 {
+            let (key, began) = (format!("k{n}"), Instant::now());
+            assert_eq!(client.get(&key, &format!("{when}-{n}"), 2_000), bulk(&key), "{when}");
+            assert!(began.elapsed() < Duration::from_secs(1), "{when}: {:?}", began.elapsed());
+        }
+    };
+    proxy.logged("leases: holds warm");
+    serves("there");
+    for member in fleet.members.values_mut() {
+        member.pause().unwrap();
+    }
+    proxy.logged("leases: holds warm no more");
+    serves("paused");
+    for member in fleet.members.values_mut() {
+        member.kill().unwrap();
+    }
+    serves("gone");
+    let log = proxy.told();
+    assert_eq!(log.matches("serving goes on without").count(), 1, "{log}");
+    let place = fleet.place();
+    sleep(TTL);
+    assert_eq!(fleet.resource.since(place), [], "the fleet's task rests");
+}
+
+/// What `lab faults --processes` plays, a few fixed ones.
+#[test]
+fn random_schedules_on_processes_keep_one_holder() {
+    let schedules: Vec<_> = (1..=6).map(notchdoor_lab::leases::search::schedule).collect();
+    let played = plays(|n| plan(&format!("random-{n}")), &schedules, 6, |_| {});
+    assert!(played.found.is_empty(), "{:?}", played.found);
+    assert!(played.plays == 6 && played.checked.admitted > 500, "{played:?}");
+}
+
 #[test]
 fn a_slow_and_late_link_between_members_costs_time_and_no_grant() {
     let (mut fleet, holder, _) = acting(plan("slow"));
--- a/proxy/src/group/tasks.rs
+++ b/proxy/src/group/tasks.rs
@@ -11,7 +11,7 @@
 use notchdoor_coord::config::{Task, TasksConfig};
 use notchdoor_coord::session::Session;
 use notchdoor_coord::wire::{encode, Frame, MAX_ASK};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -31,6 +31,8 @@
     ticks: Ticks,
     /// Something has changed that the connection to the group should see to.
     poke: (Sender<()>, Receiver<()>),
+    /// Whether the group was last told to be reached, once it was told at all.
+    reached: Cell<Option<bool>>,
     /// What each task was last told to be, for one log line a change.
     told: RefCell<Vec<Option<u64>>>,
 }
@@ -46,6 +48,7 @@
         let wanted: Vec<_> = config.tasks.iter().map(|t| (t.name.clone(), t.ttl_ms)).collect();
         let session = Session::new(config.doors.clone(), &holder, &wanted, config.drift, number);
         let tasks = Rc::new(Tasks {
+            reached: Cell::new(None),
             told: RefCell::new(vec![None; wanted.len()]),
             config,
             holder,
@@ -70,25 +73,19 @@
 
     /// Keeps the connection to the group.
     async fn keep(self: Rc<Self>) {
-        let mut reached = None;
         loop {
             let (door, at) = self.session.borrow().door();
             Timer::at(self.ticks.instant(at)).await;
             let ended = match within(CONNECT, Async::<TcpStream>::connect(door)).await {
                 Ok(io) => {
                     let _ = io.get_ref().set_nodelay(true);
-                    if reached != Some(true) {
-                        reached = Some(true);
-                        log::info!(door:%; "leases: the group is reached at {door}");
-                    }
                     self.talk(&io).await
                 }
                 Err(error) => Err(error),
             };
             if let Err(error) = ended {
                 self.session.borrow_mut().broken(self.ticks.now());
-                if reached != Some(false) {
-                    reached = Some(false);
+                if self.reached.replace(Some(false)) != Some(false) {
                     log::warn!(door:%; "leases: {door} not reached, serving goes on without: {error}");
                 }
             }
@@ -122,6 +119,11 @@
             match future::or(async { frames.next().await.map(Some) }, wake).await? {
                 None => {}
                 Some(Some((Frame::Answer { req, answer }, _))) => {
+                    // A connection that comes up may be that of a process that does nothing.
+                    if self.reached.replace(Some(true)) != Some(true) {
+                        let door = self.session.borrow().door().0;
+                        log::info!(door:%; "leases: the group is reached at {door}");
+                    }
                     let moves = self.session.borrow_mut().answered(req, &answer, self.ticks.now());
                     self.tell();
                     if moves {
--- a/rig/src/group/fleet.rs
+++ b/rig/src/group/fleet.rs
@@ -143,9 +143,14 @@
         self.at[&id]
     }
 
+    /// The highest id that a member was made with.
+    pub fn highest(&self) -> u64 {
+        self.at.keys().next_back().copied().unwrap_or(0)
+    }
+
     /// Whom operators ask.
     pub fn operators(&self) -> Vec<Door> {
-        self.at.iter().map(|(&id, at)| (id, at.client)).collect()
+        self.members.keys().map(|id| (*id, self.at[id].client)).collect()
     }
 
     fn make_member(&mut self, id: u64, known: &[u64]) -> io::Result<()> {
--- a/rig/src/group/mod.rs
+++ b/rig/src/group/mod.rs
@@ -7,3 +7,4 @@
 pub mod measure;
 pub mod process;
 pub mod resource;
+pub mod schedule;
