--- a/cli/src/group.rs
+++ b/cli/src/group.rs
@@ -45,6 +45,9 @@
         /// Seconds that are counted.
         #[arg(long, default_value_t = 10.0)]
         seconds: f64,
+        /// In virtual time, where more proxies can be had than this machine holds.
+        #[arg(long)]
+        virtual_time: bool,
     },
     /// How long the leader takes to answer.
     Latency {
@@ -63,8 +66,9 @@
     },
 }
 
-/// The most processes that one machine is asked for.
+/// The most processes that one machine is asked for, and the most proxies in virtual time.
 const MOST_PROXIES: usize = 400;
+const MOST_VIRTUAL: usize = 2_000;
 
 pub fn run(group: &Group) -> Outcome {
     let program = std::env::current_exe().map_err(|e| format!("this program's file: {e}"))?;
@@ -101,14 +105,19 @@
                 plot(path, "Until another holder acts", "per cent of the plays", "milliseconds", &lines)
             })?;
         }
-        What::Load { proxies, seconds } => {
+        What::Load { proxies, seconds, virtual_time } => {
             let over = Duration::try_from_secs_f64(*seconds).map_err(|e| format!("--seconds: {e}"))?;
+            let most = if *virtual_time { MOST_VIRTUAL } else { MOST_PROXIES };
             let mut all = Vec::new();
             for &count in proxies {
-                if count > MOST_PROXIES {
-                    return Err(format!("--proxies: {MOST_PROXIES} at the most"));
+                if count > most {
+                    return Err(format!("--proxies: {most} at the most"));
                 }
-                let load = measure::load(plan(count), over).map_err(told)?;
+                let load = if *virtual_time {
+                    measure::virtual_load(&plan(count), over)
+                } else {
+                    measure::load(plan(count), over).map_err(told)?
+                };
                 println!("{}", serde_json::json!(load));
                 all.push(load);
             }
--- a/coord/src/client.rs
+++ b/coord/src/client.rs
@@ -160,6 +160,12 @@
                 self.next_ask = self.drift.renew_at(sent, *ttl_ms);
                 self.failures = 0;
             }
+            Answer::Held { again_ms, .. } => {
+                // Spread, so that those who were told the same do not come back together.
+                self.held = None;
+                let wait = (*again_ms).max(BACKOFF_MS.0);
+                self.next_ask = now + wait - self.rng.random_range(0..wait / 4);
+            }
             Answer::Done { outcome: Outcome::Refused(Refusal::Held { .. }), left_ms } => {
                 // Ask again when the grant is due to end, but after a third of the TTL at the
                 // latest: a release or a leader's expiry frees the task earlier than the member
--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod check;
 pub mod client;
 pub mod config;
+pub mod crowd;
 pub mod fence;
 pub mod group;
 pub mod holder;
--- a/coord/src/member.rs
+++ b/coord/src/member.rs
@@ -19,8 +19,9 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 
+use crate::crowd::Crowd;
 use crate::group::{Book, Entry as Said, MemberAddr, State};
-use crate::lease::{Bounds, Command, Expiries, Grant, LeaseTable, Millis, Outcome, Refusal};
+use crate::lease::{Bounds, Command, Expiries, Grant, LeaseTable, Millis, Outcome};
 
 /// A member's storage: raft-rs's `Storage` to read, and one call to keep a round's writes.
 pub trait Keep: Storage {
@@ -177,6 +178,15 @@
         /// Milliseconds until the task is free, when it is held.
         left_ms: Option<Millis>,
     },
+    /// Another has the task, told without an entry of the log.
+    Held {
+        /// Who has it.
+        holder: String,
+        /// Milliseconds until it runs out, unless it is renewed.
+        left_ms: Option<Millis>,
+        /// When to ask again: the later, the more there are who want the task.
+        again_ms: Millis,
+    },
     /// Ask the leader, if one is known.
     NotLeader {
         /// The leader's id.
@@ -287,6 +297,8 @@
     changing: Option<(u64, u64)>,
     reads: BTreeMap<u64, Read>,
     expiring: BTreeSet<(String, u64, u64)>,
+    /// Who waits for tasks that are held, by task: no more than there are grants.
+    crowds: BTreeMap<String, Crowd>,
     now: Millis,
     ticked: Millis,
     leader: u64,
@@ -342,6 +354,7 @@
             changing: None,
             reads: BTreeMap::new(),
             expiring: BTreeSet::new(),
+            crowds: BTreeMap::new(),
             now,
             ticked: now,
             leader: 0,
@@ -528,11 +541,13 @@
     /// A refusal that needs no entry: the task is another's as this leader has it. Nobody acts on a
     /// refusal, so one that is out of date costs its asker time and nothing else; and most of what
     /// a large fleet asks is this.
-    fn held_by_another(&self, command: &Command) -> Option<Answer> {
+    fn held_by_another(&mut self, command: &Command) -> Option<Answer> {
         let Command::Acquire { task, holder, .. } = command else { return None };
         let grant = self.state.leases.grants().get(task).filter(|g| g.holder != *holder)?;
-        let outcome = Outcome::Refused(Refusal::Held { holder: grant.holder.clone(), token: grant.token });
-        Some(Answer::Done { outcome, left_ms: self.expiries.left(task, self.now) })
+        let left_ms = self.expiries.left(task, self.now);
+        let crowd = self.crowds.entry(task.clone()).or_default();
+        let again_ms = crowd.again(grant.ttl_ms, left_ms.unwrap_or(grant.ttl_ms), self.now);
+        Some(Answer::Held { holder: grant.holder.clone(), left_ms, again_ms })
     }
 
     fn propose(&mut self, origin: Origin, req: u64, entry: Said) -> raft::Result<()> {
@@ -702,6 +717,7 @@
             // What the last leader counted is lost with it: every grant runs a full TTL again.
             self.expiries.restart(&self.state.leases, self.now);
             self.expiring.clear();
+            self.crowds.clear();
         } else {
             // Entries proposed here may still commit under the new leader; the client asks
             // again, and each request is safe to repeat.
@@ -821,6 +837,9 @@
         let outcome = self.state.leases.apply(index, &command, &self.bounds);
         let task = task_of(&command);
         self.expiries.follow(task, &outcome, &self.state.leases, self.now);
+        if !self.state.leases.grants().contains_key(task) {
+            self.crowds.remove(task);
+        }
         let left_ms = self.expiries.left(task, self.now);
         if let Command::Expire { task, token, as_of } = &command {
             self.expiring.remove(&(task.clone(), *token, *as_of));
--- a/coord/src/session.rs
+++ b/coord/src/session.rs
@@ -14,7 +14,7 @@
 /// The number of the request for the members; those of tasks are higher.
 const LEARN: u64 = 0;
 /// How often a client asks who the members are, while it stays with one.
-const LEARN_EVERY: Millis = 5_000;
+const LEARN_EVERY: Millis = 30_000;
 
 /// Whom a client may ask: a member's id and where clients reach it.
 pub type Door = (u64, SocketAddr);
--- a/rig/src/group/measure.rs
+++ b/rig/src/group/measure.rs
@@ -7,6 +7,8 @@
 use notchdoor_coord::lease::{Command, Outcome};
 use notchdoor_coord::member::{Answer, Request, Status};
 use notchdoor_coord::wire::{encode, Decoder, Frame};
+use notchdoor_lab::leases::schedule::Schedule;
+use notchdoor_lab::leases::world;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -165,6 +167,30 @@
     })
 }
 
+/// The same in virtual time: the members' and the sessions' own code in the lab's network.
+pub fn virtual_load(plan: &Plan, over: Duration) -> Load {
+    let schedule = Schedule {
+        members: plan.members,
+        clients: plan.proxies,
+        tasks: plan.tasks.len(),
+        ttl_ms: plan.ttl_ms,
+        ..Schedule::quiet(1)
+    };
+    let group = world::load(&schedule, over.as_millis() as u64).group;
+    let rate = |n: u64| n as f64 / over.as_secs_f64();
+    Load {
+        proxies: plan.proxies,
+        tasks: plan.tasks.len(),
+        ttl_ms: plan.ttl_ms,
+        asks: rate(group.asks),
+        messages: rate(group.messages),
+        peer_bytes: rate(group.peer_bytes),
+        client_bytes: rate(group.client_bytes),
+        syncs: rate(group.syncs),
+        entries: rate(group.entries),
+    }
+}
+
 /// How long the leader takes to answer, one request after the other on one connection.
 #[derive(Clone, Debug, Serialize)]
 pub struct Latency {
