Versions in the proxies: block, drain, safe mode, notchdoor settings

Change: proxy/src/state/versions.rs (what is acted on, by the clock alone), Proxy::taken refuses what the version or the guard forbids, drained workers are laid over the list, the group's word comes by the lease client's connection; 'notchdoor settings plan|apply|show|status'; /_vars tells the version.

Not built: limits from a policy file as part of a version; a version on disk at a proxy (it would be unconfirmed and so not acted on).

--- a/cli/src/coord.rs
+++ b/cli/src/coord.rs
@@ -7,6 +7,7 @@
 use notchdoor_coord::lease::Command as Lock;
 use notchdoor_coord::member::{Answer, Request, Status, Told};
 use notchdoor_coord::session::Door;
+use notchdoor_coord::versions::Rules;
 use notchdoor_proxy::group::{ask, node};
 use notchdoor_proxy::lifecycle::config::tasks;
 use notchdoor_proxy::lifecycle::log::Format;
@@ -106,26 +107,37 @@
     within: f64,
     /// Print JSON instead of tables.
     #[arg(long)]
-    json: bool,
+    pub json: bool,
 }
 
 impl Group {
-    fn doors(&self) -> Result<Vec<Door>, String> {
+    /// What versions may forbid, where a file says so.
+    pub fn guard(&self) -> Result<Option<Rules>, String> {
+        match self.file() {
+            Some(file) if self.at.is_empty() => Ok(tasks(&file)?.guard),
+            _ => Ok(None),
+        }
+    }
+
+    fn file(&self) -> Option<String> {
+        self.coord.clone().or_else(|| std::env::var("NOTCHDOOR_COORD").ok())
+    }
+
+    pub fn doors(&self) -> Result<Vec<Door>, String> {
         if !self.at.is_empty() {
             // Their ids are not known: whoever leads is then found by the group's own book.
             return Ok(self.at.iter().zip(0..).map(|(&at, n)| (u64::MAX - n, at)).collect());
         }
-        let file = self.coord.clone().or_else(|| std::env::var("NOTCHDOOR_COORD").ok());
-        let file = file.ok_or("which group: --at ADDRESS, --coord FILE or NOTCHDOOR_COORD")?;
+        let file = self.file().ok_or("which group: --at ADDRESS, --coord FILE or NOTCHDOOR_COORD")?;
         Ok(tasks(&file)?.doors)
     }
 
-    fn limit(&self) -> Result<Duration, String> {
+    pub fn limit(&self) -> Result<Duration, String> {
         let limit = Duration::try_from_secs_f64(self.within).map_err(|e| format!("--within: {e}"))?;
         Ok(limit.min(Duration::from_secs(600)))
     }
 
-    fn ask(&self, request: Request) -> Result<Answer, String> {
+    pub fn ask(&self, request: Request) -> Result<Answer, String> {
         async_io::block_on(ask::leader(&self.doors()?, &request, self.limit()?))
     }
 
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod group;
 mod lab;
 mod load;
+mod settings;
 
 use clap::{CommandFactory, Parser, Subcommand};
 use notchdoor_proxy::lifecycle::log::Format;
@@ -65,6 +66,9 @@
     /// Look at the leases of the fleet's tasks, or have one released.
     #[command(subcommand)]
     Lease(coord::Lease),
+    /// Versions of what is forbidden, on which the proxies agree.
+    #[command(subcommand)]
+    Settings(settings::Command),
     /// Check a file without using it.
     #[command(subcommand)]
     Check(check::Command),
@@ -112,6 +116,7 @@
         }
         Some(Command::Coord(command)) => coord::run(&command),
         Some(Command::Lease(command)) => coord::lease(&command),
+        Some(Command::Settings(command)) => settings::run(&command),
         Some(Command::Check(command)) => check::run(&command),
         Some(Command::Lab(command)) => lab::run(&command),
         Some(Command::Load(command)) => load::run(&command),
--- /dev/null
+++ b/cli/src/settings.rs
@@ -0,0 +1,210 @@
+//! `notchdoor settings`: versions of what is forbidden, seen, planned, applied; and who acts on which.
+
+use crate::coord::Group;
+use crate::{Exit, Outcome};
+use clap::Subcommand;
+use notchdoor_coord::config::parse_rules;
+use notchdoor_coord::member::{Answer, Request};
+use notchdoor_coord::versions::{Proposed, Rules, Versions};
+use notchdoor_proxy::wire::http::{Decoder, Part};
+use notchdoor_settings::file;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// The version in force and the pending one.
+    #[command(after_help = "Example:\n  notchdoor settings show --at 127.0.0.1:7201,127.0.0.1:7202")]
+    Show(Group),
+    /// What a file would change, against the newest version. Nothing is proposed.
+    #[command(after_help = "Example:\n  notchdoor settings plan rules.toml --coord coord.toml")]
+    Plan {
+        /// The file: [block] with classes and keys, [workers] with out.
+        file: PathBuf,
+        #[command(flatten)]
+        group: Group,
+    },
+    /// Propose a file as the next version; exits with 1 where a newer one was faster.
+    #[command(
+        after_help = "Example:\n  notchdoor settings apply rules.toml --coord coord.toml --base 7 --wait"
+    )]
+    Apply {
+        /// The file.
+        file: PathBuf,
+        /// The version that the file was made on, as `plan` told it; the newest one where it is not given.
+        #[arg(long)]
+        base: Option<u64>,
+        /// Wait until it is in force.
+        #[arg(long)]
+        wait: bool,
+        #[command(flatten)]
+        group: Group,
+    },
+    /// The version that each proxy acts on, since when, and until when it is confirmed.
+    #[command(after_help = "Example:\n  notchdoor settings status 127.0.0.1:9001 127.0.0.1:9002 --json")]
+    Status {
+        /// Where operators call the proxies: their admin addresses.
+        #[arg(required = true)]
+        proxies: Vec<SocketAddr>,
+        /// Print JSON instead of a table.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+fn versions(group: &Group) -> Result<Versions, String> {
+    match group.ask(Request::Versions)? {
+        Answer::Versions(versions) => Ok(versions),
+        other => Err(format!("an answer of another kind: {other:?}")),
+    }
+}
+
+fn rules(path: &Path, group: &Group) -> Result<Rules, String> {
+    let name = path.display().to_string();
+    let text = file::text(path, file::MOST_WRITTEN).map_err(|e| format!("{name}: cannot read: {e}"))?;
+    parse_rules(&name, &text, group.guard()?.as_ref())
+}
+
+pub fn run(command: &Command) -> Outcome {
+    match command {
+        Command::Show(group) => {
+            let versions = versions(group)?;
+            if group.json {
+                println!("{}", serde_json::json!({"current": versions.current(), "next": versions.next()}));
+            } else {
+                let current = versions.current();
+                println!("version {} is in force", current.number);
+                Rules::default().changes_to(&current.rules).iter().for_each(|line| println!("  {line}"));
+                if let Some(next) = versions.next() {
+                    println!("version {} is pending", next.number);
+                    current.rules.changes_to(&next.rules).iter().for_each(|line| println!("  {line}"));
+                }
+            }
+            Ok(Exit::Good)
+        }
+        Command::Plan { file, group } => {
+            let rules = rules(file, group)?;
+            let versions = versions(group)?;
+            let newest = versions.newest();
+            let changes = newest.rules.changes_to(&rules);
+            if group.json {
+                println!("{}", serde_json::json!({"base": newest.number, "changes": changes}));
+            } else if changes.is_empty() {
+                println!("version {} forbids the same: nothing to change", newest.number);
+            } else {
+                println!("on version {}:", newest.number);
+                changes.iter().for_each(|line| println!("  {line}"));
+                println!("apply it with --base {}", newest.number);
+            }
+            Ok(Exit::Good)
+        }
+        Command::Apply { file, base, wait, group } => apply(file, *base, *wait, group),
+        Command::Status { proxies, json } => status(proxies, *json),
+    }
+}
+
+fn apply(file: &Path, base: Option<u64>, wait: bool, group: &Group) -> Outcome {
+    let rules = rules(file, group)?;
+    let base = match base {
+        Some(base) => base,
+        None => versions(group)?.newest().number,
+    };
+    let told = |text: String, proposed: &Proposed| match group.json {
+        true => println!("{}", serde_json::json!(proposed)),
+        false => println!("{text}"),
+    };
+    let proposed = match group.ask(Request::Propose { base, rules })? {
+        Answer::Proposed(proposed) => proposed,
+        Answer::Refused(why) => return Err(format!("{}: {why}", file.display())),
+        other => return Err(format!("an answer of another kind: {other:?}")),
+    };
+    match &proposed {
+        Proposed::Pending { number } => {
+            if wait {
+                let until = Instant::now() + group.limit()?;
+                while versions(group)?.current().number < *number {
+                    if Instant::now() >= until {
+                        return Err(format!("version {number} is still pending"));
+                    }
+                    std::thread::sleep(Duration::from_millis(50));
+                }
+                told(format!("version {number} is in force"), &proposed);
+            } else {
+                told(format!("version {number} is pending"), &proposed);
+            }
+            Ok(Exit::Good)
+        }
+        Proposed::Unchanged { number } => {
+            told(format!("version {number} forbids the same: nothing is changed"), &proposed);
+            Ok(Exit::Good)
+        }
+        Proposed::Stale { newest } => {
+            told(format!("version {newest} has come since {base}: plan again"), &proposed);
+            Ok(Exit::Lost)
+        }
+        Proposed::Busy { pending } => {
+            told(format!("version {pending} is still pending: apply again once it is in force"), &proposed);
+            Ok(Exit::Lost)
+        }
+        Proposed::Invalid(why) => Err(format!("{}: {why}", file.display())),
+    }
+}
+
+/// A proxy's figures of versions; null where it acts on none.
+fn figures(at: SocketAddr) -> Result<serde_json::Value, String> {
+    let told = |e: std::io::Error| e.to_string();
+    let wait = Duration::from_secs(2);
+    let mut stream = TcpStream::connect_timeout(&at, wait).map_err(told)?;
+    stream.set_read_timeout(Some(wait)).map_err(told)?;
+    write!(stream, "GET /_vars HTTP/1.1\r\nHost: {at}\r\n\r\n").map_err(told)?;
+    let (mut decoder, mut body, mut buffer) = (Decoder::default(), Vec::new(), [0; 4096]);
+    loop {
+        let n = stream.read(&mut buffer).map_err(told)?;
+        let parts = match n {
+            0 => decoder.closed().into_iter().collect(),
+            n => decoder.feed(&buffer[..n]).map_err(|_| "no HTTP answer".to_owned())?,
+        };
+        for part in parts {
+            match part {
+                Part::Data(data) => body.extend_from_slice(&data),
+                Part::End { .. } => {
+                    let json: serde_json::Value = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
+                    return Ok(json["versions"].clone());
+                }
+                Part::Head { .. } => {}
+            }
+        }
+        if n == 0 {
+            return Err("the answer was cut off".to_owned());
+        }
+    }
+}
+
+fn status(proxies: &[SocketAddr], json: bool) -> Outcome {
+    let told: Vec<_> = proxies.iter().map(|at| (at, figures(*at))).collect();
+    if json {
+        let line = |(at, told): &(&SocketAddr, Result<serde_json::Value, String>)| match told {
+            Ok(acting) => serde_json::json!({"at": at, "versions": acting}),
+            Err(why) => serde_json::json!({"at": at, "error": why}),
+        };
+        println!("{}", serde_json::Value::from_iter(told.iter().map(line)));
+    } else {
+        println!("{:22} {:>9} {:>14} {:>14} {:>8}", "proxy", "acts on", "since ms", "until ms", "refused");
+        for (at, told) in &told {
+            match told {
+                Ok(serde_json::Value::Null) => println!("{:22} acts on no versions", at.to_string()),
+                Ok(acting) => {
+                    let version =
+                        acting["version"].as_u64().map_or("safe mode".to_owned(), |n| n.to_string());
+                    let (since, until, refused) =
+                        (&acting["since_ms"], &acting["until_ms"], &acting["refused"]);
+                    println!("{:22} {version:>9} {since:>14} {until:>14} {refused:>8}", at.to_string());
+                }
+                Err(why) => println!("{:22} {why}", at.to_string()),
+            }
+        }
+    }
+    Ok(if told.iter().all(|(_, told)| told.is_ok()) { Exit::Good } else { Exit::Lost })
+}
--- a/coord/src/check.rs
+++ b/coord/src/check.rs
@@ -75,6 +75,44 @@
     Ok(checked)
 }
 
+/// A time in which a proxy acted on a version, in milliseconds on one clock. In safe mode it acts on none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Period {
+    /// The version.
+    pub version: u64,
+    /// From when.
+    pub from: u64,
+    /// Until when.
+    pub until: u64,
+}
+
+/// The longest time, in milliseconds, during which two proxies without a break acted on different versions.
+pub fn disagreement(proxies: &[Vec<Period>]) -> u64 {
+    let mut longest = 0;
+    for (n, a) in proxies.iter().enumerate() {
+        for b in &proxies[n + 1..] {
+            let mut apart: Vec<(u64, u64)> = Vec::new();
+            for (x, y) in a.iter().flat_map(|x| b.iter().map(move |y| (x, y))) {
+                let (from, until) = (x.from.max(y.from), x.until.min(y.until));
+                if x.version != y.version && from < until {
+                    apart.push((from, until));
+                }
+            }
+            apart.sort_unstable();
+            // Periods that follow one another are one disagreement.
+            let mut run: Option<(u64, u64)> = None;
+            for (from, until) in apart {
+                run = match run {
+                    Some((since, end)) if from <= end => Some((since, end.max(until))),
+                    _ => Some((from, until)),
+                };
+                longest = longest.max(run.map_or(0, |(since, end)| end - since));
+            }
+        }
+    }
+    longest
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -83,6 +121,15 @@
         Action { began, ended, task: "t".into(), holder: holder.into(), token, admitted }
     }
 
+    #[test]
+    fn a_disagreement_runs_over_periods_that_follow_one_another() {
+        let on = |version, from, until| Period { version, from, until };
+        let a = vec![on(1, 0, 100), on(2, 100, 900)];
+        let b = vec![on(1, 0, 150), on(1, 150, 180), on(2, 300, 900)];
+        assert_eq!(disagreement(&[a.clone(), b]), 80);
+        assert_eq!(disagreement(&[a.clone(), vec![on(2, 200, 900)], a]), 0);
+    }
+
     #[test]
     fn each_way_to_break_the_property_is_found() {
         let good = [act(0, 5, "a", 2, true), act(6, 9, "b", 4, true), act(10, 10, "a", 2, false)];
--- a/coord/src/config.rs
+++ b/coord/src/config.rs
@@ -351,6 +351,41 @@
     })
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+#[derive(Default)]
+struct RulesFile {
+    block: BlockFile,
+    workers: WorkersFile,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct BlockFile {
+    classes: BTreeSet<String>,
+    keys: BTreeSet<String>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct WorkersFile {
+    out: BTreeSet<String>,
+}
+
+/// Reads and checks a file of what a version is to forbid; `guard` is what versions may forbid, where the
+/// reader knows it.
+pub fn parse_rules(file: &str, text: &str, guard: Option<&Rules>) -> Result<Rules, String> {
+    let raw: RulesFile = toml::from_str(text).map_err(|e| at_span(file, text, &e))?;
+    let rules = Rules { classes: raw.block.classes, keys: raw.block.keys, workers: raw.workers.out };
+    let line =
+        |field: &str| field.split_once('.').map_or(1, |(section, field)| line_of(text, section, field));
+    rules.check().map_err(|(field, why)| format!("{file}:{}: {field}: {why}", line(field)))?;
+    match guard.and_then(|guard| rules.outside(guard)) {
+        Some((field, name)) => Err(format!("{file}:{}: {field}: '{name}' is not in the guard", line(field))),
+        None => Ok(rules),
+    }
+}
+
 fn at_span(file: &str, text: &str, error: &toml::de::Error) -> String {
     let line = error.span().map_or(1, |s| text[..s.start.min(text.len())].matches('\n').count() + 1);
     format!("{file}:{line}: {}", error.message().replace('\n', "; "))
--- a/coord/src/confirm.rs
+++ b/coord/src/confirm.rs
@@ -2,7 +2,7 @@
 
 use crate::holder::Drift;
 use crate::lease::Millis;
-use crate::versions::{Acting, Confirmation, View};
+use crate::versions::{Acting, Confirmation, Version, View};
 
 /// How long a confirmation is taken to be good before the first one has said so.
 const FIRST_GOOD_MS: Millis = 1_500;
@@ -28,6 +28,11 @@
         self.view.acting(now)
     }
 
+    /// What the proxy acts on from when to when, if it hears nothing more.
+    pub fn plan(&mut self, now: Millis) -> Vec<(Millis, Option<Version>)> {
+        self.view.plan(now)
+    }
+
     /// Until when it is confirmed.
     pub fn until(&self) -> Millis {
         self.view.until()
@@ -50,8 +55,10 @@
     }
 
     /// Takes the group's word in answer to request `number`.
-    pub fn answered(&mut self, number: u64, told: &Confirmation) {
+    pub fn answered(&mut self, number: u64, told: &Confirmation, now: Millis) {
         let Some((_, sent)) = self.asking.filter(|&(asked, _)| asked == number) else { return };
+        // What was acted on until now counts, whoever asked for it last: there is no way back from it.
+        self.view.acting(now);
         self.asking = None;
         self.good_ms = told.good_ms.max(1);
         self.view.confirmed(sent, told.clone());
--- a/coord/src/member.rs
+++ b/coord/src/member.rs
@@ -332,6 +332,7 @@
     expiries: Expiries,
     bounds: Bounds,
     terms: Terms,
+    guard: Rules,
     pace: Pace,
     origin: Origin,
     waiting: BTreeSet<u64>,
@@ -374,12 +375,14 @@
     pub bounds: Bounds,
     /// The times of versions.
     pub terms: Terms,
+    /// What versions may forbid.
+    pub guard: Rules,
 }
 
 impl<S: Keep> Member<S> {
     /// A member over `store`, which holds the group's configuration already, from `now` on.
     pub fn new(begin: Begin, store: S, now: Millis) -> raft::Result<Self> {
-        let Begin { id, start, founders, pace, bounds, terms } = begin;
+        let Begin { id, start, founders, pace, bounds, terms, guard } = begin;
         let applied = store.initial_state()?.hard_state.commit.min(store.last_index()?);
         let config = Config {
             id,
@@ -402,6 +405,7 @@
             expiries: Expiries::default(),
             bounds,
             terms,
+            guard,
             pace,
             origin: Origin { member: id, start },
             waiting: BTreeSet::new(),
@@ -579,7 +583,13 @@
                 Said::Lease(command)
             }
             Request::Enlist { id, number } => Said::Enlist { id, number },
-            Request::Propose { base, rules } => Said::Propose { base, rules },
+            Request::Propose { base, rules } => {
+                // A proxy in safe mode forbids what the guard covers, and may meet any version.
+                if let Some((field, name)) = rules.outside(&self.guard) {
+                    return Some(Answer::Refused(format!("{field}: '{name}' is not in the guard")));
+                }
+                Said::Propose { base, rules }
+            }
             Request::List { task } => return self.read(req, What::Grants(task)),
             Request::Versions => return self.read(req, What::Versions),
             Request::Confirm { have } => return self.read(req, What::Confirmation(have)),
--- a/coord/src/session.rs
+++ b/coord/src/session.rs
@@ -147,7 +147,7 @@
         if number & CONFIRM != 0 {
             if let Some(versions) = &mut self.versions {
                 match answer {
-                    Answer::Confirmed(told) => versions.answered(number & !CONFIRM, told),
+                    Answer::Confirmed(told) => versions.answered(number & !CONFIRM, told, now),
                     Answer::Later { retry_after_ms } => {
                         versions.again(number & !CONFIRM, now + retry_after_ms)
                     }
--- a/coord/src/versions.rs
+++ b/coord/src/versions.rs
@@ -328,6 +328,21 @@
         Acting::On(version)
     }
 
+    /// What it acts on from when to when, if it hears nothing more.
+    pub fn plan(&mut self, now: Millis) -> Vec<(Millis, Option<Version>)> {
+        let first = match self.acting(now) {
+            Acting::On(version) => Some(version.clone()),
+            Acting::Safe => None,
+        };
+        let mut steps = vec![(now, first)];
+        if now < self.until {
+            let next = self.next.as_ref().filter(|(_, at)| (now + 1..self.until).contains(at));
+            steps.extend(next.map(|(version, at)| (*at, Some(version.clone()))));
+            steps.push((self.until, None));
+        }
+        steps
+    }
+
     /// When what it acts on may change without a word from the group.
     pub fn next_change(&self, now: Millis) -> Millis {
         let switch = self.next.as_ref().map(|(_, at)| *at).filter(|at| *at > now);
--- a/coord/tests/group.rs
+++ b/coord/tests/group.rs
@@ -6,7 +6,7 @@
 use notchdoor_coord::lease::{Bounds, Command, Outcome};
 use notchdoor_coord::member::{Answer, Begin, Keep, Member, Pace, Request};
 use notchdoor_coord::store::{founding_conf, DiskStore, Stage};
-use notchdoor_coord::versions::Terms;
+use notchdoor_coord::versions::{Rules, Terms};
 use raft::eraftpb::Message;
 use raft::storage::MemStorage;
 use std::collections::BTreeMap;
@@ -31,6 +31,7 @@
         pace: Pace::default(),
         bounds: Bounds::default(),
         terms: Terms::default(),
+        guard: Rules::default(),
     };
     Member::new(begin, store, now).expect("a valid member")
 }
--- a/lab/src/leases/search.rs
+++ b/lab/src/leases/search.rs
@@ -53,8 +53,8 @@
         self.leaders += played.leaders;
         self.seconds += played.length_ms / 1_000;
         self.versions += played.versions;
-        if schedule.within_ms > 0 {
-            let share = 1_000 * played.disagreed_ms / schedule.within_ms;
+        // No bound, no share of it.
+        if let Some(share) = (1_000 * played.disagreed_ms).checked_div(schedule.within_ms) {
             self.disagreed = self.disagreed.max((share, played.disagreed_ms));
         }
         self.found.extend(played.breach.map(|breach| Found { schedule: schedule.clone(), breach }));
--- a/lab/src/leases/world.rs
+++ b/lab/src/leases/world.rs
@@ -359,7 +359,9 @@
         let Some(here) = self.members.get_mut(&id) else { return };
         here.starts += 1;
         let start = seed.wrapping_mul(1_000_003) + here.starts;
-        let begin = Begin { id, start, founders, pace: Pace::default(), bounds: Bounds::default(), terms };
+        let guard = Rules { classes: (1..=128).map(|n| format!("class-{n}")).collect(), ..Rules::default() };
+        let begin =
+            Begin { id, start, founders, pace: Pace::default(), bounds: Bounds::default(), terms, guard };
         here.member = Member::new(begin, here.store.clone(), here.clock.at(now)).ok();
         (here.asked, here.number) = (BTreeMap::new(), 0);
     }
--- a/proxy/src/group/node.rs
+++ b/proxy/src/group/node.rs
@@ -141,6 +141,7 @@
             pace: self.config.pace,
             bounds: self.config.bounds.clone(),
             terms: self.config.terms,
+            guard: self.config.guard.clone(),
         };
         let ticks = Ticks::start();
         let member = Member::new(begin, store, ticks.now()).map_err(|e| format!("the store: {e}"))?;
--- a/proxy/src/group/tasks.rs
+++ b/proxy/src/group/tasks.rs
@@ -9,7 +9,9 @@
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use notchdoor_coord::config::{Task, TasksConfig};
+use notchdoor_coord::member::Answer;
 use notchdoor_coord::session::Session;
+use notchdoor_coord::versions::{Rules, Version};
 use notchdoor_coord::wire::{encode, Frame, MAX_ASK};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -31,6 +33,8 @@
     ticks: Ticks,
     /// Something has changed that the connection to the group should see to.
     poke: (Sender<()>, Receiver<()>),
+    /// The group has said something about versions.
+    planned: (Sender<()>, Receiver<()>),
     /// Whether the group was last told to be reached, once it was told at all.
     reached: Cell<Option<bool>>,
     /// What each task was last told to be, for one log line a change.
@@ -46,7 +50,10 @@
             name.chars().filter(|c| c.is_ascii_alphanumeric() || "._-".contains(*c)).take(64).collect();
         let holder = format!("{plain}:{number:016x}");
         let wanted: Vec<_> = config.tasks.iter().map(|t| (t.name.clone(), t.ttl_ms)).collect();
-        let session = Session::new(config.doors.clone(), &holder, &wanted, config.drift, number);
+        let mut session = Session::new(config.doors.clone(), &holder, &wanted, config.drift, number);
+        if config.guard.is_some() {
+            session = session.with_versions(config.drift);
+        }
         let tasks = Rc::new(Tasks {
             reached: Cell::new(None),
             told: RefCell::new(vec![None; wanted.len()]),
@@ -55,6 +62,7 @@
             session: RefCell::new(session),
             ticks: Ticks::start(),
             poke: async_channel::bounded(1),
+            planned: async_channel::bounded(1),
         });
         let (count, holder) = (wanted.len(), &tasks.holder);
         log::info!(tasks = count, holder; "leases: {count} tasks of the fleet wanted, as {holder}");
@@ -65,6 +73,21 @@
         tasks
     }
 
+    /// What versions may forbid, where this process acts on them.
+    pub fn guard(&self) -> Option<&Rules> {
+        self.config.guard.as_ref()
+    }
+
+    /// Waits for the group's next word on versions: what is acted on from when to when, each time as how far
+    /// off it is.
+    pub async fn planned(&self) -> Vec<(Duration, Option<Version>)> {
+        // The sender lives as long as this does.
+        let _ = self.planned.1.recv().await;
+        let now = self.ticks.now();
+        let plan = self.session.borrow_mut().versions().map(|v| v.plan(now)).unwrap_or_default();
+        plan.into_iter().map(|(at, v)| (Duration::from_millis(at.saturating_sub(now)), v)).collect()
+    }
+
     /// Gives the grants back, so that others need not wait for their end. Acting ends at once.
     pub fn leave(&self) {
         self.session.borrow_mut().leave(self.ticks.now());
@@ -124,6 +147,10 @@
                         let door = self.session.borrow().door().0;
                         log::info!(door:%; "leases: the group is reached at {door}");
                     }
+                    if matches!(answer, Answer::Confirmed(_)) {
+                        // Full means that the last word has not been taken up yet, and this one comes with it.
+                        let _ = self.planned.0.try_send(());
+                    }
                     let moves = self.session.borrow_mut().answered(req, &answer, self.ticks.now());
                     self.tell();
                     if moves {
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -3,9 +3,10 @@
 
 use crate::ending::Ending;
 use crate::state::counters::{ByClass, Counters};
-use crate::state::figures::Figures;
+use crate::state::figures::{Acting, Figures};
 use crate::state::registry::{Applied, Registry, Update, Worker};
 use crate::state::timers::{TimerKey, Timers};
+use crate::state::versions::{Obeyed, Step};
 use notchdoor::{key_hash, Action, Decide, Event, Micros, Outcome, Request, RequestId, ServerId, Settings};
 use notchdoor_limits::policy::Policy;
 use notchdoor_limits::stack::Stack;
@@ -130,8 +131,17 @@
     commands: Vec<Command<C>>,
     inputs: VecDeque<Event<'static>>,
     actions: Vec<Action>,
+    /// What the group's versions forbid, where they are acted on.
+    obeyed: Option<Obeyed>,
+    /// Requests refused by it.
+    forbidden: u64,
+    /// The workers out by hand, and those put back lately.
+    by_hand: (BTreeSet<String>, BTreeMap<String, Micros>),
 }
 
+/// Who is refused by a version comes back after so long: a version lasts longer.
+const FORBIDDEN_FOR: Micros = 1_000_000;
+
 impl<C> Proxy<C> {
     /// A proxy that holds no list yet.
     pub fn new(
@@ -157,6 +167,9 @@
             inputs: VecDeque::new(),
             names,
             actions: Vec::new(),
+            obeyed: None,
+            forbidden: 0,
+            by_hand: Default::default(),
         }
     }
 
@@ -167,7 +180,44 @@
 
     /// When [`Proxy::tick`] is next wanted.
     pub fn next_due(&self) -> Option<Micros> {
-        self.timers.next_due()
+        let step = self.obeyed.as_ref().and_then(Obeyed::next_due);
+        self.timers.next_due().into_iter().chain(step).min()
+    }
+
+    /// Acts on the group's versions from here on: on the guard, until a plan says otherwise.
+    pub fn obey(&mut self, now: Micros, obeyed: Obeyed) {
+        self.obeyed = Some(obeyed);
+        self.overlay(now);
+    }
+
+    /// The group has confirmed what is acted on from when to when.
+    pub fn plan(&mut self, now: Micros, steps: Vec<Step>) {
+        if let Some(obeyed) = &mut self.obeyed {
+            obeyed.plan(steps);
+        }
+        self.keep_up(now);
+        if let Some((obeyed, version)) = self.obeyed.as_ref().and_then(|o| Some((o, o.acting().on.as_ref()?)))
+        {
+            let (number, left) = (version.number, obeyed.until().saturating_sub(now) / 1000);
+            log::debug!(event = "confirmed", version = number, left_ms = left; "versions: {number} for {left} ms");
+        }
+    }
+
+    /// Goes on to the version, or the safe mode, that is due.
+    fn keep_up(&mut self, now: Micros) {
+        let Some(obeyed) = self.obeyed.as_mut().filter(|o| o.next_due().is_some_and(|due| due <= now)) else {
+            return;
+        };
+        if obeyed.step(now) {
+            let left = obeyed.until().saturating_sub(now) / 1000;
+            match &obeyed.acting().on {
+                Some(v) => {
+                    log::info!(event = "acts", version = v.number, left_ms = left; "versions: acts on {}", v.number);
+                }
+                None => log::warn!(event = "acts", left_ms = 0; "versions: safe mode, nothing is confirmed"),
+            }
+            self.overlay(now);
+        }
     }
 
     /// Requests whose answer is owed.
@@ -198,6 +248,8 @@
     /// against workers and the origin that are asked, and judged, for what no worker could answer.
     pub fn taken(&mut self, now: Micros, taken: Taken<C>) -> Result<(), &'static str> {
         let class = position(&self.names.classes, &taken.class).ok_or("unknown class")?;
+        self.keep_up(now);
+        let forbidden = self.obeyed.as_ref().is_some_and(|o| o.forbids(&taken.class, &taken.key));
         // Guards against one client's request that ends another's of the same id at the workers.
         if !self.open.insert(taken.id.clone()) {
             return Err("id in use");
@@ -226,7 +278,12 @@
             passing: None,
         };
         self.held.insert(id, held);
-        self.feed(now, Event::Arrived(request));
+        if forbidden {
+            self.forbidden += 1;
+            self.finish(id, Answer::Refused { retry_after: FORBIDDEN_FOR });
+        } else {
+            self.feed(now, Event::Arrived(request));
+        }
         Ok(())
     }
 
@@ -317,6 +374,16 @@
 
     /// These workers are out by hand from here on and no others; those put back lately count as cold from then.
     pub fn set_out(&mut self, now: Micros, out: BTreeSet<String>, back: BTreeMap<String, Micros>) {
+        self.by_hand = (out, back);
+        self.overlay(now);
+    }
+
+    /// Lays what is out by hand and by version over the list.
+    fn overlay(&mut self, now: Micros) {
+        let (mut out, back) = self.by_hand.clone();
+        if let Some(obeyed) = &self.obeyed {
+            out.extend(obeyed.rules().workers.iter().cloned());
+        }
         let applied = self.registry.set_out(out, back);
         if !applied.members.is_empty() {
             self.list(now, applied);
@@ -338,6 +405,12 @@
             in_flight: self.owed(),
             cache_nodes_known: self.registry.caches().count(),
             cache_nodes_excluded: self.registry.caches().filter(excluded).count(),
+            versions: self.obeyed.as_ref().map(|o| Acting {
+                version: o.acting().on.as_ref().map(|v| v.number),
+                since_ms: o.acting().from / 1000,
+                until_ms: o.until() / 1000,
+                refused: self.forbidden,
+            }),
         }
     }
 
@@ -349,6 +422,7 @@
 
     /// Fires the timers that have fallen due.
     pub fn tick(&mut self, now: Micros) {
+        self.keep_up(now);
         while let Some(token) = self.timers.pop(now) {
             self.feed(now, Event::Timer(token));
         }
--- a/proxy/src/state/figures.rs
+++ b/proxy/src/state/figures.rs
@@ -20,4 +20,20 @@
     pub cache_nodes_known: usize,
     /// Those of them that are avoided now, by hand or by choice.
     pub cache_nodes_excluded: usize,
+    /// What is acted on, where the group's versions are.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub versions: Option<Acting>,
+}
+
+/// What `GET /_vars` shows of versions.
+#[derive(Debug, PartialEq, Serialize)]
+pub struct Acting {
+    /// The version; none in safe mode.
+    pub version: Option<u64>,
+    /// Since when, in Unix milliseconds.
+    pub since_ms: u64,
+    /// Until when it is confirmed.
+    pub until_ms: u64,
+    /// Requests that it, or the safe mode, has had refused.
+    pub refused: u64,
 }
--- a/proxy/src/state/mod.rs
+++ b/proxy/src/state/mod.rs
@@ -6,3 +6,4 @@
 pub mod pool;
 pub mod registry;
 pub mod timers;
+pub mod versions;
--- /dev/null
+++ b/proxy/src/state/versions.rs
@@ -0,0 +1,96 @@
+//! What the group's versions forbid here, from moment to moment: fed the plan that a confirmation gives,
+//! asked by the clock alone, so that a process that stood still obeys what is due when it goes on.
+
+use notchdoor::Micros;
+use notchdoor_coord::versions::{Rules, Version};
+
+/// From when on something is acted on: a version, or without one the guard.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// From then on.
+    pub from: Micros,
+    /// What is acted on.
+    pub on: Option<Version>,
+}
+
+/// See the module.
+pub struct Obeyed {
+    guard: Rules,
+    /// What is acted on now, and since when.
+    now: Step,
+    /// What comes, in order; the last is the guard.
+    steps: Vec<Step>,
+}
+
+impl Obeyed {
+    /// Nothing is confirmed yet.
+    pub fn new(guard: Rules, now: Micros) -> Obeyed {
+        Obeyed { guard, now: Step { from: now, on: None }, steps: Vec::new() }
+    }
+
+    /// Takes another plan in the old one's place.
+    pub fn plan(&mut self, steps: Vec<Step>) {
+        self.steps = steps;
+        self.steps.sort_by_key(|s| s.from);
+    }
+
+    /// Goes on to what is due at `now`; whether that is another version.
+    pub fn step(&mut self, now: Micros) -> bool {
+        let due = self.steps.partition_point(|s| s.from <= now);
+        let Some(step) = self.steps.drain(..due).next_back() else { return false };
+        let number = |s: &Step| s.on.as_ref().map(|v| v.number);
+        let changed = number(&step) != number(&self.now);
+        if changed {
+            self.now = step;
+        }
+        changed
+    }
+
+    /// When the next step is due.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.steps.first().map(|s| s.from)
+    }
+
+    /// What is acted on, and since when.
+    pub fn acting(&self) -> &Step {
+        &self.now
+    }
+
+    /// Until when that is confirmed.
+    pub fn until(&self) -> Micros {
+        self.steps.last().map_or(self.now.from, |s| s.from)
+    }
+
+    /// What is forbidden.
+    pub fn rules(&self) -> &Rules {
+        self.now.on.as_ref().map_or(&self.guard, |v| &v.rules)
+    }
+
+    /// Whether requests of this class, or for this key, are refused.
+    pub fn forbids(&self, class: &str, key: &[u8]) -> bool {
+        let rules = self.rules();
+        let named = |key: &[u8]| std::str::from_utf8(key).is_ok_and(|key| rules.keys.contains(key));
+        rules.classes.contains(class) || (!rules.keys.is_empty() && named(key))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_process_that_stood_still_obeys_what_is_due() {
+        let rules = |class: &str| Rules { classes: [class.to_owned()].into(), ..Rules::default() };
+        let on = |from, number, class: &str| Step { from, on: Some(Version { number, rules: rules(class) }) };
+        let mut o = Obeyed::new(rules("guarded"), 0);
+        assert!(o.forbids("guarded", b"k") && !o.step(5));
+        o.plan(vec![on(10, 1, "a"), on(100, 2, "b"), Step { from: 200, on: None }]);
+        assert!(!o.step(9) && o.step(10) && o.forbids("a", b"k") && !o.forbids("guarded", b"k"));
+        assert_eq!((o.next_due(), o.until()), (Some(100), 200));
+        // Confirmed anew: the same version goes on, and nothing has changed.
+        o.plan(vec![on(50, 1, "a"), Step { from: 250, on: None }]);
+        assert!(!o.step(60) && o.acting().from == 10 && o.until() == 250);
+        o.plan(vec![on(70, 1, "a"), on(100, 2, "b"), Step { from: 200, on: None }]);
+        assert!(o.step(1_000) && o.forbids("guarded", b"k") && !o.forbids("b", b"k"));
+    }
+}
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -15,6 +15,7 @@
 use crate::proxy::{Command, DelegationId, Proxy};
 use crate::state::handover::Handover;
 use crate::state::pool::{Budget, Pools};
+use crate::state::versions::{Obeyed, Step};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
@@ -150,6 +151,10 @@
             config.known.unwrap_or(crate::state::registry::Update { rev: 0, all: true, targets: Vec::new() });
         shell.heed();
         shell.drive(|proxy, now| proxy.update(now, crate::state::registry::Update { all: true, ..known }));
+        if let Some(guard) = shell.tasks.as_ref().and_then(|t| t.guard()).cloned() {
+            shell.drive(|proxy, now| proxy.obey(now, Obeyed::new(guard, now)));
+            shell.spawn(Shell::run_versions(Rc::clone(&shell)));
+        }
         shell.spawn(Shell::run_timers(Rc::clone(&shell)));
         shell.spawn(Shell::run_sweeps(Rc::clone(&shell)));
         let first = Rc::clone(&shell);
@@ -224,6 +229,18 @@
         self.begin_watch();
     }
 
+    /// Takes up the group's word on versions as it comes.
+    async fn run_versions(self: Rc<Self>) {
+        let Some(tasks) = self.tasks.clone() else { return };
+        loop {
+            let plan = tasks.planned().await;
+            self.drive(|proxy, now| {
+                let step = |(off, on): (Duration, _)| Step { from: now + off.as_micros() as Micros, on };
+                proxy.plan(now, plan.into_iter().map(step).collect());
+            });
+        }
+    }
+
     async fn run_timers(self: Rc<Self>) {
         loop {
             let due = self.proxy.borrow().next_due();
--- a/rig/src/group/fleet.rs
+++ b/rig/src/group/fleet.rs
@@ -4,7 +4,7 @@
 use super::links::{Flow, Link, Links};
 use super::process::Process;
 use super::resource::{Manner, Resource};
-use notchdoor_coord::check::{check, Action, Checked};
+use notchdoor_coord::check::{check, Action, Checked, Period};
 use notchdoor_coord::group::MemberAddr;
 use notchdoor_coord::member::{Answer, Request, Status};
 use notchdoor_coord::session::Door;
@@ -39,6 +39,10 @@
     pub tick_ms: u64,
     /// The stand-in's manner.
     pub manner: Manner,
+    /// The bound on versions, where proxies act on them, and the classes in the guard.
+    pub within_ms: Option<u64>,
+    /// See `within_ms`.
+    pub guard: Vec<String>,
 }
 
 impl Plan {
@@ -54,10 +58,20 @@
             every_ms: 25,
             tick_ms: 50,
             manner: Manner { work: Duration::from_millis(2), fenced: true },
+            within_ms: None,
+            guard: vec!["read".to_owned()],
         }
     }
 }
 
+impl Plan {
+    /// The section on versions of members' and proxies' files.
+    fn versions(&self) -> String {
+        let Some(within) = self.within_ms else { return String::new() };
+        format!("\n[versions]\nwithin_ms = {within}\n\n[versions.guard]\nclasses = {:?}\n", self.guard)
+    }
+}
+
 /// A fleet that runs. All of it ends when this is dropped.
 pub struct Fleet {
     plan: Plan,
@@ -72,6 +86,8 @@
     doors: BTreeMap<(usize, u64), Link>,
     /// Links of a proxy to the stand-in.
     acts: Vec<Link>,
+    /// Where operators call the proxies.
+    pub admin: Vec<SocketAddr>,
     /// What is acted on.
     pub resource: Resource,
     links: Links,
@@ -120,6 +136,7 @@
             peers: BTreeMap::new(),
             doors: BTreeMap::new(),
             acts: Vec::new(),
+            admin: Vec::new(),
             resource,
             links,
             keep: false,
@@ -159,7 +176,7 @@
         let mut text = format!(
             "[group]\nid = {id}\ndata = {data:?}\n\n[timing]\ntick_ms = {tick_ms}\n\n[lease]\nmax_ttl_ms = {}\n",
             (2 * ttl_ms).max(60_000)
-        );
+        ) + &self.plan.versions();
         for &to in known {
             let at = self.at[&to];
             let peer = if to == id { at.peer } else { self.peer(id, to)?.address() };
@@ -204,16 +221,19 @@
             );
         }
         self.acts.push(act);
+        text += &self.plan.versions();
         let folder = self.plan.folder.join(format!("p{proxy}"));
         std::fs::create_dir_all(&folder)?;
         let (file, config) = (folder.join("coord.toml"), folder.join("config.json"));
         std::fs::write(&file, text)?;
         std::fs::write(&config, proxy_config(&format!("p{proxy}")))?;
-        let program = self.plan.program.clone();
+        let (program, admin) = (self.plan.program.clone(), address());
+        self.admin.push(admin);
         let start = move || {
             let mut command = Command::new(&program);
-            command.args(["serve", "--log-format", "json", "--coord"]).arg(&file);
+            command.args(["serve", "--log-format", "json", "--log-level", "debug", "--coord"]).arg(&file);
             command.env("EDGE_CONFIG", &config).env("TMPDIR", &folder);
+            command.env("EDGE_ADMIN_ADDR", admin.to_string());
             command
         };
         self.proxies.push(Process::new(&format!("p{proxy}"), &self.plan.folder, Box::new(start)));
@@ -374,6 +394,32 @@
         checked
     }
 
+    /// What each proxy has acted on and when, from their logs.
+    pub fn periods(&self) -> Vec<Vec<Period>> {
+        let of = |process: &Process| {
+            let mut periods: Vec<Period> = Vec::new();
+            for line in process.log().lines() {
+                let Ok(json) = serde_json::from_str::<serde_json::Value>(line) else { continue };
+                if json["event"] != "acts" && json["event"] != "confirmed" {
+                    continue;
+                }
+                let (Some(ts), Some(left)) = (json["ts"].as_f64(), json["left_ms"].as_u64()) else {
+                    continue;
+                };
+                let (from, version) = ((ts * 1e3) as u64, json["version"].as_u64());
+                // The next word ends the one before; without one it ends by itself.
+                if let Some(last) = periods.last_mut() {
+                    last.until = last.until.min(from);
+                }
+                if let Some(version) = version {
+                    periods.push(Period { version, from, until: from + left });
+                }
+            }
+            periods
+        };
+        self.proxies.iter().map(of).collect()
+    }
+
     /// Checks the record so far and forgets what is checked.
     pub fn check_and_forget(&mut self) -> Result<Checked, String> {
         let checked = self.check()?;
