--- a/cli/src/group.rs
+++ b/cli/src/group.rs
@@ -55,6 +55,21 @@
         #[arg(long, default_value_t = 1000)]
         rounds: u64,
     },
+    /// How long a version takes until every proxy acts on it.
+    Versions {
+        /// How many proxies, one run after the other.
+        #[arg(long, value_delimiter = ',', default_value = "3,10,30")]
+        proxies: Vec<usize>,
+        /// Versions proposed, or seeds played, for each.
+        #[arg(long, default_value_t = 20)]
+        plays: u64,
+        /// The stated bound, in milliseconds.
+        #[arg(long, default_value_t = 4000)]
+        within_ms: u64,
+        /// In virtual time, where more proxies can be had than this machine holds.
+        #[arg(long)]
+        virtual_time: bool,
+    },
     /// A long run of renewals: what the members hold, in memory and on disk.
     Soak {
         /// How long.
@@ -132,6 +147,31 @@
             ];
             keep(group, "load", &all, |path| plot(path, "The group's load", "proxies", "a second", &lines))?;
         }
+        What::Versions { proxies, plays, within_ms, virtual_time } => {
+            let mut all = Vec::new();
+            for &count in proxies {
+                let most = if *virtual_time { MOST_VIRTUAL } else { MOST_PROXIES };
+                if count > most {
+                    return Err(format!("--proxies: {most} at the most"));
+                }
+                let switches = if *virtual_time {
+                    measure::virtual_switches(count, *within_ms, *plays)
+                } else {
+                    measure::switches(Plan { within_ms: Some(*within_ms), ..plan(count) }, *plays)
+                };
+                let switches = switches.map_err(told)?;
+                row(&format!("{count} proxies"), &switches.all);
+                println!("  at most {} ms apart", switches.apart_ms);
+                all.push(switches);
+            }
+            let points =
+                |of: fn(&Spread) -> f64| all.iter().map(|s| (s.proxies as f64, of(&s.all))).collect();
+            let lines =
+                [("median".to_owned(), points(|s| s.p50_ms)), ("p99".to_owned(), points(|s| s.p99_ms))];
+            keep(group, "versions", &all, |path| {
+                plot(path, "Until every proxy acts on a version", "proxies", "milliseconds", &lines)
+            })?;
+        }
         What::Latency { rounds } => {
             let latency = measure::latency(plan(0), *rounds).map_err(told)?;
             for (name, of) in [
--- a/coord/src/versions.rs
+++ b/coord/src/versions.rs
@@ -24,6 +24,8 @@
 pub const MOST_NAMES: usize = 1024;
 /// See [`MOST_NAMES`].
 pub const MOST_NAME: usize = 256;
+/// Bytes of all names together: two versions fit into one answer, however their bytes are written.
+pub const MOST_BYTES: usize = 64 << 10;
 
 impl Rules {
     /// The sets with what a file calls them.
@@ -34,10 +36,14 @@
     /// What is wrong with them: the field, and why.
     pub fn check(&self) -> Result<(), (&'static str, String)> {
         let all: usize = self.sets().iter().map(|(_, set)| set.len()).sum();
+        let bytes: usize = self.sets().iter().flat_map(|(_, set)| set.iter().map(String::len)).sum();
         for (field, set) in self.sets() {
             if all > MOST_NAMES {
                 return Err((field, format!("{all} names in all, where {MOST_NAMES} are taken")));
             }
+            if bytes > MOST_BYTES {
+                return Err((field, format!("{bytes} bytes in all, where {MOST_BYTES} are taken")));
+            }
             if let Some(name) = set.iter().find(|n| n.is_empty() || n.len() > MOST_NAME) {
                 return Err((
                     field,
@@ -407,6 +413,20 @@
         assert!(Terms { within_ms: 400, ..TERMS }.check().is_err());
     }
 
+    #[test]
+    fn the_largest_rules_fit_into_a_frame_and_larger_ones_are_refused() {
+        // Bytes that JSON writes as six each.
+        let name = |n: usize| format!("{n:04}{}", "\u{1}".repeat(250));
+        let of = |count: usize| Rules { keys: (0..count).map(name).collect(), ..Rules::default() };
+        assert!(of(258).check().is_ok() && of(259).check().is_err());
+        let largest = Version { number: 1, rules: of(258) };
+        let told = Versions { current: largest.clone(), next: Some(largest) }.confirm(0, &TERMS, 0);
+        let mut bytes = Vec::new();
+        let answer = crate::member::Answer::Confirmed(told);
+        crate::wire::encode(&crate::wire::Frame::Answer { req: 1, answer }, &mut bytes);
+        assert!(bytes.len() < crate::wire::MAX_ASK, "{}", bytes.len());
+    }
+
     #[test]
     fn what_is_outside_the_guard_is_named() {
         let guard = Rules { workers: ["w1".to_owned()].into(), ..rules("a") };
--- a/coord/src/wire.rs
+++ b/coord/src/wire.rs
@@ -17,8 +17,8 @@
 /// The largest frame taken from a member, kind and body: a snapshot of the largest table that the
 /// settings allow, and a listing of it.
 pub const MAX_FRAME: usize = 8 << 20;
-/// The largest frame taken from a client.
-pub const MAX_ASK: usize = 16 << 10;
+/// The largest frame taken from a client, and from a member by a proxy: the largest rules, twice.
+pub const MAX_ASK: usize = 1 << 20;
 
 /// One frame.
 #[derive(Debug, PartialEq)]
--- a/lab/src/leases/world.rs
+++ b/lab/src/leases/world.rs
@@ -86,6 +86,8 @@
     pub versions: u64,
     /// The longest time that two clients acted on different versions, in milliseconds.
     pub disagreed_ms: u64,
+    /// From the last version's proposal until all clients acted on it, in milliseconds.
+    pub switched_ms: u64,
     /// The share of the clients' time in safe mode, in thousandths.
     pub safe_permille: u64,
 }
@@ -206,6 +208,8 @@
     /// Since when two clients act on different versions.
     apart_since: BTreeMap<(usize, usize), u64>,
     apart_most: u64,
+    proposed_at: u64,
+    switched: Option<u64>,
     safe: (u64, u64),
     applied: u64,
     /// Whether bytes are counted: it takes time.
@@ -313,6 +317,8 @@
             acting: Vec::new(),
             apart_since: BTreeMap::new(),
             apart_most: 0,
+            proposed_at: 0,
+            switched: None,
             safe: (0, 0),
             applied: 0,
             weigh: false,
@@ -484,6 +490,7 @@
         for _ in 0..due {
             let Some(leader) = self.leader() else { continue };
             let newest = self.members[&leader].member.as_ref().map_or(0, |m| m.versions().newest().number);
+            (self.proposed_at, self.switched) = (self.now, None);
             let copies = 1 + self.applied % 2;
             for copy in 0..copies {
                 self.applied += 1;
@@ -515,6 +522,11 @@
             })
         };
         self.acting = self.clients.iter_mut().enumerate().zip(runs).map(acts).collect();
+        let live = self.members.values().filter_map(|h| h.member.as_ref());
+        let newest = live.map(|m| m.versions().newest().number).max().unwrap_or(0);
+        if newest > 0 && self.switched.is_none() && self.acting.iter().all(|a| *a == Some(Some(newest))) {
+            self.switched = Some(now - self.proposed_at);
+        }
         let safe = self.acting.iter().filter(|a| **a == Some(None)).count() as u64;
         let running = self.acting.iter().flatten().count() as u64;
         self.safe = (self.safe.0 + safe, self.safe.1 + running);
@@ -847,6 +859,7 @@
             group,
             versions: live.map(|m| m.versions().current().number).max().unwrap_or(0),
             disagreed_ms: self.apart_most,
+            switched_ms: self.switched.unwrap_or(0),
             safe_permille: 1_000 * self.safe.0 / self.safe.1.max(1),
         }
     }
--- a/rig/src/group/measure.rs
+++ b/rig/src/group/measure.rs
@@ -3,9 +3,10 @@
 use super::fleet::{Fleet, Plan};
 use super::links::Flow;
 use hdrhistogram::Histogram;
-use notchdoor_coord::check::Checked;
+use notchdoor_coord::check::{disagreement, Checked, Period};
 use notchdoor_coord::lease::{Command, Outcome};
 use notchdoor_coord::member::{Answer, Request, Status};
+use notchdoor_coord::versions::{Proposed, Rules};
 use notchdoor_coord::wire::{encode, Decoder, Frame};
 use notchdoor_lab::leases::schedule::Schedule;
 use notchdoor_lab::leases::world;
@@ -13,7 +14,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// No wait in a measurement is longer.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -254,6 +255,64 @@
     Ok(Latency { acquire: of("acquire")?, renew: of("renew")?, release: of("release")?, list: of("list")? })
 }
 
+/// How long a version takes from its proposal until every proxy acts on it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Switches {
+    /// Proxies.
+    pub proxies: usize,
+    /// The stated bound.
+    pub within_ms: u64,
+    /// From the proposal until the last proxy acts on the version.
+    pub all: Spread,
+    /// The longest time that two acted on different versions.
+    pub apart_ms: u64,
+}
+
+/// Proposes so many versions one after the other, with nothing wrong.
+pub fn switches(plan: Plan, versions: u64) -> io::Result<Switches> {
+    let (proxies, within_ms) = (plan.proxies, plan.within_ms.unwrap_or(0));
+    let class = plan.guard.first().cloned().unwrap_or_default();
+    let mut fleet = Fleet::start(plan)?;
+    let unix_ms = || SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+    let acts = |fleet: &mut Fleet, number: u64| {
+        fleet.until("all act on the version", PATIENCE, |f| {
+            let first = |of: &Vec<Period>| of.iter().find(|p| p.version == number).map(|p| p.from);
+            f.periods().iter().map(first).collect::<Option<Vec<u64>>>()
+        })
+    };
+    acts(&mut fleet, 0)?;
+    let mut samples = Vec::new();
+    for number in 1..=versions {
+        let blocked = number % 2 == 1;
+        let rules =
+            Rules { classes: blocked.then(|| class.clone()).into_iter().collect(), ..Rules::default() };
+        let began = unix_ms();
+        match fleet.ask(&Request::Propose { base: number - 1, rules }, PATIENCE)? {
+            Answer::Proposed(Proposed::Pending { .. }) => {}
+            other => return Err(io::Error::other(format!("not pending: {other:?}"))),
+        }
+        let last = acts(&mut fleet, number)?.into_iter().max().unwrap_or(began);
+        samples.push(last.saturating_sub(began) * 1_000);
+    }
+    Ok(Switches { proxies, within_ms, all: spread(&samples)?, apart_ms: disagreement(&fleet.periods()) })
+}
+
+/// The same in virtual time: one version on each of so many seeds.
+pub fn virtual_switches(proxies: usize, within_ms: u64, seeds: u64) -> io::Result<Switches> {
+    let of = |seed| {
+        let schedule =
+            Schedule { clients: proxies, within_ms, applies_ms: vec![5_000], ..Schedule::quiet(seed) };
+        world::play(&schedule)
+    };
+    let played: Vec<_> = (1..=seeds).map(of).collect();
+    if let Some(breach) = played.iter().find_map(|p| p.breach.as_ref()) {
+        return Err(io::Error::other(breach.what.clone()));
+    }
+    let samples: Vec<u64> = played.iter().map(|p| p.switched_ms * 1_000).collect();
+    let apart_ms = played.iter().map(|p| p.disagreed_ms).max().unwrap_or(0);
+    Ok(Switches { proxies, within_ms, all: spread(&samples)?, apart_ms })
+}
+
 /// A member's size at one moment of a long run.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct Size {
