--- a/cli/tests/group.rs
+++ b/cli/tests/group.rs
@@ -334,11 +334,7 @@
 fn the_data_path_waits_for_no_lease() {
     let mut fleet = Fleet::start(Plan { proxies: 0, ..plan("data-path") }).unwrap();
     fleet.leader(None, PATIENCE).unwrap();
-    let doors: String = fleet
-        .operators()
-        .iter()
-        .map(|(id, at)| format!("[[member]]\nid = {id}\nclient = \"{at}\"\n"))
-        .collect();
+    let doors = fleet.members_file();
     let call = fleet.resource.address();
     let task = format!("[[task]]\nname = \"warm\"\nttl_ms = 1500\nevery_ms = 25\ncall = \"{call}\"\n");
     let worker = Peer::worker(Box::new(|words| value(&words[1])));
--- a/cli/tests/versions.rs
+++ b/cli/tests/versions.rs
@@ -185,11 +185,7 @@
 fn requests_are_refused_as_the_version_or_the_safe_mode_says() {
     let mut fleet = Fleet::start(Plan { proxies: 0, ..plan("requests") }).unwrap();
     fleet.leader(None, PATIENCE).unwrap();
-    let doors: String = fleet
-        .operators()
-        .iter()
-        .map(|(id, at)| format!("[[member]]\nid = {id}\nclient = \"{at}\"\n"))
-        .collect();
+    let doors = fleet.members_file();
     let guard = "[versions]\nwithin_ms = 3000\n[versions.guard]\nclasses = [\"fix\"]\nkeys = [\"k1\"]\nworkers = [\"w1\"]\n";
     let answers = |text: &'static str| Peer::worker(Box::new(move |_| value(text)));
     let (first, second) = (answers("w1"), answers("w2"));
--- a/coord/src/config.rs
+++ b/coord/src/config.rs
@@ -386,7 +386,8 @@
     }
 }
 
-fn at_span(file: &str, text: &str, error: &toml::de::Error) -> String {
+/// What a TOML error is told as: the file, the line, and what was wrong.
+pub fn at_span(file: &str, text: &str, error: &toml::de::Error) -> String {
     let line = error.span().map_or(1, |s| text[..s.start.min(text.len())].matches('\n').count() + 1);
     format!("{file}:{line}: {}", error.message().replace('\n', "; "))
 }
--- a/lab/src/leases/schedule.rs
+++ b/lab/src/leases/schedule.rs
@@ -1,5 +1,6 @@
 //! A play's sizes, clocks, network and faults, as a TOML file has them.
 
+use notchdoor_coord::config::at_span;
 use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
 
@@ -163,10 +164,7 @@
 
     /// Reads one; the error names the file, the line and the field.
     pub fn parse(file: &str, text: &str) -> Result<Schedule, String> {
-        let schedule: Schedule = toml::from_str(text).map_err(|e| {
-            let line = e.span().map_or(1, |s| text[..s.start.min(text.len())].matches('\n').count() + 1);
-            format!("{file}:{line}: {}", e.message().replace('\n', "; "))
-        })?;
+        let schedule: Schedule = toml::from_str(text).map_err(|e| at_span(file, text, &e))?;
         schedule.check().map_err(|why| format!("{file}: {why}"))?;
         Ok(schedule)
     }
--- a/rig/src/group/fleet.rs
+++ b/rig/src/group/fleet.rs
@@ -160,6 +160,12 @@
         self.at[&id]
     }
 
+    /// The members as a proxy's file names them, each by its own address.
+    pub fn members_file(&self) -> String {
+        let line = |(id, at): &Door| format!("[[member]]\nid = {id}\nclient = \"{at}\"\n");
+        self.operators().iter().map(line).collect()
+    }
+
     /// The highest id that a member was made with.
     pub fn highest(&self) -> u64 {
         self.at.keys().next_back().copied().unwrap_or(0)
--- a/rig/src/group/measure.rs
+++ b/rig/src/group/measure.rs
@@ -286,11 +286,16 @@
         let blocked = number % 2 == 1;
         let rules =
             Rules { classes: blocked.then(|| class.clone()).into_iter().collect(), ..Rules::default() };
-        let began = unix_ms();
-        match fleet.ask(&Request::Propose { base: number - 1, rules }, PATIENCE)? {
-            Answer::Proposed(Proposed::Pending { .. }) => {}
-            other => return Err(io::Error::other(format!("not pending: {other:?}"))),
-        }
+        let propose = Request::Propose { base: number - 1, rules };
+        let began = loop {
+            let began = unix_ms();
+            match fleet.ask(&propose, PATIENCE)? {
+                Answer::Proposed(Proposed::Pending { .. }) => break began,
+                // Proxies switch at the time they were told, right before the group notes that it has come.
+                Answer::Proposed(Proposed::Busy { .. }) => std::thread::sleep(Duration::from_millis(20)),
+                other => return Err(io::Error::other(format!("not pending: {other:?}"))),
+            }
+        };
         let last = acts(&mut fleet, number)?.into_iter().max().unwrap_or(began);
         samples.push(last.saturating_sub(began) * 1_000);
     }
