--- a/cli/src/group.rs
+++ b/cli/src/group.rs
@@ -3,7 +3,8 @@
 use crate::{Exit, Outcome};
 use clap::{Args, Subcommand};
 use notchdoor_lab::charts::{plot, Line};
-use notchdoor_lab::leases::schedule::Schedule;
+use notchdoor_lab::leases::schedule::{Fault, Kind, Schedule, Who};
+use notchdoor_lab::leases::world;
 use notchdoor_rig::group::fleet::Plan;
 use notchdoor_rig::group::measure::{self, Loss, Size, Spread};
 use notchdoor_rig::group::schedule;
@@ -164,6 +165,9 @@
                 println!("  at most {} ms apart", switches.apart_ms);
                 all.push(switches);
             }
+            if let (true, Some(&count)) = (*virtual_time, proxies.iter().max()) {
+                change_under_faults(group, count, *within_ms)?;
+            }
             let points =
                 |of: fn(&Spread) -> f64| all.iter().map(|s| (s.proxies as f64, of(&s.all))).collect();
             let lines =
@@ -211,6 +215,39 @@
     Ok(Exit::Good)
 }
 
+/// A change while a tenth of the proxies is cut off for ten seconds and the leader dies on the way: who acts on
+/// what over time, drawn, and what the safe mode cost.
+fn change_under_faults(group: &Group, proxies: usize, within_ms: u64) -> Result<(), String> {
+    let cut = |n: usize| Fault { at_ms: 4_000, for_ms: 10_000, kind: Kind::Cut, who: Who::Client(n * 10) };
+    let mut faults: Vec<Fault> = (0..(proxies / 10).min(60)).map(cut).collect();
+    faults.push(Fault { at_ms: 7_000, for_ms: 3_000, kind: Kind::Kill, who: Who::Leader });
+    let cut = faults.len() - 1;
+    let schedule =
+        Schedule { clients: proxies, within_ms, applies_ms: vec![6_000], faults, ..Schedule::quiet(1) };
+    let played = world::play(&schedule);
+    if let Some(breach) = &played.breach {
+        return Err(breach.what.clone());
+    }
+    let moments = world::watch(&schedule, 20_000, 50);
+    let from = moments.iter().filter(|m| (4_000..14_000).contains(&m.at_ms));
+    let safe: usize = from.clone().map(|m| m.safe).sum();
+    let all: usize = from.map(|m| m.safe + m.on.values().sum::<usize>()).sum();
+    println!(
+        "{proxies} proxies, {cut} cut off for 10 s, the leader killed: at most {} ms apart; {:.1} % of the proxies' time \
+         in those 10 s in safe mode",
+        played.disagreed_ms,
+        100.0 * safe as f64 / all.max(1) as f64
+    );
+    let line = |name: &str, of: &dyn Fn(&world::Moment) -> usize| -> Line {
+        (name.to_owned(), moments.iter().map(|m| (m.at_ms as f64 / 1e3, of(m) as f64)).collect())
+    };
+    let on = |version: u64| move |m: &world::Moment| m.on.get(&version).copied().unwrap_or(0);
+    let lines = [line("version 0", &on(0)), line("version 1", &on(1)), line("safe mode", &|m| m.safe)];
+    keep(group, "change", &(played.disagreed_ms, safe, all), |path| {
+        plot(path, "A change under faults: who acts on what", "seconds", "proxies", &lines)
+    })
+}
+
 /// Plays schedules of faults on processes of this program.
 pub fn faults(schedules: &[Schedule], at_once: usize) -> Outcome {
     let program = std::env::current_exe().map_err(|e| format!("this program's file: {e}"))?;
--- a/lab/src/leases/world.rs
+++ b/lab/src/leases/world.rs
@@ -267,6 +267,38 @@
     world.end(breach)
 }
 
+/// How many clients act on what at a moment: by version, and in safe mode.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Moment {
+    /// When, in milliseconds.
+    pub at_ms: u64,
+    /// Clients by the version that they act on.
+    pub on: BTreeMap<u64, usize>,
+    /// Clients in safe mode.
+    pub safe: usize,
+}
+
+/// Plays a schedule to its end and takes down, so often, who acts on what. The play's properties are
+/// those of [`play`], which is asked for them.
+pub fn watch(schedule: &Schedule, until_ms: u64, every_ms: u64) -> Vec<Moment> {
+    let mut world = World::new(schedule.clone(), Variant::AsBuilt);
+    let mut moments = Vec::new();
+    while world.now < until_ms {
+        world.step();
+        if world.now % every_ms.max(STEP) < STEP {
+            let mut moment = Moment { at_ms: world.now, ..Moment::default() };
+            for acting in world.acting.iter().flatten() {
+                match acting {
+                    Some(version) => *moment.on.entry(*version).or_default() += 1,
+                    None => moment.safe += 1,
+                }
+            }
+            moments.push(moment);
+        }
+    }
+    moments
+}
+
 /// What a group does with so many clients over a time in which nothing is wrong.
 pub fn load(schedule: &Schedule, over_ms: u64) -> Played {
     let mut world = World::new(schedule.clone(), Variant::AsBuilt);
