Read over: one rule for what a round has to sync, and code that nobody calls is gone

Found by reading the change again: the disk's store and the lab's each had the rule that a commit index alone is no fsync (has_to_sync serves both now), and the view's next change, the confirmer's and the client's getters, a link's byte count and a process's name were called by nobody.

--- a/coord/src/client.rs
+++ b/coord/src/client.rs
@@ -67,11 +67,6 @@
         &self.task
     }
 
-    /// The clocks' bound that it goes by.
-    pub fn drift(&self) -> Drift {
-        self.drift
-    }
-
     /// The side that is acted on refused `token` as older than one it has seen: this holder is none
     /// any more. The grant is given back before it asks anew, so that the next token is higher
     /// even where the group still has the old one in force.
--- a/coord/src/confirm.rs
+++ b/coord/src/confirm.rs
@@ -33,16 +33,6 @@
         self.view.plan(now)
     }
 
-    /// Until when it is confirmed.
-    pub fn until(&self) -> Millis {
-        self.view.until()
-    }
-
-    /// When what it acts on may change by itself.
-    pub fn next_change(&self, now: Millis) -> Millis {
-        self.view.next_change(now)
-    }
-
     /// A request that is due: its number, and the newest version heard of. Each has a number of its
     /// own, since an answer counts from when its very request was sent.
     pub fn due(&mut self, now: Millis) -> Option<(u64, u64)> {
--- a/coord/src/member.rs
+++ b/coord/src/member.rs
@@ -43,6 +43,18 @@
     fn compact(&self, index: u64, data: Vec<u8>) -> raft::Result<()>;
 }
 
+/// Whether a round has something that has to be durable before its messages go out. A commit index
+/// alone need not be: it goes with the next round that has.
+pub fn has_to_sync(
+    snapshot: Option<&Snapshot>,
+    entries: &[Entry],
+    hard: Option<&HardState>,
+    kept: &HardState,
+) -> bool {
+    let voted = hard.is_some_and(|h| (h.term, h.vote) != (kept.term, kept.vote));
+    snapshot.is_some() || !entries.is_empty() || voted
+}
+
 impl Keep for MemStorage {
     fn keep(
         &self,
--- a/coord/src/store.rs
+++ b/coord/src/store.rs
@@ -13,7 +13,7 @@
 use redb::{Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, TableDefinition};
 
 use crate::group::Book;
-use crate::member::Keep;
+use crate::member::{has_to_sync, Keep};
 
 const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
 const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
@@ -207,10 +207,7 @@
         entries: &[Entry],
         hard: Option<&HardState>,
     ) -> raft::Result<()> {
-        // A commit index alone need not be durable: it goes with the next round that has to be.
-        let votes = |h: &HardState| (h.term, h.vote);
-        let voted = hard.is_some_and(|h| votes(h) != votes(self.mem.rl().hard_state()));
-        if snapshot.is_none() && entries.is_empty() && !voted {
+        if !has_to_sync(snapshot, entries, hard, self.mem.rl().hard_state()) {
             return self.mem.keep(None, &[], hard);
         }
         self.syncs.set(self.syncs.get() + 1);
--- a/coord/src/versions.rs
+++ b/coord/src/versions.rs
@@ -283,11 +283,6 @@
         next.or(self.current.as_ref().map(|v| v.number)).unwrap_or(0)
     }
 
-    /// Until when the last confirmation is good.
-    pub fn until(&self) -> Millis {
-        self.until
-    }
-
     /// Takes a confirmation that was asked for at `sent`. One asked for before the last one is late,
     /// and is left out.
     pub fn confirmed(&mut self, sent: Millis, told: Confirmation) {
@@ -348,12 +343,6 @@
         }
         steps
     }
-
-    /// When what it acts on may change without a word from the group.
-    pub fn next_change(&self, now: Millis) -> Millis {
-        let switch = self.next.as_ref().map(|(_, at)| *at).filter(|at| *at > now);
-        switch.unwrap_or(Millis::MAX).min(if self.until > now { self.until } else { Millis::MAX })
-    }
 }
 
 #[cfg(test)]
--- a/lab/src/leases/store.rs
+++ b/lab/src/leases/store.rs
@@ -1,6 +1,6 @@
 //! A member's store in memory that outlives its member, and counts what a disk would have to sync.
 
-use notchdoor_coord::member::Keep;
+use notchdoor_coord::member::{has_to_sync, Keep};
 use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
 use raft::storage::MemStorage;
 use raft::{GetEntriesContext, RaftState, Result, Storage};
@@ -60,9 +60,7 @@
 
 impl Keep for Store {
     fn keep(&self, snapshot: Option<&Snapshot>, entries: &[Entry], hard: Option<&HardState>) -> Result<()> {
-        let votes = |h: &HardState| (h.term, h.vote);
-        let voted = hard.is_some_and(|h| votes(h) != votes(self.memory.rl().hard_state()));
-        if snapshot.is_some() || !entries.is_empty() || voted {
+        if has_to_sync(snapshot, entries, hard, self.memory.rl().hard_state()) {
             self.syncs.set(self.syncs.get() + 1);
         }
         self.memory.keep(snapshot, entries, hard)
--- a/rig/src/group/links.rs
+++ b/rig/src/group/links.rs
@@ -71,7 +71,6 @@
     flows: [AtomicU64; 2],
     /// Connections of an older count are reset.
     resets: AtomicU64,
-    bytes: AtomicU64,
 }
 
 /// A link's handle.
@@ -102,11 +101,6 @@
     pub fn reset(&self) {
         self.state.resets.fetch_add(1, Ordering::SeqCst);
     }
-
-    /// Bytes passed, both ways.
-    pub fn bytes(&self) -> u64 {
-        self.state.bytes.load(Ordering::Relaxed)
-    }
 }
 
 /// What runs on the links' thread.
@@ -247,7 +241,6 @@
             let _ = to.get_ref().shutdown(std::net::Shutdown::Write);
             return;
         }
-        state.bytes.fetch_add(n as u64, Ordering::Relaxed);
     }
 }
 
--- a/rig/src/group/process.rs
+++ b/rig/src/group/process.rs
@@ -12,7 +12,6 @@
 
 /// A process and the file that its log goes to. It is killed when this is dropped.
 pub struct Process {
-    name: String,
     start: Starter,
     log: PathBuf,
     child: Option<Child>,
@@ -23,7 +22,7 @@
     /// One that is not started yet; its log goes on over all starts.
     pub fn new(name: &str, folder: &Path, start: Starter) -> Process {
         let log = folder.join(format!("{name}.log"));
-        Process { name: name.to_owned(), start, log, child: None, paused: false }
+        Process { start, log, child: None, paused: false }
     }
 
     /// Starts it, if it does not run.
@@ -38,11 +37,6 @@
         Ok(())
     }
 
-    /// Its name in the fleet.
-    pub fn name(&self) -> &str {
-        &self.name
-    }
-
     /// Whether it runs, paused or not.
     pub fn runs(&mut self) -> bool {
         self.child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(None)))
