A cold cache that answers hits bears one in its answer's time, however few warm ones are left

Change: the budget is at least one read for each of the cache's own answers' time, shared among all balancers, unless its window was cut within the time by which a fall is judged. A machine bears that at any warmth and number of cores.

--- a/lab/src/day/world.rs
+++ b/lab/src/day/world.rs
@@ -11,7 +11,7 @@
 use notchdoor_model::spec::{Effect, Spec};
 use notchdoor_model::station::{self, Crowding};
 use notchdoor_model::time::{ms, rng, secs, Purpose, Time, NEVER};
-use notchdoor_model::worker::{self, State, Worker};
+use notchdoor_model::worker::{self, Choke, State, Worker};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
@@ -163,6 +163,14 @@
             on_cancel: w.on_cancel,
             connections: w.connections,
             full_tax: w.full_tax,
+            choke: (w.choke_at > 0.0).then(|| Choke {
+                at: w.choke_at,
+                over: secs(w.choke_over_s),
+                slower: w.choke_slower,
+                below: w.choke_rest.0,
+                rest: secs(w.choke_rest.1),
+                most: secs(w.choke_most_s),
+            }),
         };
         let (period, delay, noise) = w.report_ms;
         let reporter = Reporter::new(ms(period), ms(delay), noise, 0);
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -16,6 +16,7 @@
     ("retry-storm", include_str!("../scenarios/retry-storm.toml")),
     ("zone-cut", include_str!("../scenarios/zone-cut.toml")),
     ("churn", include_str!("../scenarios/churn.toml")),
+    ("vans", include_str!("../scenarios/vans.toml")),
     ("thousand", include_str!("../scenarios/thousand.toml")),
 ];
 
--- a/model/src/spec.rs
+++ b/model/src/spec.rs
@@ -139,6 +139,16 @@
         handshake_trips: f64 = 2.5,
         /// Milliseconds after which a connection that is not up never comes up.
         connect_timeout_ms: f64 = 150.0,
+        /// Requests held, for each core, beyond which a worker chokes; 0 where none does.
+        choke_at: f64 = 0.0,
+        /// After holding so much for so many seconds.
+        choke_over_s: f64 = 2.0,
+        /// So many times slower it is then.
+        choke_slower: f64 = 2.8,
+        /// Until no more than this share of its cores is in use for so many seconds,
+        choke_rest: (f64, f64) = (0.3, 3.0),
+        /// or for so many seconds in any case.
+        choke_most_s: f64 = 27.0,
         /// Load reports: made every so many milliseconds, told so much later, off by this share.
         report_ms: (f64, f64, f64) = (520.0, 340.0, 0.04),
     }
@@ -443,6 +453,11 @@
         range("workers.streams", w.streams.into(), 1.0, 1e6);
         range("workers.handshake_ms", w.handshake_ms, 0.0, 1e4);
         range("workers.handshake_trips", w.handshake_trips, 0.0, 10.0);
+        range("workers.choke_at", w.choke_at, 0.0, 1e6);
+        range("workers.choke_over_s", w.choke_over_s, 0.0, 1e4);
+        range("workers.choke_slower", w.choke_slower, 1.0, 1e3);
+        range("workers.choke_rest", w.choke_rest.0.min(w.choke_rest.1), 0.0, 1e4);
+        range("workers.choke_most_s", w.choke_most_s, 0.0, 1e6);
         range("workers.connect_timeout_ms", w.connect_timeout_ms, 1.0, 1e5);
         range("origin.headroom", self.origin.headroom, 0.01, 1e6);
         range("origin.usual_load", self.origin.usual_load, 0.01, 10.0);
--- a/model/src/worker.rs
+++ b/model/src/worker.rs
@@ -19,6 +19,34 @@
     DropsWaiting,
 }
 
+/// How a worker chokes on its load: what waits for too long slows it down, and it stays slow until it has rested.
+#[derive(Clone, Copy, Debug)]
+pub struct Choke {
+    /// Requests held, for each core, beyond which it does.
+    pub at: f64,
+    /// For so long.
+    pub over: Time,
+    /// So many times slower it is from then on.
+    pub slower: f64,
+    /// It recovers once no more than this share of its cores has been in use,
+    pub below: f64,
+    /// for so long,
+    pub rest: Time,
+    /// or after so long in any case.
+    pub most: Time,
+}
+
+/// Where a worker stands with its choking.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Load {
+    /// It holds no more than it bears.
+    Well,
+    /// It has held too much since then.
+    Over(Time),
+    /// It has been choked since then, and at rest since then, if it is.
+    Choked(Time, Option<Time>),
+}
+
 /// The figures of a worker.
 #[derive(Clone, Debug)]
 pub struct Figures {
@@ -46,6 +74,8 @@
     pub connections: u32,
     /// The share of its capacity that a full table of connections takes.
     pub full_tax: f64,
+    /// How it chokes, if it does.
+    pub choke: Option<Choke>,
 }
 
 /// Whether the process runs.
@@ -88,6 +118,7 @@
     memory: Memory,
     budget: Budget,
     connections: u32,
+    load: Load,
     warm_at: Time,
     /// What it says of its load.
     pub reporter: Reporter,
@@ -106,6 +137,7 @@
             stolen: 0.0,
             budget,
             connections: 0,
+            load: Load::Well,
             warm_at: 0,
             reporter,
         }
@@ -154,7 +186,11 @@
         let table = 1.0
             - self.figures.full_tax * f64::from(self.connections)
                 / f64::from(self.figures.connections.max(1));
-        self.figures.speed * self.warmth(now) * (1.0 - self.stolen) * table.max(0.0)
+        let choked = match (self.load, self.figures.choke) {
+            (Load::Choked(..), Some(choke)) => choke.slower,
+            _ => 1.0,
+        };
+        self.figures.speed * self.warmth(now) * (1.0 - self.stolen) * table.max(0.0) / choked
     }
 
     /// When it wants to be advanced next.
@@ -166,6 +202,7 @@
     /// Passes time up to `now` and appends what was done. Set paces follow at every step of its warming.
     pub fn advance(&mut self, now: Time, done: &mut Vec<Finished>) {
         self.station.advance(now, done);
+        self.mind_load(now);
         if now >= self.warm_at {
             self.station.set_pace(self.pace(now));
             let warm = self.warmth(now) >= 1.0;
@@ -173,6 +210,34 @@
         }
     }
 
+    /// Whether it has held too much for too long, or rested long enough, since it was last looked at.
+    fn mind_load(&mut self, now: Time) {
+        let Some(choke) = self.figures.choke else { return };
+        let cores = self.figures.station.cores;
+        let over = self.station.held() as f64 > choke.at * cores;
+        let rests = self.station.in_work() as f64 <= choke.below * cores;
+        let next = match self.load {
+            Load::Well if over => Load::Over(now),
+            Load::Over(since) if over && now >= since + choke.over => Load::Choked(now, None),
+            Load::Over(_) if !over => Load::Well,
+            Load::Choked(since, _) if now >= since + choke.most => Load::Well,
+            Load::Choked(_, Some(rest)) if rests && now >= rest + choke.rest => Load::Well,
+            Load::Choked(since, None) if rests => Load::Choked(since, Some(now)),
+            Load::Choked(since, Some(_)) if !rests => Load::Choked(since, None),
+            same => same,
+        };
+        let changed = matches!(next, Load::Choked(..)) != matches!(self.load, Load::Choked(..));
+        self.load = next;
+        if changed {
+            self.station.set_pace(self.pace(now));
+        }
+    }
+
+    /// Whether it is slow for what it held.
+    pub fn is_choked(&self) -> bool {
+        matches!(self.load, Load::Choked(..))
+    }
+
     /// Whether an answer that is due now is an error instead; counted in the load report.
     pub fn answers_error(&mut self, now: Time, rng: &mut ChaCha8Rng) -> bool {
         let error = self.figures.error_rate > 0.0 && rng.random::<f64>() < self.figures.error_rate;
@@ -257,6 +322,7 @@
     /// The process starts: cold and empty.
     pub fn start(&mut self, now: Time) {
         self.state = State::Up;
+        self.load = Load::Well;
         self.started = now.max(1);
         self.budget.clear();
         self.warm_at = now;
--- a/model/tests/machines.rs
+++ b/model/tests/machines.rs
@@ -21,6 +21,7 @@
         evict: Evict::Lru,
         error_rate: 0.0,
         on_cancel: OnCancel::DropsWaiting,
+        choke: None,
         connections: 2,
         full_tax: 0.0,
     };
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -750,8 +750,13 @@
         // Half of what would push it over, beside what warm ones of its weight answer: chance may use it up.
         let headroom = self.settings.fall_multiple / 2.0;
         let span = self.settings.fall_time.max(1) as f64 / 1e6;
-        let allowed = headroom * self.answer_rate * share * span;
         let server = &mut self.servers[i];
+        // Guards against caches that stay cold and empty since few are left whose hits tell what one bears: what
+        // answers a hit in some time, and has not slowed down, bears one in that time from all balancers.
+        let time = server.health.latency * f64::from(self.settings.balancers);
+        let well = time > 0.0 && now >= server.window.cut_at + self.settings.fall_time;
+        let one = if well { 1e6 / time } else { 0.0 };
+        let allowed = (headroom * self.answer_rate * share).max(one) * span;
         // Reads over about the span by which a fall is judged, this one not counted, so as not to bias it. In
         // the first span the budget is the part of it gone by: else a fleet that starts at nothing lets all in.
         let asked = server.asked * (-((now - server.asked_at) as f64 / 1e6) / span).exp();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -362,3 +362,37 @@
     // A saving of one send let some half through.
     assert!(f64::from(all) >= 0.8 * wanted, "cold caches took {all} of the {wanted:.0} that their weight is");
 }
+
+/// Guards against a fleet that stays cold: where all caches were replaced and hardly any hit is left to tell what
+/// caches bear, cold ones that answered their few hits in 40 ms were sent less and less for as long as they were cold.
+#[test]
+fn a_fleet_that_is_all_cold_takes_what_its_caches_are_seen_to_bear() {
+    let mut list = members(9);
+    let mut brain = brain(settings(), &list);
+    let mut now = START;
+    // Reads of one second at caches of which so many are empty but for every sixteenth key; how many went to those.
+    let mut second = |brain: &mut Brain, empty: u32| {
+        let mut to_empty = 0;
+        for n in 0..300u64 {
+            now += S / 300;
+            let Some(server) = sent(&arrive(brain, now, read(now, n, now))).first().copied() else {
+                continue;
+            };
+            to_empty += u32::from(server < empty);
+            let miss = server < empty && n % 16 > 0;
+            let first = if server == ORIGIN || miss { Outcome::Miss } else { Outcome::Ok };
+            if !sent(&end(brain, now, now, 0, first, 40 * MS)).is_empty() {
+                end(brain, now, now, 1, Outcome::Ok, 60 * MS);
+            }
+        }
+        to_empty
+    };
+    (0..4).for_each(|_| assert_eq!(second(&mut brain, 0), 0));
+    for member in list.iter_mut().take(9) {
+        member.up_since = START + 4 * S;
+    }
+    handle(&mut brain, START + 4 * S, Event::ListChange(&list));
+    let cold: Vec<u32> = (0..8).map(|_| second(&mut brain, 9)).collect();
+    // Each bears 25 a second at the least, half of them from this balancer: all nine 112.
+    assert!(cold[7] >= 90, "cold caches took {cold:?} reads a second of 300");
+}
