--- /dev/null
+++ b/cli/tests/copies.rs
@@ -0,0 +1,273 @@
+//! Copies and the filter of known-missing keys as processes: three members of a group and four proxies, each on a machine
+//! of its own, with one cache that keeps nothing and one origin, and faults between them.
+
+mod common;
+
+use common::{bulk, line, Client, Peer, Proxy, Registry};
+use notchdoor_coord::member::{Answer, Request};
+use notchdoor_coord::shards::Shards;
+use notchdoor_copies::shard_of;
+use notchdoor_proxy::wire::resp::Value;
+use notchdoor_rig::group::fleet::{address, Fleet, Plan};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+const PROGRAM: &str = env!("CARGO_BIN_EXE_notchdoor");
+const SHARDS: u32 = 8;
+
+/// A fleet whose proxies hold copies for each other.
+struct Held {
+    group: Fleet,
+    registry: Registry,
+    proxies: Vec<Option<Proxy>>,
+    at: Vec<SocketAddr>,
+    origin: Peer,
+    ids: u64,
+}
+
+/// An origin that has what was written, and answers 404 for the rest.
+fn origin() -> Peer {
+    let has: Arc<Mutex<HashSet<String>>> = Arc::default();
+    Peer::origin(Box::new(move |request| {
+        let mut has = has.lock().unwrap();
+        if request[0] == "PUT" {
+            has.insert(request[1].clone());
+        }
+        if has.contains(&request[1]) {
+            return common::http("200 OK", &request[2]);
+        }
+        common::http("404 Not Found", "")
+    }))
+}
+
+impl Held {
+    fn start(name: &str) -> Held {
+        let folder = std::env::temp_dir().join(format!("notchdoor-copies-{name}-{}", std::process::id()));
+        let plan = Plan { proxies: 0, within_ms: Some(2_000), ..Plan::new(PROGRAM, folder) };
+        let group = Fleet::start(plan).unwrap();
+        let cache = Peer::worker(Box::new(|_| Some(b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_vec())));
+        let (registry, origin) = (Registry::start(), origin());
+        let list = [line("w", &cache, "in_service", 0), line("o", &origin, "in_service", 0)];
+        let mut held = Held { group, registry, proxies: Vec::new(), at: Vec::new(), origin, ids: 0 };
+        for n in 0..4 {
+            let at = address();
+            held.at.push(at);
+            let text = format!(
+                "{}[versions]\nwithin_ms = 2000\n\n[copies]\nmachine = \"m{n}\"\nzone = \"z{}\"\nlisten = \"{at}\"\ndata = {:?}\nshards = {SHARDS}\n",
+                held.group.members_file(),
+                n % 2,
+                held.disk(n),
+            );
+            let files = [("coord.toml", text.as_str())];
+            held.proxies.push(Some(Proxy::with_files(&held.registry, &list, (1024, 192), &files)));
+        }
+        held.until("every shard has three copies in sync", |_, t| {
+            !t.shards().is_empty() && t.shards().iter().all(|s| s.in_sync.len() == 3 && s.primary.is_some())
+        });
+        held
+    }
+
+    fn disk(&self, n: usize) -> PathBuf {
+        self.group.folder().join(format!("c{n}"))
+    }
+
+    fn table(&self) -> Shards {
+        match self.group.ask(&Request::Table { node: None, have: 0 }, PATIENCE).unwrap() {
+            Answer::Table(word) => *word.table.unwrap(),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn until(&mut self, what: &str, mut so: impl FnMut(&mut Held, &Shards) -> bool) {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let table = self.table();
+            if so(self, &table) {
+                return;
+            }
+            assert!(Instant::now() < until, "{what}: {table:?}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// The proxy that is primary for a key's shard.
+    fn primary(&self, key: &str) -> Option<usize> {
+        let table = self.table();
+        let id = table.shards()[shard_of(key.as_bytes(), SHARDS) as usize].primary?;
+        self.at.iter().position(|at| *at == table.nodes()[&id].at.peer)
+    }
+
+    fn client(&self, n: usize) -> Client {
+        self.proxies[n].as_ref().unwrap().client()
+    }
+
+    /// Reads a key through a proxy until it is not refused.
+    fn get(&mut self, n: usize, key: &str) -> Value {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            self.ids += 1;
+            let value = self.client(n).get(key, &format!("id{}", self.ids), 2_000);
+            if !common::busy(&value) || Instant::now() > until {
+                return value;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Writes a key through a proxy; whether it has a receipt.
+    fn set(&mut self, n: usize, key: &str) -> bool {
+        self.ids += 1;
+        let id = format!("id{}", self.ids);
+        let info = format!("c=fix,t=acme,d=2000,k={id}");
+        self.client(n).ask(&["OBJ.SET", key, &id, &info, "v"]) == bulk(&id)
+    }
+
+    /// Lookups of a key at the origin.
+    fn lookups(&self, key: &str) -> usize {
+        let path = format!("/{key}");
+        self.origin.seen().iter().filter(|r| r[0] == "GET" && r[1] == path).count()
+    }
+
+    /// Reads a key that is not there until the origin is asked for it no more.
+    fn known_missing(&mut self, n: usize, key: &str) {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let before = self.lookups(key);
+            assert_eq!(self.get(n, key), Value::Bulk(None));
+            if self.lookups(key) == before {
+                return;
+            }
+            assert!(Instant::now() < until, "{key} is never known to be missing");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Kills a proxy's machine and empties its disk.
+    fn lose(&mut self, n: usize) {
+        drop(self.proxies[n].take());
+        std::fs::remove_dir_all(self.disk(n)).unwrap();
+    }
+
+    fn others(&self, not: usize) -> Vec<usize> {
+        (0..4).filter(|n| *n != not && self.proxies[*n].is_some()).collect()
+    }
+}
+
+const MISSING: Value = Value::Bulk(None);
+
+#[test]
+fn what_is_known_to_be_missing_and_what_was_written_outlive_the_primarys_machine() {
+    let mut fleet = Held::start("machine");
+    // One lookup tells all proxies.
+    assert_eq!(fleet.get(0, "ghost"), MISSING);
+    fleet.known_missing(1, "ghost");
+    let asked = fleet.lookups("ghost");
+    assert!(asked <= 2, "{asked} lookups, one of them before the entry was kept");
+    for n in 0..4 {
+        assert_eq!(fleet.get(n, "ghost"), MISSING);
+    }
+    assert_eq!(fleet.lookups("ghost"), asked);
+    // A write at a third proxy makes every proxy fetch it again.
+    assert!(fleet.set(2, "ghost"), "the write has its receipt");
+    for n in 0..4 {
+        let value = fleet.get(n, "ghost");
+        assert!(matches!(&value, Value::Bulk(Some(_))), "proxy {n}: {value:?}");
+    }
+    // The machine of the shard's primary is lost with its disk. What was written is never missing again; what is known
+    // to be missing stays known.
+    fleet.known_missing(0, "ghoul");
+    let lost = fleet.primary("ghoul").unwrap();
+    fleet.lose(lost);
+    let others = fleet.others(lost);
+    let end = Instant::now() + Duration::from_millis(2_500);
+    while Instant::now() < end {
+        for &n in &others {
+            let value = fleet.get(n, "ghost");
+            assert!(matches!(&value, Value::Bulk(Some(_))), "proxy {n}: {value:?}");
+        }
+    }
+    fleet.until("all shards have a primary on another machine", |f, t| {
+        t.shards().iter().all(|s| s.primary.is_some_and(|p| t.nodes()[&p].at.peer != f.at[lost]))
+    });
+    // The new primary has to bring its replicas to its state first; from then on no lookup is made.
+    fleet.known_missing(others[0], "ghoul");
+    let asked = fleet.lookups("ghoul");
+    for &n in &others {
+        assert_eq!(fleet.get(n, "ghoul"), MISSING);
+    }
+    assert_eq!(fleet.lookups("ghoul"), asked);
+    assert!(fleet.set(others[1], "ghoul"));
+    for &n in &others {
+        assert_ne!(fleet.get(n, "ghoul"), MISSING);
+    }
+    fleet.until("every shard has three copies in sync again", |_, t| {
+        t.shards().iter().all(|s| s.in_sync.len() == 3)
+    });
+}
+
+#[test]
+fn a_primary_that_was_paused_past_its_confirmation_does_not_say_missing_when_it_goes_on() {
+    let mut fleet = Held::start("paused");
+    fleet.known_missing(0, "ghost");
+    let paused = fleet.primary("ghost").unwrap();
+    fleet.proxies[paused].as_ref().unwrap().signal("STOP");
+    let others = fleet.others(paused);
+    fleet.until("another is primary", |f, _| f.primary("ghost").is_some_and(|p| p != paused));
+    let until = Instant::now() + PATIENCE;
+    while !fleet.set(others[0], "ghost") {
+        assert!(Instant::now() < until, "no write has a receipt");
+    }
+    fleet.proxies[paused].as_ref().unwrap().signal("CONT");
+    // From its first answer on, and however often it is asked.
+    for round in 0..40 {
+        let value = fleet.get(paused, "ghost");
+        assert_ne!(value, MISSING, "round {round}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    // It was taken to be gone, and comes again as another start of the same disk.
+    fleet.proxies[paused].as_ref().unwrap().logged("it comes again");
+    fleet.until("every shard has three copies in sync", |_, t| {
+        t.shards().iter().all(|s| s.in_sync.len() == 3)
+    });
+}
+
+#[test]
+fn all_killed_at_once_and_started_again_lose_nothing() {
+    let mut fleet = Held::start("all");
+    assert!(fleet.set(0, "there"));
+    fleet.known_missing(1, "ghost");
+    let killed: Vec<Proxy> = fleet.proxies.iter_mut().filter_map(Option::take).collect();
+    for mut proxy in killed {
+        proxy.child.kill().unwrap();
+        proxy.child.wait().unwrap();
+        let again = proxy.beside(&fleet.registry);
+        fleet.proxies.retain(Option::is_some);
+        fleet.proxies.push(Some(again));
+    }
+    fleet.until("every shard has a primary", |_, t| t.shards().iter().all(|s| s.primary.is_some()));
+    let asked = fleet.lookups("ghost");
+    fleet.known_missing(0, "ghost");
+    // Until its shard served again the origin was asked as ever; the entry itself was on the disks.
+    assert!(fleet.lookups("ghost") <= asked + 4, "{} lookups more", fleet.lookups("ghost") - asked);
+    for n in 0..4 {
+        assert_ne!(fleet.get(n, "there"), MISSING);
+        assert_eq!(fleet.get(n, "ghost"), MISSING);
+    }
+}
+
+#[test]
+fn the_group_is_asked_for_configuration_and_never_for_writes() {
+    let mut fleet = Held::start("flat");
+    let leader = fleet.group.leader(None, PATIENCE).unwrap();
+    let applied = |f: &Held| f.group.status(leader).unwrap().applied;
+    let (before, writes) = (applied(&fleet), 60);
+    for n in 0..writes {
+        assert!(fleet.set(n % 4, &format!("k{n}")), "write {n}");
+    }
+    let entries = applied(&fleet) - before;
+    assert!(entries <= 2, "{entries} entries of the group's log for {writes} kept writes");
+}
--- a/coord/src/config.rs
+++ b/coord/src/config.rs
@@ -37,6 +37,7 @@
 use crate::lease::{is_name, Bounds};
 use crate::member::{Pace, MOST_MEMBERS, WITHIN_MS};
 use crate::session::Door;
+use crate::shards::{Shape, MOST_NAME};
 use crate::versions::{Rules, Terms};
 
 /// Tasks that a table may be set to hold, at the most.
@@ -278,6 +279,64 @@
     _peer: Option<SocketAddr>,
 }
 
+/// A proxy's part in the copies that proxies hold for each other.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CopiesConfig {
+    /// Its machine: two proxies of one machine are one machine.
+    pub machine: String,
+    /// Its zone.
+    #[serde(default = "usual_zone")]
+    pub zone: String,
+    /// Where it listens for other proxies.
+    pub listen: SocketAddr,
+    /// Where other proxies reach it, where that is another address.
+    pub peer: Option<SocketAddr>,
+    /// Its folder; kept across restarts.
+    pub data: PathBuf,
+    /// Shards, the same in every file.
+    #[serde(default = "usual_shards")]
+    pub shards: u32,
+    /// Copies of each.
+    #[serde(default = "usual_copies")]
+    pub copies: usize,
+    /// With fewer in sync a shard takes no writes.
+    #[serde(default = "usual_least")]
+    pub least: usize,
+}
+
+impl CopiesConfig {
+    /// How the fleet keeps copies, as this file has it.
+    pub fn shape(&self) -> Shape {
+        Shape { shards: self.shards, copies: self.copies, least: self.least }
+    }
+
+    fn check(&self) -> Result<(), (&'static str, String)> {
+        for (field, name) in [("machine", &self.machine), ("zone", &self.zone)] {
+            if !is_name(name, MOST_NAME) {
+                return Err((field, format!("1 to {MOST_NAME} bytes of A-Z a-z 0-9 . _ : / @ -")));
+            }
+        }
+        self.shape().check()
+    }
+}
+
+fn usual_zone() -> String {
+    "-".to_owned()
+}
+
+fn usual_shards() -> u32 {
+    64
+}
+
+fn usual_copies() -> usize {
+    3
+}
+
+fn usual_least() -> usize {
+    2
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct TasksFile {
@@ -287,6 +346,7 @@
     #[serde(default)]
     drift: DriftFile,
     versions: Option<VersionsFile>,
+    copies: Option<CopiesConfig>,
 }
 
 /// A checked file of a proxy, or of an operator who asks the group.
@@ -300,6 +360,8 @@
     pub drift: Drift,
     /// What versions may forbid, where this proxy acts on versions at all.
     pub guard: Option<Rules>,
+    /// Its part in the copies, where it has one.
+    pub copies: Option<CopiesConfig>,
 }
 
 /// Tasks of one proxy at the most.
@@ -342,12 +404,16 @@
         }
     }
     let drift = Drift { rate_ppm: raw.drift.rate_ppm, margin_ms: raw.drift.margin_ms };
+    if let Some(Err((field, why))) = raw.copies.as_ref().map(CopiesConfig::check) {
+        return Err(format!("{file}:{}: copies.{field}: {why}", line_of(text, "copies", field)));
+    }
     let guard = raw.versions.map(|v| v.check(file, text, drift).map(|_| v.guard)).transpose()?;
     Ok(TasksConfig {
         doors: raw.member.iter().map(|m| (m.id, m.client)).collect(),
         tasks: raw.task,
         drift,
         guard,
+        copies: raw.copies,
     })
 }
 
@@ -456,5 +522,17 @@
             let error = parse_tasks("t.toml", &text.replacen(from, to, 1)).unwrap_err();
             assert!(error.starts_with(told), "{error}");
         }
+        let copies = "\n[copies]\nmachine = \"m1\"\nlisten = \"127.0.0.1:7301\"\ndata = \"d\"\nleast = 2\n";
+        let config = parse_tasks("t.toml", &format!("{text}{copies}")).unwrap().copies.unwrap();
+        assert_eq!((config.shape().shards, config.shape().copies, config.zone.as_str()), (64, 3, "-"));
+        for (from, to, told) in [
+            ("least = 2", "least = 4", "t.toml:20: copies.least: from 1 to copies"),
+            ("\"m1\"", "\"\"", "t.toml:17: copies.machine: 1 to 64 bytes"),
+            ("least", "lest", "t.toml:20: unknown field `lest`"),
+        ] {
+            let error =
+                parse_tasks("t.toml", &format!("{text}{}", copies.replacen(from, to, 1))).unwrap_err();
+            assert!(error.starts_with(told), "{error}");
+        }
     }
 }
--- a/coord/src/group.rs
+++ b/coord/src/group.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::lease::{Command, LeaseTable};
+use crate::shards::{Change, Shards};
 use crate::versions::{Rules, Versions};
 
 /// Where a member is.
@@ -111,6 +112,8 @@
         /// Its store's number.
         number: u64,
     },
+    /// About who holds which copies.
+    Copies(Change),
 }
 
 /// All that the group agrees on.
@@ -123,6 +126,9 @@
     /// The versions of what is forbidden.
     #[serde(default)]
     pub versions: Versions,
+    /// Who holds which copies.
+    #[serde(default)]
+    pub shards: Shards,
 }
 
 /// What a member with a new store learns by saying hello to the others, and what follows from it.
--- a/coord/src/lib.rs
+++ b/coord/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod lease;
 pub mod member;
 pub mod session;
+pub mod shards;
 pub mod store;
 pub mod versions;
 pub mod wire;
--- a/coord/src/member.rs
+++ b/coord/src/member.rs
@@ -23,6 +23,7 @@
 use crate::crowd::Crowd;
 use crate::group::{Book, Entry as Said, MemberAddr, State};
 use crate::lease::{Bounds, Command, Expiries, Grant, LeaseTable, Millis, Outcome};
+use crate::shards::{Change, Changed, NodeId, TableWord};
 
 /// A member's storage: raft-rs's `Storage` to read, and one call to keep a round's writes.
 pub trait Keep: Storage {
@@ -146,6 +147,16 @@
         /// The newest version that it has heard of.
         have: u64,
     },
+    /// A change of who holds which copies.
+    Copies(Change),
+    /// Who holds which copies, as a majority confirms it: for a node, by its number and its start, that acts on it for
+    /// a time, or for an operator.
+    Table {
+        /// The node that asks.
+        node: Option<(NodeId, u64)>,
+        /// The version that it has.
+        have: u64,
+    },
     /// Add a member: as a learner, which votes once it has caught up.
     Add(MemberAddr),
     /// Remove a member for good.
@@ -238,6 +249,10 @@
     Versions(Versions),
     /// A proxy's word.
     Confirmed(Confirmation),
+    /// What became of a change of who holds which copies.
+    Copies(Changed),
+    /// Who holds which copies.
+    Table(TableWord),
     /// The change of members is made.
     Changed,
     /// The store is its member's own, or not.
@@ -277,6 +292,13 @@
         /// What became of it.
         outcome: Proposed,
     },
+    /// A change of who holds which copies was applied.
+    Copies {
+        /// The entry's index.
+        index: u64,
+        /// The change.
+        change: Change,
+    },
     /// A version is in force.
     InForce {
         /// Its number.
@@ -322,6 +344,7 @@
     Grants(Option<String>),
     Versions,
     Confirmation(u64),
+    Table(Option<(NodeId, u64)>, u64),
 }
 
 /// Reads that wait for a majority to confirm the leader, and then for its index: all that came
@@ -362,6 +385,11 @@
     pending_since: Millis,
     forced: bool,
     expiring: BTreeSet<(String, u64, u64)>,
+    /// When nodes of copies were last confirmed, since this member leads; and since when it does.
+    confirmed: BTreeMap<NodeId, Millis>,
+    leads_since: Millis,
+    /// Starts of nodes that were proposed to be down.
+    downing: BTreeSet<(NodeId, u64)>,
     /// Who waits for tasks that are held, by task: no more than there are grants.
     crowds: BTreeMap<String, Crowd>,
     now: Millis,
@@ -429,6 +457,9 @@
             pending_since: now,
             forced: false,
             expiring: BTreeSet::new(),
+            confirmed: BTreeMap::new(),
+            leads_since: 0,
+            downing: BTreeSet::new(),
             crowds: BTreeMap::new(),
             now,
             ticked: now,
@@ -575,6 +606,9 @@
             Request::Lease(Command::Expire { .. }) => {
                 return Some(Answer::Refused("an expiry is no client's to ask for".to_owned()))
             }
+            Request::Copies(Change::Down { .. }) => {
+                return Some(Answer::Refused("who is down is the leader's to say".to_owned()))
+            }
             _ => {}
         }
         if !self.leads() {
@@ -595,6 +629,8 @@
                 Said::Lease(command)
             }
             Request::Enlist { id, number } => Said::Enlist { id, number },
+            Request::Copies(change) => Said::Copies(change),
+            Request::Table { node, have } => return self.read(req, What::Table(node, have)),
             Request::Propose { base, rules } => {
                 // A proxy in safe mode forbids what the guard covers, and may meet any version.
                 if let Some((field, name)) = rules.outside(&self.guard) {
@@ -755,6 +791,7 @@
                 }
             }
             self.promote();
+            self.name_silent();
             self.force_due();
             self.read_gathered();
         }
@@ -830,6 +867,10 @@
             self.expiring.clear();
             self.crowds.clear();
             (self.pending_since, self.forced) = (self.now, false);
+            // Whom the last leader has confirmed, and when, is not known here.
+            self.leads_since = self.now;
+            self.confirmed.clear();
+            self.downing.clear();
         } else {
             // Entries proposed here may still commit under the new leader; the client asks
             // again, and each request is safe to repeat.
@@ -862,12 +903,46 @@
                         let pending = self.now.saturating_sub(self.pending_since);
                         Answer::Confirmed(versions.confirm(have, &self.terms, pending))
                     }
+                    What::Table(node, have) => Answer::Table(self.table_word(node, have)),
                 };
                 self.out.answers.push((req, answer));
             }
         }
     }
 
+    /// Proposes that starts of nodes are down which were not confirmed for longer than any confirmation is good.
+    fn name_silent(&mut self) {
+        let (since, now, silent) = (self.leads_since, self.now, self.terms.delay_ms());
+        let heard = |id: &NodeId| self.confirmed.get(id).copied().unwrap_or(since).max(since);
+        let gone: Vec<_> = self.state.shards.up().filter(|(id, _)| now >= heard(id) + silent).collect();
+        for (id, start) in gone {
+            if self.downing.insert((id, start)) {
+                // No member's: the entry answers no client's request.
+                let down = Said::Copies(Change::Down { id, start });
+                if self.propose(Origin::default(), 0, down).is_err() {
+                    self.downing.remove(&(id, start));
+                }
+            }
+        }
+    }
+
+    /// The table for who asks. From here on a node is not taken to be down before this word has run out.
+    fn table_word(&mut self, node: Option<(NodeId, u64)>, have: u64) -> TableWord {
+        let shards = &self.state.shards;
+        // One that is about to be named down is not confirmed any more: it joins again.
+        let up = node.is_none_or(|n| shards.up().any(|up| up == n) && !self.downing.contains(&n));
+        if let Some((id, _)) = node.filter(|_| up) {
+            self.confirmed.insert(id, self.now);
+        }
+        let newer = shards.version() > have || have == 0;
+        TableWord {
+            good_ms: self.terms.good_ms(),
+            version: shards.version(),
+            table: newer.then(|| Box::new(shards.clone())),
+            up,
+        }
+    }
+
     fn told(&self, task: Option<&str>) -> Vec<Told> {
         let grants = self.state.leases.grants().iter().filter(|(name, _)| task.is_none_or(|t| t == *name));
         let told = |(task, grant): (&String, &Grant)| Told {
@@ -950,6 +1025,19 @@
         let answer = match proposal.entry {
             Said::Lease(command) => self.apply_lease(entry.index, command),
             Said::Enlist { id, number } => Answer::Enlisted(self.state.book.enlist(id, number)),
+            Said::Copies(change) => {
+                if let Change::Down { id, start } = change {
+                    self.downing.remove(&(id, start));
+                }
+                if let Change::Join { at, .. } = &change {
+                    self.confirmed.insert(at.id, self.now);
+                }
+                let changed = self.state.shards.apply(&change);
+                if changed == Changed::Done {
+                    self.out.events.push(Event::Copies { index: entry.index, change });
+                }
+                Answer::Copies(changed)
+            }
             Said::Propose { base, rules } => {
                 let outcome = self.state.versions.propose(base, &rules);
                 if matches!(outcome, Proposed::Pending { .. }) {
--- /dev/null
+++ b/coord/src/shards.rs
@@ -0,0 +1,533 @@
+//! The table of shards: who holds which copies. Applied from the group's log, which decides membership and nothing
+//! else: per shard an epoch, a primary, the in-sync set, and who is on the way into it. `docs/copies-design.md`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::lease::{is_name, Millis};
+
+/// A node is its store: the number that this was made with. An emptied disk is another node.
+pub type NodeId = u64;
+
+/// Shards, copies of one and nodes at the most, and bytes of a name.
+pub const MOST_SHARDS: u32 = 1024;
+/// See [`MOST_SHARDS`].
+pub const MOST_COPIES: usize = 5;
+/// See [`MOST_SHARDS`].
+pub const MOST_NODES: usize = 1024;
+/// See [`MOST_SHARDS`].
+pub const MOST_NAME: usize = 64;
+
+/// Where a node is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct NodeAt {
+    /// The node.
+    pub id: NodeId,
+    /// The proxy's name.
+    pub name: String,
+    /// Its machine: two proxies of one machine are one machine.
+    pub machine: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where other nodes reach it.
+    pub peer: SocketAddr,
+}
+
+/// A node as the group knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Known {
+    /// Where it is.
+    pub at: NodeAt,
+    /// How often its store has been started, as its last word was.
+    pub start: u64,
+    /// Whether it asks.
+    pub up: bool,
+}
+
+/// How a fleet keeps copies: the first node to come says so, and all later ones have to say the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Shape {
+    /// Shards.
+    pub shards: u32,
+    /// Copies of each that are aimed at.
+    pub copies: usize,
+    /// With fewer in sync a shard takes no writes.
+    pub least: usize,
+}
+
+impl Shape {
+    /// The field at fault, and what would do.
+    pub fn check(&self) -> Result<(), (&'static str, String)> {
+        if !(1..=MOST_SHARDS).contains(&self.shards) {
+            return Err(("shards", format!("from 1 to {MOST_SHARDS}")));
+        }
+        if !(1..=MOST_COPIES).contains(&self.copies) {
+            return Err(("copies", format!("from 1 to {MOST_COPIES}")));
+        }
+        if !(1..=self.copies).contains(&self.least) {
+            return Err(("least", "from 1 to copies".to_owned()));
+        }
+        Ok(())
+    }
+}
+
+/// One shard.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Shard {
+    /// Goes up with every change of the primary or the in-sync set.
+    pub epoch: u64,
+    /// Who numbers its writes, if anybody can.
+    pub primary: Option<NodeId>,
+    /// Who has everything that was promised.
+    pub in_sync: BTreeSet<NodeId>,
+    /// Who is being brought there.
+    pub joining: BTreeSet<NodeId>,
+}
+
+/// What may be asked of the table.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Change {
+    /// A node comes, with the number of its start.
+    Join {
+        /// Where it is.
+        at: NodeAt,
+        /// The number of its start.
+        start: u64,
+        /// How it takes the fleet to keep copies.
+        shape: Shape,
+    },
+    /// The leader's decision that a start of a node does not ask any more.
+    Down {
+        /// The node.
+        id: NodeId,
+        /// Its start.
+        start: u64,
+    },
+    /// A primary goes on without a replica.
+    Drop {
+        /// The shard.
+        shard: u32,
+        /// The epoch that the primary is of.
+        epoch: u64,
+        /// The primary.
+        by: NodeId,
+        /// The replica.
+        node: NodeId,
+    },
+    /// A replica has all that the primary has.
+    Caught {
+        /// The shard.
+        shard: u32,
+        /// The epoch that the primary is of.
+        epoch: u64,
+        /// The primary.
+        by: NodeId,
+        /// The replica.
+        node: NodeId,
+    },
+    /// An operator gives a shard up of which no copy is left: it begins anew, empty.
+    GiveUp {
+        /// The shard.
+        shard: u32,
+        /// Its epoch, as the operator was shown it.
+        epoch: u64,
+    },
+}
+
+/// What became of a change.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Changed {
+    /// It is made, or was before.
+    Done,
+    /// It speaks of an epoch or a start that is over.
+    Stale,
+    /// It cannot be made, and why.
+    Refused(String),
+}
+
+/// The whole table.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Shards {
+    version: u64,
+    shape: Option<Shape>,
+    nodes: BTreeMap<NodeId, Known>,
+    shards: Vec<Shard>,
+}
+
+impl Shards {
+    /// Goes up with every change.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// How copies are kept, once a node has come.
+    pub fn shape(&self) -> Option<Shape> {
+        self.shape
+    }
+
+    /// The nodes.
+    pub fn nodes(&self) -> &BTreeMap<NodeId, Known> {
+        &self.nodes
+    }
+
+    /// The shards, by their number.
+    pub fn shards(&self) -> &[Shard] {
+        &self.shards
+    }
+
+    /// Starts of nodes that are taken to ask.
+    pub fn up(&self) -> impl Iterator<Item = (NodeId, u64)> + '_ {
+        self.nodes.values().filter(|n| n.up).map(|n| (n.at.id, n.start))
+    }
+
+    fn is_up(&self, id: NodeId) -> bool {
+        self.nodes.get(&id).is_some_and(|n| n.up)
+    }
+
+    /// Makes a change. A function of the changes alone, the same at every member.
+    pub fn apply(&mut self, change: &Change) -> Changed {
+        let before = self.clone();
+        let changed = match change {
+            Change::Join { at, start, shape } => self.join(at, *start, *shape),
+            Change::Down { id, start } => self.down(*id, *start),
+            Change::Drop { shard, epoch, by, node } => self.drop_one(*shard, (*epoch, *by), *node),
+            Change::Caught { shard, epoch, by, node } => self.caught(*shard, (*epoch, *by), *node),
+            Change::GiveUp { shard, epoch } => self.give_up(*shard, *epoch),
+        };
+        if changed == Changed::Done {
+            self.place();
+        }
+        if *self != before {
+            self.version += 1;
+        }
+        changed
+    }
+
+    fn join(&mut self, at: &NodeAt, start: u64, shape: Shape) -> Changed {
+        for (what, name) in [("name", &at.name), ("machine", &at.machine), ("zone", &at.zone)] {
+            if !is_name(name, MOST_NAME) {
+                return Changed::Refused(format!("copies.{what}: 1 to {MOST_NAME} plain bytes"));
+            }
+        }
+        if let Err((field, why)) = shape.check() {
+            return Changed::Refused(format!("copies.{field}: {why}"));
+        }
+        match self.shape {
+            Some(of) if of != shape => {
+                return Changed::Refused(format!(
+                    "copies: the fleet keeps {of:?}, this node's file says {shape:?}"
+                ))
+            }
+            Some(_) => {}
+            None => {
+                self.shape = Some(shape);
+                self.shards = vec![Shard::default(); shape.shards as usize];
+            }
+        }
+        match self.nodes.get(&at.id) {
+            Some(known) if start == known.start && known.up && known.at == *at => return Changed::Done,
+            // Its word came late, and this start was taken to be gone meanwhile: it comes again as another.
+            Some(known) if start == known.start && !known.up => return Changed::Stale,
+            Some(known) if start <= known.start => {
+                return Changed::Refused(format!(
+                    "this disk's start {start} is not above {}, its last one: it was put back from an earlier time, \
+                     or is used twice; empty it",
+                    known.start
+                ))
+            }
+            Some(_) => {}
+            None if self.nodes.len() >= MOST_NODES => {
+                // What is down and holds nothing is forgotten first.
+                let of_use = |id: &NodeId| self.shards.iter().any(|s| s.in_sync.contains(id));
+                let gone = self.nodes.iter().find(|(id, n)| !n.up && !of_use(id)).map(|(id, _)| *id);
+                match gone {
+                    Some(id) => drop(self.nodes.remove(&id)),
+                    None => return Changed::Refused(format!("{MOST_NODES} nodes are there already")),
+                }
+            }
+            None => {}
+        }
+        self.nodes.insert(at.id, Known { at: at.clone(), start, up: true });
+        // Its earlier process, if there was one, is gone and with it what it had in memory; its disk has all.
+        for shard in &mut self.shards {
+            let alone = shard.primary.is_none() && shard.in_sync.contains(&at.id);
+            if shard.primary == Some(at.id) || alone {
+                shard.primary = Some(at.id);
+                shard.epoch += 1;
+            }
+        }
+        Changed::Done
+    }
+
+    fn down(&mut self, id: NodeId, start: u64) -> Changed {
+        match self.nodes.get_mut(&id) {
+            Some(node) if node.start == start && node.up => node.up = false,
+            _ => return Changed::Stale,
+        }
+        let least = self.shape.map_or(1, |s| s.least);
+        let up: BTreeSet<NodeId> = self.up().map(|(id, _)| id).collect();
+        for shard in &mut self.shards {
+            shard.joining.remove(&id);
+            if !shard.in_sync.contains(&id) {
+                continue;
+            }
+            // It stays in sync where too few others would be left: its disk may be the one that comes back.
+            let dropped = shard.in_sync.len() > least && shard.in_sync.remove(&id);
+            if shard.primary == Some(id) {
+                shard.primary = shard.in_sync.iter().copied().find(|n| up.contains(n));
+                shard.epoch += 1;
+            } else if dropped {
+                shard.epoch += 1;
+            }
+        }
+        Changed::Done
+    }
+
+    fn of_primary(&mut self, shard: u32, (epoch, by): (u64, NodeId)) -> Option<&mut Shard> {
+        let shard = self.shards.get_mut(shard as usize)?;
+        (shard.epoch == epoch && shard.primary == Some(by)).then_some(shard)
+    }
+
+    fn drop_one(&mut self, shard: u32, of: (u64, NodeId), node: NodeId) -> Changed {
+        let least = self.shape.map_or(1, |s| s.least);
+        let Some(shard) = self.of_primary(shard, of) else { return Changed::Stale };
+        // Before it was taken in it may be let go of at any time; a new epoch makes its taking in stale.
+        if shard.joining.remove(&node) {
+            shard.epoch += 1;
+            return Changed::Done;
+        }
+        if node == of.1 || !shard.in_sync.contains(&node) {
+            return Changed::Stale;
+        }
+        if shard.in_sync.len() <= least {
+            return Changed::Refused(format!(
+                "{} in sync, of which {least} have to stay",
+                shard.in_sync.len()
+            ));
+        }
+        shard.in_sync.remove(&node);
+        shard.epoch += 1;
+        Changed::Done
+    }
+
+    fn caught(&mut self, shard: u32, of: (u64, NodeId), node: NodeId) -> Changed {
+        let least = self.shape.map_or(1, |s| s.least);
+        let up: BTreeSet<NodeId> = self.up().map(|(id, _)| id).collect();
+        let Some(shard) = self.of_primary(shard, of) else { return Changed::Stale };
+        if !shard.joining.remove(&node) {
+            return Changed::Stale;
+        }
+        shard.in_sync.insert(node);
+        // Those that were kept only since too few were left may go now.
+        let gone: Vec<NodeId> = shard.in_sync.iter().copied().filter(|n| !up.contains(n)).collect();
+        for id in gone {
+            if shard.in_sync.len() > least {
+                shard.in_sync.remove(&id);
+            }
+        }
+        shard.epoch += 1;
+        Changed::Done
+    }
+
+    fn give_up(&mut self, shard: u32, epoch: u64) -> Changed {
+        let Some(at) = self.shards.get(shard as usize).filter(|s| s.epoch == epoch) else {
+            return Changed::Stale;
+        };
+        if at.in_sync.iter().any(|id| self.is_up(*id)) {
+            return Changed::Refused(format!("shard {shard} has a copy that is up"));
+        }
+        let shard = &mut self.shards[shard as usize];
+        *shard = Shard { epoch: shard.epoch + 1, ..Shard::default() };
+        Changed::Done
+    }
+
+    /// Finds machines for the copies that are wanting: as few as the change demands, on other machines, in other
+    /// zones where there are some, on who holds least.
+    fn place(&mut self) {
+        let Some(shape) = self.shape else { return };
+        let mut held: BTreeMap<NodeId, usize> = self.up().map(|(id, _)| (id, 0)).collect();
+        for id in self.shards.iter().flat_map(|s| s.in_sync.iter().chain(&s.joining)) {
+            if let Some(n) = held.get_mut(id) {
+                *n += 1;
+            }
+        }
+        for at in 0..self.shards.len() {
+            loop {
+                let shard = &self.shards[at];
+                // Of a shard without a primary there is nobody to copy from; an empty one has nothing to be copied.
+                let fresh = shard.in_sync.is_empty();
+                if shard.primary.is_none() && !fresh {
+                    break;
+                }
+                let members: Vec<NodeId> = shard
+                    .in_sync
+                    .iter()
+                    .filter(|id| self.is_up(**id))
+                    .chain(&shard.joining)
+                    .copied()
+                    .collect();
+                if members.len() >= shape.copies {
+                    break;
+                }
+                let of = |f: fn(&NodeAt) -> &str| -> BTreeSet<&str> {
+                    members.iter().filter_map(|id| self.nodes.get(id)).map(|n| f(&n.at)).collect()
+                };
+                let (machines, zones) = (of(|n| &n.machine), of(|n| &n.zone));
+                let free = self.nodes.values().filter(|n| {
+                    n.up && !machines.contains(n.at.machine.as_str()) && !shard.in_sync.contains(&n.at.id)
+                });
+                let best = free.min_by_key(|n| {
+                    (zones.contains(n.at.zone.as_str()), held.get(&n.at.id).copied().unwrap_or(0), n.at.id)
+                });
+                let Some(id) = best.map(|n| n.at.id) else { break };
+                *held.entry(id).or_default() += 1;
+                let shard = &mut self.shards[at];
+                if fresh {
+                    // Its first copy is in sync with nothing.
+                    shard.in_sync.insert(id);
+                    shard.primary = Some(id);
+                    shard.epoch += 1;
+                } else {
+                    shard.joining.insert(id);
+                }
+            }
+        }
+    }
+}
+
+/// The group's word on the table, good for a time from when it was asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableWord {
+    /// For how long.
+    pub good_ms: Millis,
+    /// The version in force.
+    pub version: u64,
+    /// The table, for who has an older one.
+    pub table: Option<Box<Shards>>,
+    /// Whether the asker is taken to be up; one that is not joins again.
+    pub up: bool,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SHAPE: Shape = Shape { shards: 8, copies: 3, least: 2 };
+
+    fn at(id: NodeId, machine: &str, zone: &str) -> NodeAt {
+        let peer = ([127, 0, 0, 1], 9000 + id as u16).into();
+        NodeAt { id, name: format!("p{id}"), machine: machine.into(), zone: zone.into(), peer }
+    }
+
+    fn join(t: &mut Shards, id: NodeId, machine: &str, start: u64) -> Changed {
+        t.apply(&Change::Join { at: at(id, machine, "z"), start, shape: SHAPE })
+    }
+
+    /// Brings every joining replica in.
+    fn settle(t: &mut Shards) {
+        for n in 0..SHAPE.shards {
+            while let Some(node) = t.shards()[n as usize].joining.first().copied() {
+                let Shard { epoch, primary, .. } = t.shards()[n as usize].clone();
+                let by = primary.unwrap();
+                assert_eq!(t.apply(&Change::Caught { shard: n, epoch, by, node }), Changed::Done);
+            }
+        }
+    }
+
+    fn four() -> Shards {
+        let mut t = Shards::default();
+        for (id, machine) in [(1, "a"), (2, "b"), (3, "c"), (4, "d")] {
+            assert_eq!(join(&mut t, id, machine, 1), Changed::Done);
+            settle(&mut t);
+        }
+        t
+    }
+
+    #[test]
+    fn copies_lie_on_different_machines_and_a_loss_moves_no_more_than_it_must() {
+        let mut t = four();
+        // A second proxy of one machine takes no copy beside the first.
+        join(&mut t, 5, "a", 1);
+        settle(&mut t);
+        for s in t.shards() {
+            assert!(s.in_sync.len() == 3 && s.primary.is_some(), "{s:?}");
+            assert!(!(s.in_sync.contains(&1) && s.in_sync.contains(&5)), "{s:?}");
+        }
+        let before = t.clone();
+        let lost = t.shards().iter().filter(|s| s.in_sync.contains(&2)).count();
+        assert!(lost > 0);
+        assert_eq!(t.apply(&Change::Down { id: 2, start: 1 }), Changed::Done);
+        for (old, new) in before.shards().iter().zip(t.shards()) {
+            if old.in_sync.contains(&2) {
+                let left: BTreeSet<_> = old.in_sync.iter().copied().filter(|n| *n != 2).collect();
+                assert!(new.epoch > old.epoch && new.in_sync == left && new.joining.len() == 1, "{new:?}");
+                assert!(new.primary.is_some_and(|p| left.contains(&p)));
+            } else {
+                assert_eq!(old, new);
+            }
+        }
+        // Twice is once.
+        assert_eq!(t.apply(&Change::Down { id: 2, start: 1 }), Changed::Stale);
+    }
+
+    #[test]
+    fn what_is_of_an_old_epoch_or_would_leave_too_few_changes_nothing() {
+        let mut t = four();
+        let Shard { epoch, primary, in_sync, .. } = t.shards()[0].clone();
+        let by = primary.unwrap();
+        let others: Vec<_> = in_sync.iter().copied().filter(|n| *n != by).collect();
+        let drop = |epoch, node| Change::Drop { shard: 0, epoch, by, node };
+        assert_eq!(t.apply(&drop(epoch - 1, others[0])), Changed::Stale);
+        assert_eq!(t.apply(&Change::Drop { shard: 0, epoch, by: others[0], node: by }), Changed::Stale);
+        assert_eq!(t.apply(&drop(epoch, others[0])), Changed::Done);
+        let (epoch, version) = (t.shards()[0].epoch, t.version());
+        assert!(matches!(t.apply(&drop(epoch, others[1])), Changed::Refused(_)));
+        assert_eq!(t.version(), version);
+    }
+
+    #[test]
+    fn an_emptied_disk_is_another_node_and_one_put_back_is_refused() {
+        let mut t = four();
+        let was = t.shards().to_vec();
+        // Restarted with its disk: in sync as before, in a new epoch where it is primary.
+        assert_eq!(join(&mut t, 1, "a", 2), Changed::Done);
+        for (old, new) in was.iter().zip(t.shards()) {
+            assert_eq!(old.in_sync, new.in_sync);
+            assert_eq!(new.epoch - old.epoch, u64::from(old.primary == Some(1)));
+        }
+        let put_back = join(&mut t, 1, "a", 2 - 1);
+        assert!(matches!(&put_back, Changed::Refused(why) if why.contains("earlier time")), "{put_back:?}");
+        // Emptied, it has another number: it holds nothing until it is brought there.
+        assert_eq!(t.apply(&Change::Down { id: 1, start: 2 }), Changed::Done);
+        assert_eq!(join(&mut t, 9, "a", 1), Changed::Done);
+        assert!(t.shards().iter().all(|s| !s.in_sync.contains(&9)));
+    }
+
+    #[test]
+    fn with_all_gone_a_shard_waits_for_a_disk_and_is_given_up_by_an_operator_only() {
+        let mut t = four();
+        for id in 1..=4 {
+            assert_eq!(t.apply(&Change::Down { id, start: 1 }), Changed::Done);
+        }
+        assert!(t.shards().iter().all(|s| s.primary.is_none() && s.in_sync.len() >= SHAPE.least));
+        // A new machine gets none of them: it would be an empty copy.
+        assert_eq!(join(&mut t, 7, "x", 1), Changed::Done);
+        assert!(t.shards().iter().all(|s| s.primary.is_none() && s.joining.is_empty()));
+        let kept = t.shards()[0].in_sync.clone();
+        let first = *kept.first().unwrap();
+        // Any one disk that was in sync brings its shards back.
+        assert_eq!(join(&mut t, first, "m", 2), Changed::Done);
+        assert_eq!(t.shards()[0].primary, Some(first));
+        let epoch = t.shards()[0].epoch;
+        let gives_up = t.apply(&Change::GiveUp { shard: 0, epoch });
+        assert!(matches!(&gives_up, Changed::Refused(why) if why.contains("is up")), "{gives_up:?}");
+        let lost = t.shards().iter().position(|s| s.primary.is_none());
+        if let Some(lost) = lost {
+            let epoch = t.shards()[lost].epoch;
+            assert_eq!(t.apply(&Change::GiveUp { shard: lost as u32, epoch }), Changed::Done);
+            assert!(t.shards()[lost].primary.is_some() && t.shards()[lost].epoch > epoch);
+        }
+    }
+}
--- /dev/null
+++ b/copies/src/wire.rs
@@ -0,0 +1,86 @@
+//! Frames between nodes: a length, the version of the format, who sends, and the message by `postcard`.
+
+use crate::node::Message;
+use crate::Content;
+use notchdoor_coord::shards::NodeId;
+use serde::{Deserialize, Serialize};
+
+/// The version of the format. Another one is refused by its number: nothing of it is guessed at.
+pub const VERSION: u8 = 1;
+/// Bytes of a frame at the most, its length aside.
+pub const MAX_FRAME: usize = 4 << 20;
+
+#[derive(Serialize, Deserialize)]
+#[serde(bound = "")]
+struct Body<C: Content> {
+    from: NodeId,
+    message: Message<C>,
+}
+
+/// Bytes that are no frame of ours; the connection they came on is over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FrameError {
+    /// Where the frame begins in the stream.
+    pub at: u64,
+    /// What is wrong with it.
+    pub why: String,
+}
+
+impl std::fmt::Display for FrameError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "frame at byte {}: {}", self.at, self.why)
+    }
+}
+
+impl std::error::Error for FrameError {}
+
+/// Writes a frame; none where the message is larger than any frame.
+pub fn encode<C: Content>(from: NodeId, message: &Message<C>, out: &mut Vec<u8>) -> bool {
+    let body = Body { from, message: message.clone() };
+    let Ok(bytes) = postcard::to_stdvec(&body) else { return false };
+    if bytes.len() + 1 > MAX_FRAME {
+        return false;
+    }
+    out.extend_from_slice(&(bytes.len() as u32 + 1).to_be_bytes());
+    out.push(VERSION);
+    out.extend_from_slice(&bytes);
+    true
+}
+
+/// Frames out of a stream of bytes, fed as they come.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    buf: Vec<u8>,
+    offset: u64,
+}
+
+impl Decoder {
+    /// Takes bytes read from the stream: no more than [`Decoder::room`] at once.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// How many more bytes may be fed before a frame must be taken out.
+    pub fn room(&self) -> usize {
+        (MAX_FRAME + 4).saturating_sub(self.buf.len())
+    }
+
+    /// The next whole message and who sent it, if one is in.
+    pub fn next_message<C: Content>(&mut self) -> Result<Option<(NodeId, Message<C>)>, FrameError> {
+        let Some(head) = self.buf.first_chunk::<4>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*head) as usize;
+        let wrong = |why: String| FrameError { at: self.offset, why };
+        if !(1..=MAX_FRAME).contains(&length) {
+            return Err(wrong(format!("a length of {length}, where 1 to {MAX_FRAME} are taken")));
+        }
+        let Some(&version) = self.buf.get(4) else { return Ok(None) };
+        if version != VERSION {
+            return Err(wrong(format!("version {version} of the format, where {VERSION} is spoken")));
+        }
+        let Some(bytes) = self.buf.get(5..4 + length) else { return Ok(None) };
+        let body: Body<C> = postcard::from_bytes(bytes).map_err(|e| wrong(e.to_string()))?;
+        self.buf.drain(..4 + length);
+        self.offset += 4 + length as u64;
+        Ok(Some((body.from, body.message)))
+    }
+}
--- a/proxy/src/ending.rs
+++ b/proxy/src/ending.rs
@@ -9,6 +9,8 @@
     Served,
     /// The worker holds nothing under the key.
     Missed,
+    /// The origin does not have the key, or is known not to have it.
+    Absent,
     /// It answered with an error.
     Errored,
     /// It turned the command away unseen.
@@ -53,9 +55,10 @@
 
 impl Ending {
     /// All of them, in the order of the counters.
-    pub const ALL: [Ending; 22] = [
+    pub const ALL: [Ending; 23] = [
         Ending::Served,
         Ending::Missed,
+        Ending::Absent,
         Ending::Errored,
         Ending::TurnedAway,
         Ending::ConnectRefused,
@@ -85,7 +88,8 @@
     /// unless the other side says so.
     pub fn outcome(self) -> Option<Outcome> {
         Some(match self {
-            Ending::Served => Outcome::Ok,
+            // The origin has answered in its time; that the client is given a null is no fault of its.
+            Ending::Served | Ending::Absent => Outcome::Ok,
             Ending::Missed => Outcome::Miss,
             Ending::Errored => Outcome::Error,
             Ending::TurnedAway => Outcome::Full,
@@ -112,6 +116,7 @@
         match self {
             Ending::Served => "served",
             Ending::Missed => "missed",
+            Ending::Absent => "absent",
             Ending::Errored => "errored",
             Ending::TurnedAway => "turned_away",
             Ending::ConnectRefused => "connect_refused",
--- a/proxy/src/group/mod.rs
+++ b/proxy/src/group/mod.rs
@@ -3,7 +3,9 @@
 //! `notchdoor-coord`; here are sockets, the disk and the clock.
 
 pub mod ask;
+pub mod copies;
 mod frames;
+pub mod missing;
 pub mod node;
 pub mod tasks;
 
@@ -40,6 +42,12 @@
     futures_lite::future::or(work, late).await
 }
 
+/// The time that all machines read, in Unix milliseconds.
+pub(crate) fn unix_ms() -> Millis {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as Millis
+}
+
 /// A number that no earlier start of this process had, as far as chance goes.
 pub(crate) fn fresh_number() -> u64 {
     rand::random()
--- a/proxy/src/group/node.rs
+++ b/proxy/src/group/node.rs
@@ -496,6 +496,9 @@
         Event::Proposed { outcome, index } => {
             log!(level, event = "proposal", index = *index; "a version was proposed: {outcome:?}");
         }
+        Event::Copies { index, change } => {
+            log!(level, event = "copies", index = *index; "copies: {change:?}");
+        }
         Event::InForce { number } => {
             log!(level, event = "in_force", version = *number; "version {number} is in force");
         }
--- a/proxy/src/lifecycle/serve.rs
+++ b/proxy/src/lifecycle/serve.rs
@@ -3,9 +3,11 @@
 use super::config::{self, Config};
 use super::log;
 use super::signals::{self, Signals};
+use crate::group::copies::Copies;
+use crate::group::missing::Missing;
 use crate::group::tasks::Tasks;
 use crate::state::handover::Handover;
-use crate::wire::driver::{admin, overlap, Executors, Shell, Sockets};
+use crate::wire::driver::{admin, overlap, Executors, Fleet, Shell, Sockets};
 use ::log::info;
 use futures_lite::future;
 use std::net::SocketAddr;
@@ -51,8 +53,17 @@
         info!(admin:%; "operators call at {admin}");
     }
     let executors = Executors::default();
+    let missing = match fleet.as_ref().and_then(|f| f.copies.clone().map(|c| (c, f))) {
+        Some((copies, file)) => {
+            let (doors, run) = (file.doors.clone(), &executors.clients);
+            let copies = Copies::start(copies, doors, file.drift, &config.name, run)?;
+            Some(Missing::new(copies, run))
+        }
+        None => None,
+    };
     let tasks = fleet.map(|file| Tasks::start(file, &config.name, &executors.clients));
-    let shell = Shell::start(config, Sockets { clients, operators }, handover, tasks, executors.clone());
+    let fleet = Fleet { tasks, missing };
+    let shell = Shell::start(config, Sockets { clients, operators }, handover, fleet, executors.clone());
     let operators = executors.operators.run(future::pending());
     let clients = executors.clients.run(signals::until_stopped(&shell, &source, signals));
     // Operators' calls first: each turn of the clients' executor ends after some hundred steps.
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -32,6 +32,8 @@
     },
     /// Failed; nothing is promised about its effect.
     Failed,
+    /// Failed: there is nothing under the key.
+    Absent,
     /// The value has been passed on as it came, and all of it made sense.
     PassedOn,
     /// The value was being passed on and does not go on; the client has to be able to tell.
@@ -328,6 +330,7 @@
             }
             let passed = held.passing == Some(n);
             let answer = match outcome {
+                Outcome::Ok if ending == Ending::Absent => held.passing.is_none().then_some(Answer::Absent),
                 Outcome::Ok if passed => Some(Answer::PassedOn),
                 Outcome::Ok if held.passing.is_none() => {
                     Some(Answer::Served(reply.value.unwrap_or_default()))
@@ -501,7 +504,7 @@
             match answer {
                 Answer::Served(_) | Answer::PassedOn => class.served += 1,
                 Answer::Refused { .. } => class.refused += 1,
-                Answer::Failed | Answer::Cut => class.failed += 1,
+                Answer::Failed | Answer::Absent | Answer::Cut => class.failed += 1,
             }
         }
         self.commands.push(Command::Answer(held.place, answer));
--- a/proxy/src/wire/acceptor.rs
+++ b/proxy/src/wire/acceptor.rs
@@ -192,6 +192,7 @@
                 bytes.extend_from_slice(format!("-BUSY {}\r\n", retry_after.div_ceil(1000)).as_bytes());
             }
             Answer::Failed => bytes.extend_from_slice(b"-ERR failed\r\n"),
+            Answer::Absent => bytes.extend_from_slice(b"$-1\r\n"),
             Answer::PassedOn => return self.end_passing(place),
             Answer::Cut if self.passing && place == self.first => {
                 self.cut = true;
--- a/proxy/src/wire/driver/delegation.rs
+++ b/proxy/src/wire/driver/delegation.rs
@@ -2,6 +2,7 @@
 
 use super::Shell;
 use crate::ending::Ending;
+use crate::group::missing::Before;
 use crate::proxy::{Brought, DelegationId};
 use crate::state::pool::Ticket;
 use crate::wire::call::Call;
@@ -175,13 +176,19 @@
     if let Some(task) = shell.delegations.borrow_mut().remove(&delegation) {
         task.detach();
     }
+    if let Some(missing) = shell.missing.as_ref().filter(|_| call.writes().is_some()) {
+        // A receipt that is given was voided for before; any other write that went out whole may have run.
+        if sent.get() && !matches!(reply.ending, Ending::Served | Ending::TurnedAway) {
+            missing.may_have_run(&call.key);
+        }
+    }
     let waited = call.upload.as_ref().map(|_| match trace.written {
         0 => 0,
         written => shell.clock.now().saturating_sub(written),
     });
     // Guards against a transfer that passes for a jam: what of a large value is still in the sockets when its last byte
     // is written cannot be told from the origin's time.
-    let took = trace.took().filter(|_| call.upload.is_none());
+    let took = trace.took().filter(|_| call.upload.is_none() && trace.first > 0);
     let brought = Brought { value: reply.value, took, waited };
     shell.drive(|proxy, now| proxy.ended(now, delegation, reply.ending, brought));
 }
@@ -199,6 +206,14 @@
     else {
         return Reply::bare(Ending::NotSent);
     };
+    let missing = shell.missing.as_ref().filter(|_| is_origin);
+    let looked = match missing.filter(|_| call.writes().is_none()) {
+        Some(missing) => match missing.before(&call.key).await {
+            Before::Missing => return Reply::bare(Ending::Absent),
+            Before::Looked(looked) => Some(looked),
+        },
+        None => None,
+    };
     let generation = shell.pools.borrow_mut().generation(server);
     let connection = match checkout(shell, server, endpoint, trace).await {
         Ok(connection) => connection,
@@ -235,6 +250,21 @@
         let now = shell.clock.now();
         shell.pools.borrow_mut().put(now, server, generation, connection);
     }
+    match (missing, looked, reply.ending) {
+        (Some(missing), Some(looked), Ending::Absent) => missing.absent(&call.key, looked),
+        (Some(missing), None, Ending::Served) => {
+            // Before the receipt goes out, nobody may answer any more that the key is missing.
+            let until = shell.clock.instant(give_up_at);
+            if !missing.void(&call.key, until).await {
+                return Reply::bare(Ending::Errored);
+            }
+        }
+        // Without the filter a null promises more than a failure: nobody keeps what the origin had.
+        (None, _, Ending::Absent) | (_, None, Ending::Absent) => {
+            return Reply { ending: Ending::Errored, ..reply }
+        }
+        _ => {}
+    }
     reply
 }
 
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -9,6 +9,7 @@
 
 use super::call::Call;
 use crate::ending::Ending;
+use crate::group::missing::Missing;
 use crate::group::tasks::Tasks;
 use crate::lifecycle::clock::Clock;
 use crate::lifecycle::config::{Config, Limits, Room};
@@ -57,6 +58,15 @@
     pub operators: Rc<LocalExecutor<'static>>,
 }
 
+/// What a process does with others, where a file says so.
+#[derive(Default)]
+pub struct Fleet {
+    /// What is done for the whole fleet, and versions.
+    pub tasks: Option<Rc<Tasks>>,
+    /// The filter of known-missing keys.
+    pub missing: Option<Rc<Missing>>,
+}
+
 /// All that the tasks share.
 pub struct Shell {
     proxy: RefCell<Proxy<Call>>,
@@ -97,6 +107,8 @@
     stopping: Cell<bool>,
     /// What is done for the whole fleet, where a file says so.
     tasks: Option<Rc<Tasks>>,
+    /// The filter of known-missing keys, where a file says so.
+    missing: Option<Rc<Missing>>,
 }
 
 impl Shell {
@@ -105,7 +117,7 @@
         config: Config,
         sockets: Sockets,
         handover: Option<Handover>,
-        tasks: Option<Rc<Tasks>>,
+        fleet: Fleet,
         executors: Executors,
     ) -> Rc<Self> {
         let clock = Clock::start();
@@ -144,7 +156,8 @@
             rearm: async_channel::bounded(1),
             heard: Cell::new(false),
             stopping: Cell::new(false),
-            tasks,
+            tasks: fleet.tasks,
+            missing: fleet.missing,
         });
         // The module asks for a watch once it is given a list, even one without lines.
         let known =
--- a/proxy/src/wire/origin.rs
+++ b/proxy/src/wire/origin.rs
@@ -106,6 +106,7 @@
             Part::End { reusable } => {
                 let ending = match self.status {
                     200 => Ending::Served,
+                    404 => Ending::Absent,
                     // Guards against a write that is repeated though it ran: without the header it may have.
                     503 | 504 if self.rejected => Ending::TurnedAway,
                     _ => Ending::Errored,
