--- a/coord/src/shards.rs
+++ b/coord/src/shards.rs
@@ -269,7 +269,11 @@
         let least = self.shape.map_or(1, |s| s.least);
         let up: BTreeSet<NodeId> = self.up().map(|(id, _)| id).collect();
         for shard in &mut self.shards {
-            shard.joining.remove(&id);
+            // A new epoch makes stale what a primary may have asked for it: it would be taken in without what was kept
+            // while it was gone.
+            if shard.joining.remove(&id) {
+                shard.epoch += 1;
+            }
             if !shard.in_sync.contains(&id) {
                 continue;
             }
--- a/copies/src/node.rs
+++ b/copies/src/node.rs
@@ -37,6 +37,8 @@
         shard: u32,
         /// The primary's epoch.
         epoch: u64,
+        /// How often the replica was begun with in this epoch.
+        round: u64,
         /// Its last operation.
         seq: u64,
         /// The digest of its state there.
@@ -48,6 +50,8 @@
         shard: u32,
         /// The epoch.
         epoch: u64,
+        /// How often the replica was begun with in this epoch.
+        round: u64,
     },
     /// All that the primary has.
     Whole {
@@ -55,6 +59,8 @@
         shard: u32,
         /// The epoch.
         epoch: u64,
+        /// How often the replica was begun with in this epoch.
+        round: u64,
         /// The last operation in it.
         seq: u64,
         /// The state.
@@ -66,6 +72,8 @@
         shard: u32,
         /// The epoch.
         epoch: u64,
+        /// How often the replica was begun with in this epoch.
+        round: u64,
         /// Its number.
         seq: u64,
         /// The operation.
@@ -77,6 +85,8 @@
         shard: u32,
         /// The epoch.
         epoch: u64,
+        /// How often the replica was begun with in this epoch.
+        round: u64,
         /// The operation.
         seq: u64,
     },
@@ -233,8 +243,8 @@
     OwnDiskAlone,
     /// A primary answers questions without the group's confirmation.
     Unconfirmed,
-    /// A backup takes writes of an old epoch.
-    NoEpochs,
+    /// A backup says that it has what its disk does not have yet.
+    AckBeforeDisk,
 }
 
 /// Whose operation it is.
@@ -247,11 +257,13 @@
 /// What is owed once a write is durable.
 enum After {
     Own { shard: u32, seq: u64 },
-    Ack { to: NodeId, shard: u32, epoch: u64, seq: u64 },
+    Ack { to: NodeId, of: (u32, u64, u64), seq: u64 },
 }
 
 /// A replica as its primary knows it.
 struct Peer {
+    /// Answers of another round say nothing any more.
+    round: u64,
     /// What it has on its disk in this epoch, once it has said so.
     acked: Option<u64>,
     /// It has to have what counts: it is in sync, or the group was asked to take it as such.
@@ -269,8 +281,9 @@
     kept: u64,
     /// The number of the write that last replaced it whole: what was written before says nothing of it.
     whole: u64,
-    /// The epoch in which it was last brought to its primary's state.
-    begun: u64,
+    /// The epoch and the round in which it was brought to its primary's state. Guards against messages of an older
+    /// state that come late: by another connection they may overtake each other.
+    begun: Option<(u64, u64)>,
     lead: Option<Lead<C>>,
 }
 
@@ -281,6 +294,8 @@
     said_seq: u64,
     /// Numbered and not counted yet.
     pending: VecDeque<(u64, C::Op, Who)>,
+    /// The last round that a replica was begun with.
+    round: u64,
     /// Whether all replicas were brought to what this primary took over.
     serving: bool,
 }
@@ -321,7 +336,7 @@
         variant: Variant,
     ) -> Self {
         let replica = |(shard, seq, content)| {
-            (shard, Replica { epoch: 0, content, seq, kept: seq, whole: 0, begun: 0, lead: None })
+            (shard, Replica { epoch: 0, content, seq, kept: seq, whole: 0, begun: None, lead: None })
         };
         Node {
             id,
@@ -425,7 +440,7 @@
                 seq: 0,
                 kept: 0,
                 whole: 0,
-                begun: 0,
+                begun: None,
                 lead: None,
             });
             let leads = shard.primary == Some(self.id);
@@ -435,7 +450,9 @@
                 if let Some(lead) = replica.lead.as_mut().filter(|_| leads) {
                     lead.peers.retain(|id, _| shard.in_sync.contains(id) || shard.joining.contains(id));
                     for id in shard.joining.iter().filter(others) {
-                        let new = || Peer { acked: None, in_sync: false, owes_since: Some(now) };
+                        lead.round += 1;
+                        let round = lead.round;
+                        let new = || Peer { round, acked: None, in_sync: false, owes_since: Some(now) };
                         lead.peers.entry(*id).or_insert_with(new);
                     }
                 }
@@ -456,19 +473,18 @@
             let peers = shard.in_sync.iter().chain(&shard.joining).filter(others);
             let peer = |id: &NodeId| {
                 let in_sync = shard.in_sync.contains(id);
-                (*id, Peer { acked: None, in_sync, owes_since: Some(now) })
+                (*id, Peer { round: 1, acked: None, in_sync, owes_since: Some(now) })
             };
             let peers = peers.map(peer).collect();
             match &mut replica.lead {
                 // It goes on: what counted counts, what waits goes to those that there are now.
-                Some(lead) => lead.peers = peers,
+                Some(lead) => (lead.peers, lead.round) = (peers, 1),
                 None => {
                     let (said, said_seq) = (replica.content.clone(), replica.seq);
                     let pending = VecDeque::new();
-                    replica.lead = Some(Lead { peers, said, said_seq, pending, serving: false });
+                    replica.lead = Some(Lead { peers, said, said_seq, pending, round: 1, serving: false });
                 }
             }
-            replica.begun = replica.epoch;
             self.begin(number);
             self.count(number);
         }
@@ -489,8 +505,8 @@
         let Some(lead) = &replica.lead else { return };
         let (epoch, seq) = (replica.epoch, replica.seq);
         let digest = digest(seq, &replica.content);
-        let wanting = lead.peers.iter().filter(|(_, p)| p.acked.is_none()).map(|(id, _)| *id);
-        let begin = |id| (id, Message::Begin { shard, epoch, seq, digest });
+        let wanting = lead.peers.iter().filter(|(_, p)| p.acked.is_none()).map(|(id, p)| (*id, p.round));
+        let begin = |(id, round)| (id, Message::Begin { shard, epoch, round, seq, digest });
         self.out.messages.extend(wanting.map(begin).collect::<Vec<_>>());
     }
 
@@ -511,7 +527,8 @@
         for (id, peer) in &mut lead.peers {
             if peer.acked.is_some() {
                 peer.owes_since.get_or_insert(now);
-                self.out.messages.push((*id, Message::Append { shard, epoch, seq, op: op.clone() }));
+                let round = peer.round;
+                self.out.messages.push((*id, Message::Append { shard, epoch, round, seq, op: op.clone() }));
             }
         }
         self.write(Write::Op { shard, seq, op });
@@ -639,61 +656,79 @@
             }
             Message::Ask { req, shard, ask } => self.lead_ask(now, unix, shard, &ask, Who::Node(from, req)),
             Message::Did { req, answer } => self.answer(Who::Own(req), answer),
-            Message::Begin { shard, epoch, seq, digest: theirs } => {
+            Message::Begin { shard, epoch, round, seq, digest: theirs } => {
                 let Some(replica) = self.backup(shard, epoch) else { return };
-                let same = replica.seq == seq && digest(seq, &replica.content) == theirs;
-                if !same {
-                    replica.begun = 0;
-                    self.out.messages.push((from, Message::Want { shard, epoch }));
+                let (begun, this) = (replica.begun, Some((epoch, round)));
+                // Late: it has been brought further since.
+                if begun > this || begun == this && seq < replica.seq {
                     return;
                 }
-                replica.begun = epoch;
-                self.ack(from, shard, epoch, seq);
+                if replica.seq == seq && digest(seq, &replica.content) == theirs {
+                    replica.begun = this;
+                    self.ack(from, (shard, epoch, round), seq);
+                } else {
+                    self.out.messages.push((from, Message::Want { shard, epoch, round }));
+                }
             }
-            Message::Whole { shard, epoch, seq, content } => {
+            Message::Whole { shard, epoch, round, seq, content } => {
                 let next = self.number + 1;
                 let Some(replica) = self.backup(shard, epoch) else { return };
+                // Each round has one; a second copy of it comes too late.
+                if replica.begun >= Some((epoch, round)) {
+                    return;
+                }
                 (replica.content, replica.seq, replica.kept) = (content.clone(), seq, 0);
-                replica.begun = epoch;
+                replica.begun = Some((epoch, round));
                 replica.whole = next;
                 self.write(Write::Whole { shard, seq, content });
                 self.after.push_back((self.number, After::Own { shard, seq }));
-                self.after.push_back((self.number, After::Ack { to: from, shard, epoch, seq }));
+                self.ack(from, (shard, epoch, round), seq);
             }
-            Message::Append { shard, epoch, seq, op } => {
+            Message::Append { shard, epoch, round, seq, op } => {
                 let Some(replica) = self.backup(shard, epoch) else { return };
-                if replica.begun != replica.epoch || seq > replica.seq + 1 {
-                    self.out.messages.push((from, Message::Want { shard, epoch }));
+                let this = Some((epoch, round));
+                if replica.begun > this {
+                    return;
+                }
+                if replica.begun < this || seq > replica.seq + 1 {
+                    self.out.messages.push((from, Message::Want { shard, epoch, round }));
                 } else if seq <= replica.seq {
-                    self.ack(from, shard, epoch, seq);
+                    self.ack(from, (shard, epoch, round), seq);
                 } else {
                     replica.seq = seq;
                     replica.content.apply(&op);
                     self.write(Write::Op { shard, seq, op });
                     self.after.push_back((self.number, After::Own { shard, seq }));
-                    self.after.push_back((self.number, After::Ack { to: from, shard, epoch, seq }));
+                    self.ack(from, (shard, epoch, round), seq);
                 }
             }
-            Message::Want { shard, epoch } => {
+            Message::Want { shard, epoch, round } => {
                 let Some(replica) = self.replicas.get_mut(&shard).filter(|r| r.epoch == epoch) else {
                     return;
                 };
                 let (seq, content) = (replica.seq, &replica.content);
-                let Some(peer) = replica.lead.as_mut().and_then(|l| l.peers.get_mut(&from)) else { return };
+                let Some(lead) = &mut replica.lead else { return };
+                let Some(peer) = lead.peers.get_mut(&from).filter(|p| p.round == round) else { return };
+                lead.round += 1;
+                peer.round = lead.round;
+                let round = lead.round;
                 if peer.acked.take().is_some() {
                     self.out.events.push(Event::Differs { shard, node: from });
                 }
                 peer.owes_since.get_or_insert(now);
                 self.out
                     .messages
-                    .push((from, Message::Whole { shard, epoch, seq, content: content.clone() }));
+                    .push((from, Message::Whole { shard, epoch, round, seq, content: content.clone() }));
             }
-            Message::Acked { shard, epoch, seq } => {
+            Message::Acked { shard, epoch, round, seq } => {
                 let Some(replica) = self.replicas.get_mut(&shard).filter(|r| r.epoch == epoch) else {
                     return;
                 };
                 let last = replica.seq;
                 let Some(peer) = replica.lead.as_mut().and_then(|l| l.peers.get_mut(&from)) else { return };
+                if peer.round != round {
+                    return;
+                }
                 peer.acked = peer.acked.max(Some(seq.min(last)));
                 peer.owes_since = (peer.acked < Some(last)).then_some(now);
                 self.count(shard);
@@ -703,19 +738,19 @@
 
     /// The replica that a primary of this epoch speaks to, where this node is a backup of it.
     fn backup(&mut self, shard: u32, epoch: u64) -> Option<&mut Replica<C>> {
-        let any = self.variant == Variant::NoEpochs;
         let replica = self.replicas.get_mut(&shard)?;
         // A later epoch is the table's own, which this node has not heard of yet: it says nothing until then.
-        (replica.lead.is_none() && (replica.epoch == epoch || any)).then_some(replica)
+        (replica.lead.is_none() && replica.epoch == epoch).then_some(replica)
     }
 
     /// Says that all up to `seq` is durable, once it is.
-    fn ack(&mut self, to: NodeId, shard: u32, epoch: u64, seq: u64) {
+    fn ack(&mut self, to: NodeId, of: (u32, u64, u64), seq: u64) {
+        let (shard, epoch, round) = of;
         let kept = self.replicas.get(&shard).map_or(0, |r| r.kept);
-        if kept >= seq {
-            self.out.messages.push((to, Message::Acked { shard, epoch, seq }));
+        if kept >= seq || self.variant == Variant::AckBeforeDisk {
+            self.out.messages.push((to, Message::Acked { shard, epoch, round, seq }));
         } else {
-            self.after.push_back((self.number, After::Ack { to, shard, epoch, seq }));
+            self.after.push_back((self.number, After::Ack { to, of, seq }));
         }
     }
 
@@ -740,10 +775,10 @@
                     }
                     self.count(shard);
                 }
-                Some((_, After::Ack { to, shard, epoch, seq })) => {
+                Some((_, After::Ack { to, of: (shard, epoch, round), seq })) => {
                     let same = self.replicas.get(&shard).is_some_and(|r| r.epoch == epoch && r.seq >= seq);
-                    if same || self.variant == Variant::NoEpochs {
-                        self.out.messages.push((to, Message::Acked { shard, epoch, seq }));
+                    if same {
+                        self.out.messages.push((to, Message::Acked { shard, epoch, round, seq }));
                     }
                 }
                 None => return,
@@ -790,12 +825,13 @@
             }
             let behind = lead.pending.iter().filter(|(seq, ..)| *seq > acked);
             let again = |(seq, op, _): &(u64, C::Op, Who)| {
-                (*id, Message::Append { shard, epoch, seq: *seq, op: op.clone() })
+                (*id, Message::Append { shard, epoch, round: peer.round, seq: *seq, op: op.clone() })
             };
             self.out.messages.extend(behind.take(MOST_AGAIN).map(again));
             if compare && idle {
                 let (seq, digest) = (replica.seq, digest(replica.seq, &replica.content));
-                self.out.messages.push((*id, Message::Begin { shard, epoch, seq, digest }));
+                let round = peer.round;
+                self.out.messages.push((*id, Message::Begin { shard, epoch, round, seq, digest }));
             }
         }
         self.begin(shard);
--- a/proxy/src/group/copies.rs
+++ b/proxy/src/group/copies.rs
@@ -204,6 +204,9 @@
     txn.commit().map_err(|e| failed(e.into()))
 }
 
+/// Where a node is, and the way there.
+type Peer<C> = (SocketAddr, Sender<Message<C>>);
+
 /// This process's node.
 pub struct Copies<C: Content> {
     node: RefCell<Node<C>>,
@@ -213,10 +216,10 @@
     ticks: Ticks,
     executor: Rc<LocalExecutor<'static>>,
     db: Arc<Database>,
-    peers: RefCell<BTreeMap<NodeId, (SocketAddr, Sender<Message<C>>)>>,
+    peers: RefCell<BTreeMap<NodeId, Peer<C>>>,
     disk: Sender<(Vec<Write<C>>, u64)>,
     changes: Sender<Change>,
-    asked: RefCell<BTreeSet<Change2>>,
+    asked: RefCell<BTreeSet<Asked>>,
     waiting: RefCell<HashMap<u64, Sender<Answer<C>>>>,
     next: Cell<u64>,
     links: Cell<usize>,
@@ -227,9 +230,9 @@
 }
 
 /// A change that was asked of the group, by its shard, epoch and replica: not asked again before that is answered.
-type Change2 = (u32, u64, NodeId, bool);
+type Asked = (u32, u64, NodeId, bool);
 
-fn key_of(change: &Change) -> Option<Change2> {
+fn key_of(change: &Change) -> Option<Asked> {
     match change {
         Change::Drop { shard, epoch, node, .. } => Some((*shard, *epoch, *node, false)),
         Change::Caught { shard, epoch, node, .. } => Some((*shard, *epoch, *node, true)),
@@ -328,7 +331,7 @@
 
     /// Carries out what the node wants done.
     fn pump(self: &Rc<Self>) {
-        // What does not fit before the disk waits in the node: it is asked for again once there is room.
+        // What has no room before the disk stays in the node until there is some.
         if self.disk.is_full() {
             return;
         }
