--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -4,6 +4,7 @@
 
 mod check;
 mod coord;
+mod copies;
 mod group;
 mod lab;
 mod load;
@@ -66,6 +67,9 @@
     /// Look at the leases of the fleet's tasks, or have one released.
     #[command(subcommand)]
     Lease(coord::Lease),
+    /// Copies that proxies hold for each other: who has which, and giving up what is lost.
+    #[command(subcommand)]
+    Copies(copies::Command),
     /// Versions of what is forbidden, on which the proxies agree.
     #[command(subcommand)]
     Settings(settings::Command),
@@ -116,6 +120,7 @@
         }
         Some(Command::Coord(command)) => coord::run(&command),
         Some(Command::Lease(command)) => coord::lease(&command),
+        Some(Command::Copies(command)) => copies::run(&command),
         Some(Command::Settings(command)) => settings::run(&command),
         Some(Command::Check(command)) => check::run(&command),
         Some(Command::Lab(command)) => lab::run(&command),
--- a/cli/tests/copies.rs
+++ b/cli/tests/copies.rs
@@ -12,6 +12,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::process::Command;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -207,6 +208,17 @@
     fleet.until("every shard has three copies in sync again", |_, t| {
         t.shards().iter().all(|s| s.in_sync.len() == 3)
     });
+    // What operators are told.
+    let at: Vec<String> = fleet.group.operators().iter().map(|(_, at)| at.to_string()).collect();
+    let ask =
+        |line: &[&str]| Command::new(PROGRAM).args(line).args(["--at", &at.join(",")]).output().unwrap();
+    let told = |out: &[u8]| String::from_utf8_lossy(out).into_owned();
+    let status = ask(&["copies", "status"]);
+    assert!(status.status.success(), "{status:?}");
+    assert!(told(&status.stdout).contains(&format!("{SHARDS} shards, 0 without a primary")), "{status:?}");
+    let given_up = ask(&["copies", "give-up", "0"]);
+    assert!(told(&given_up.stderr).contains("shard 0 has a copy that is up"), "{given_up:?}");
+    assert!(told(&ask(&["copies", "show", "99"]).stderr).contains("shard 99: there are 8, from 0"));
 }
 
 #[test]
