--- a/copies/src/node.rs
+++ b/copies/src/node.rs
@@ -424,6 +424,7 @@
     }
 
     fn follow(&mut self, now: Millis) {
+        self.seen.retain(|id, _| self.table.nodes().contains_key(id));
         for (number, shard) in self.table.shards().to_vec().into_iter().enumerate() {
             let number = number as u32;
             let member = shard.in_sync.contains(&self.id) || shard.joining.contains(&self.id);
@@ -636,8 +637,9 @@
 
     /// A message has come from this node.
     pub fn step(&mut self, (now, unix): (Millis, Millis), from: NodeId, message: Message<C>) {
-        // Before the group has said anything, nobody's epoch is known to be the latest.
-        if self.failed || !self.heard {
+        // Before the group has said anything, nobody's epoch is known to be the latest; and who is not of the table is
+        // no node.
+        if self.failed || !self.heard || !self.table.nodes().contains_key(&from) {
             return;
         }
         match message {
--- a/copies/src/wire.rs
+++ b/copies/src/wire.rs
@@ -3,6 +3,7 @@
 use crate::node::Message;
 use crate::Content;
 use notchdoor_coord::shards::NodeId;
+pub use notchdoor_coord::wire::FrameError;
 use serde::{Deserialize, Serialize};
 
 /// The version of the format. Another one is refused by its number: nothing of it is guessed at.
@@ -17,23 +18,6 @@
     message: Message<C>,
 }
 
-/// Bytes that are no frame of ours; the connection they came on is over.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct FrameError {
-    /// Where the frame begins in the stream.
-    pub at: u64,
-    /// What is wrong with it.
-    pub why: String,
-}
-
-impl std::fmt::Display for FrameError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "frame at byte {}: {}", self.at, self.why)
-    }
-}
-
-impl std::error::Error for FrameError {}
-
 /// Writes a frame; none where the message is larger than any frame.
 pub fn encode<C: Content>(from: NodeId, message: &Message<C>, out: &mut Vec<u8>) -> bool {
     let body = Body { from, message: message.clone() };
--- a/proxy/src/group/copies.rs
+++ b/proxy/src/group/copies.rs
@@ -6,7 +6,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use blocking::unblock;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use notchdoor_coord::config::CopiesConfig;
 use notchdoor_coord::holder::Drift;
 use notchdoor_coord::lease::Millis;
@@ -570,12 +570,3 @@
 pub fn left(until: Instant) -> Duration {
     until.saturating_duration_since(Instant::now())
 }
-
-/// Waits for whichever is over first; `None` once the time is up.
-pub async fn in_time<T>(limit: Duration, work: impl std::future::Future<Output = T>) -> Option<T> {
-    let late = async {
-        Timer::after(limit).await;
-        None
-    };
-    future::or(async { Some(work.await) }, late).await
-}
