--- a/cli/tests/rules.rs
+++ b/cli/tests/rules.rs
@@ -475,10 +475,13 @@
     let proxy = Proxy::within(&registry, &list, (1024, 12), None);
     let half = format!("*5\r\n$7\r\nOBJ.SET\r\n$65536\r\n{}", "x".repeat(60_000));
     let mut clients: Vec<Client> = (0..80).map(|_| proxy.client()).collect();
+    let mut other = proxy.client();
     for client in &mut clients {
         client.stream.write_all(half.as_bytes()).unwrap();
+        // One after the other: what comes at once is read in no order of its own.
+        assert_eq!(other.ask(&["PING"]), Value::Simple(b"PONG".to_vec()));
     }
-    assert_eq!(proxy.client().get("k", "id1", 2000), bulk("id1"));
+    assert_eq!(other.get("k", "id1", 2000), bulk("id1"));
     let told = |client: &mut Client| match client.next() {
         Some(Value::Error(line)) => String::from_utf8(line).unwrap(),
         other => panic!("{other:?}"),
