Copies: a primary reads its state for a digest only where a replica wants it

Read over: begin() (copies/src/node.rs) wrote out the whole state of each led shard ten times a second to digest it, though nobody was to be told.

--- a/copies/src/node.rs
+++ b/copies/src/node.rs
@@ -505,10 +505,15 @@
         let Some(replica) = self.replicas.get(&shard) else { return };
         let Some(lead) = &replica.lead else { return };
         let (epoch, seq) = (replica.epoch, replica.seq);
-        let digest = digest(seq, &replica.content);
         let wanting = lead.peers.iter().filter(|(_, p)| p.acked.is_none()).map(|(id, p)| (*id, p.round));
+        let wanting: Vec<_> = wanting.collect();
+        // Most often nobody wants it, and a digest reads the whole state.
+        if wanting.is_empty() {
+            return;
+        }
+        let digest = digest(seq, &replica.content);
         let begin = |(id, round)| (id, Message::Begin { shard, epoch, round, seq, digest });
-        self.out.messages.extend(wanting.map(begin).collect::<Vec<_>>());
+        self.out.messages.extend(wanting.into_iter().map(begin));
     }
 
     /// Numbers an operation, or refuses it.
