The test of crossed closes counts on each connection: no busy machine fails it

Its peer closed every tenth request of all, and on a busy machine a second connection was open just then whose first request that was: a close on a connection that answered nothing yet is a failure, and rightly so (Exchange::Broke, load/src/client.rs).

--- a/load/tests/run.rs
+++ b/load/tests/run.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// What a peer does with a request, by its number: an answer, or `None` to close.
+/// What a peer does with a request, by its number on its connection: an answer, or `None` to close.
 type Way = dyn Fn(usize) -> Option<&'static str> + Send + Sync;
 
 /// A proxy's stand-in, and the keys and ids that it was asked for.
@@ -31,6 +31,7 @@
             let (seen, way) = (Arc::clone(&seen), Arc::clone(&way));
             std::thread::spawn(move || {
                 let (mut reader, mut buffer) = (Reader::default(), [0; 4096]);
+                let mut numbers = 0..;
                 loop {
                     match stream.read(&mut buffer) {
                         Ok(n) if n > 0 => reader.feed(&buffer[..n]),
@@ -41,12 +42,8 @@
                             Value::Bulk(Some(w)) => String::from_utf8_lossy(w).into_owned(),
                             other => panic!("no word: {other:?}"),
                         };
-                        let n = {
-                            let mut seen = seen.lock().unwrap();
-                            seen.push((word(1), word(2)));
-                            seen.len() - 1
-                        };
-                        match way(n) {
+                        seen.lock().unwrap().push((word(1), word(2)));
+                        match way(numbers.next().unwrap()) {
                             Some(answer) if stream.write_all(answer.as_bytes()).is_ok() => {}
                             _ => return,
                         }
@@ -164,9 +161,10 @@
 /// What is written on a connection that is closed just then was not read: clients send it again, once.
 #[test]
 fn a_request_that_crosses_a_close_is_sent_once_more() {
-    // Every tenth request's connection is closed with nothing said; the repeat of it is answered.
+    // Each connection is closed with nothing said at its third request: one that has been answered on it is sent
+    // again, and a new connection answers it, however many requests are out at once.
     let (day, kept, peer) =
-        played(Box::new(|n| (n % 10 != 5).then_some(OK)), Arrivals::Constant(100.0), "length_s=1");
+        played(Box::new(|n| (n < 2).then_some(OK)), Arrivals::Constant(100.0), "length_s=1");
     assert_eq!(day.counts.served, day.counts.wanted, "{:?}", day.counts);
     let seen = peer.seen.lock().unwrap();
     let ids: BTreeSet<&String> = seen.iter().map(|(_, id)| id).collect();
