--- a/src/brain.rs
+++ b/src/brain.rs
@@ -750,8 +750,8 @@
     /// a saving of one let through half of it where reads come one at a time, crowding the warm caches instead.
     fn cold_budget(&mut self, now: Micros, i: usize) -> bool {
         let share = self.servers[i].weight / self.weight_sum.max(1e-9);
-        // Half of what would push it over, beside what warm ones of its weight answer: chance may use it up.
-        let headroom = self.settings.fall_multiple / 2.0;
+        // Two fifths of what would push it over, beside what warm ones of its weight answer: chance may use it up.
+        let headroom = self.settings.fall_multiple / 2.5;
         let span = self.settings.fall_time.max(1) as f64 / 1e6;
         let server = &mut self.servers[i];
         // Guards against caches that stay cold and empty since few are left whose hits tell what one bears: what
