Copies: a full disk hands its shards on, a damaged store comes as another node

Found by the tests, each failing without its mend: - a node whose disk failed went on asking the group to confirm it (keep_confirmed), was taken to be up, and its shards had a primary that answered nobody: no write had a receipt for the 20 s of the test. It asks as nobody now, for where the others are, and its own clients are served by their copies (node.rs: answers are still heard, nothing else); - a byte changed in the store was read, and answered from, as what was kept (open): redb checks nothing on reads. The store is checked whole at a start and put aside if it is not what was written; the node comes as another, with nothing. Also: the format is checked before the start is counted.

Not done: cuts between two nodes alone, lab faults with these operations.

--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -239,6 +239,9 @@
         "obligations":{"askEvery":10000.0,"cold":8100.0,"coldFrom":0.31,"fallMultiple":4.0,"tipAfter":2000.0}}"#
 }
 
+/// A file in a proxy's folder: its disk may be made full.
+pub const MAY_FILL: &str = "may-fill";
+
 impl Proxy {
     /// Starts the program with this list and waits until it says that it is ready.
     pub fn start(registry: &Registry, lines: &[String]) -> Proxy {
@@ -321,7 +324,13 @@
 
     fn spawn(registry: &Registry, listen: SocketAddr, folder: Arc<Folder>) -> Proxy {
         let admin = address();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_notchdoor"));
+        let program = env!("CARGO_BIN_EXE_notchdoor");
+        let mut command = Command::new(program);
+        if folder.0.join(MAY_FILL).exists() {
+            // A write beyond a limit is an error then, as on a full disk, and no signal that ends the process.
+            command = Command::new("sh");
+            command.args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\"", program]);
+        }
         let policy = folder.0.join("policy.toml");
         if policy.exists() {
             command.args(["serve", "--policy"]).arg(&policy);
--- a/cli/tests/copies.rs
+++ b/cli/tests/copies.rs
@@ -5,10 +5,13 @@
 
 use common::{bulk, line, Client, Peer, Proxy, Registry};
 use notchdoor_coord::member::{Answer, Request};
+use notchdoor_coord::session::Door;
 use notchdoor_coord::shards::Shards;
 use notchdoor_copies::shard_of;
 use notchdoor_proxy::wire::resp::Value;
 use notchdoor_rig::group::fleet::{address, Fleet, Plan};
+use notchdoor_rig::group::links::{Flow, Link, Links, Way};
+use notchdoor_rig::group::process::full_disk;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -25,7 +28,11 @@
     group: Fleet,
     registry: Registry,
     proxies: Vec<Option<Proxy>>,
-    at: Vec<SocketAddr>,
+    /// The link by which other nodes reach each.
+    peers: Vec<Link>,
+    /// Each proxy's links to the members.
+    doors: Vec<Vec<Link>>,
+    _links: Links,
     origin: Peer,
     ids: u64,
 }
@@ -53,23 +60,54 @@
         let cache = Peer::worker(Box::new(|_| Some(b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_vec())));
         let (registry, origin) = (Registry::start(), origin());
         let list = [line("w", &cache, "in_service", 0), line("o", &origin, "in_service", 0)];
-        let mut held = Held { group, registry, proxies: Vec::new(), at: Vec::new(), origin, ids: 0 };
+        let links = Links::start();
+        let mut held = Held {
+            group,
+            registry,
+            proxies: Vec::new(),
+            peers: Vec::new(),
+            doors: Vec::new(),
+            _links: links,
+            origin,
+            ids: 0,
+        };
         for n in 0..4 {
-            let at = address();
-            held.at.push(at);
+            let (listen, links) = (address(), &held._links);
+            let peer = links.link(listen).unwrap();
+            let (at, members) = (peer.address(), held.group.operators());
+            let doors: Vec<Link> = members.iter().map(|(_, at)| links.link(*at).unwrap()).collect();
+            let member = |((id, _), door): (&Door, &Link)| {
+                format!("[[member]]\nid = {id}\nclient = \"{}\"\n", door.address())
+            };
+            let members: String = members.iter().zip(&doors).map(member).collect();
             let text = format!(
-                "{}[versions]\nwithin_ms = 2000\n\n[copies]\nmachine = \"m{n}\"\nzone = \"z{}\"\nlisten = \"{at}\"\ndata = {:?}\nshards = {SHARDS}\n",
-                held.group.members_file(),
+                "{members}[versions]\nwithin_ms = 2000\n\n[copies]\nmachine = \"m{n}\"\nzone = \"z{}\"\nlisten = \"{listen}\"\npeer = \"{at}\"\ndata = {:?}\nshards = {SHARDS}\n",
                 n % 2,
                 held.disk(n),
             );
-            let files = [("coord.toml", text.as_str())];
+            held.peers.push(peer);
+            held.doors.push(doors);
+            let files = [("coord.toml", text.as_str()), (common::MAY_FILL, "")];
             held.proxies.push(Some(Proxy::with_files(&held.registry, &list, (1024, 192), &files)));
         }
-        held.until("every shard has three copies in sync", |_, t| {
+        held.whole();
+        held
+    }
+
+    /// Waits until all shards have their copies.
+    fn whole(&mut self) {
+        self.until("every shard has three copies in sync", |_, t| {
             !t.shards().is_empty() && t.shards().iter().all(|s| s.in_sync.len() == 3 && s.primary.is_some())
         });
-        held
+    }
+
+    /// Writes keys through a proxy until one has its receipt, and gives the time that it took.
+    fn set_in_time(&mut self, n: usize, key: &str) -> Duration {
+        let began = Instant::now();
+        while !self.set(n, key) {
+            assert!(began.elapsed() < PATIENCE, "no write of {key} has a receipt");
+        }
+        began.elapsed()
     }
 
     fn disk(&self, n: usize) -> PathBuf {
@@ -95,11 +133,15 @@
         }
     }
 
+    fn proxy_at(&self, peer: SocketAddr) -> Option<usize> {
+        self.peers.iter().position(|link| link.address() == peer)
+    }
+
     /// The proxy that is primary for a key's shard.
     fn primary(&self, key: &str) -> Option<usize> {
         let table = self.table();
         let id = table.shards()[shard_of(key.as_bytes(), SHARDS) as usize].primary?;
-        self.at.iter().position(|at| *at == table.nodes()[&id].at.peer)
+        self.proxy_at(table.nodes()[&id].at.peer)
     }
 
     fn client(&self, n: usize) -> Client {
@@ -192,7 +234,7 @@
         }
     }
     fleet.until("all shards have a primary on another machine", |f, t| {
-        t.shards().iter().all(|s| s.primary.is_some_and(|p| t.nodes()[&p].at.peer != f.at[lost]))
+        t.shards().iter().all(|s| s.primary.is_some_and(|p| t.nodes()[&p].at.peer != f.peers[lost].address()))
     });
     // The new primary has to bring its replicas to its state first; from then on no lookup is made.
     fleet.known_missing(others[0], "ghoul");
@@ -205,9 +247,7 @@
     for &n in &others {
         assert_ne!(fleet.get(n, "ghoul"), MISSING);
     }
-    fleet.until("every shard has three copies in sync again", |_, t| {
-        t.shards().iter().all(|s| s.in_sync.len() == 3)
-    });
+    fleet.whole();
     // What operators are told.
     let at: Vec<String> = fleet.group.operators().iter().map(|(_, at)| at.to_string()).collect();
     let ask =
@@ -242,9 +282,7 @@
     }
     // It was taken to be gone, and comes again as another start of the same disk.
     fleet.proxies[paused].as_ref().unwrap().logged("it comes again");
-    fleet.until("every shard has three copies in sync", |_, t| {
-        t.shards().iter().all(|s| s.in_sync.len() == 3)
-    });
+    fleet.whole();
 }
 
 #[test]
@@ -283,3 +321,149 @@
     let entries = applied(&fleet) - before;
     assert!(entries <= 2, "{entries} entries of the group's log for {writes} kept writes");
 }
+
+#[test]
+fn a_primary_cut_from_the_group_alone_answers_nothing_from_its_copies_and_comes_again() {
+    let mut fleet = Held::start("group");
+    fleet.known_missing(0, "ghost");
+    let cut = fleet.primary("ghost").unwrap();
+    // Its clients and the other nodes reach it all the same.
+    fleet.doors[cut].iter().for_each(|door| door.set_both(Flow::Held));
+    let others = fleet.others(cut);
+    fleet.until("another is primary", |f, _| f.primary("ghost").is_some_and(|p| p != cut));
+    fleet.set_in_time(others[0], "ghost");
+    for round in 0..20 {
+        let value = fleet.get(cut, "ghost");
+        assert!(matches!(&value, Value::Bulk(Some(_))), "round {round}: {value:?}");
+    }
+    fleet.doors[cut].iter().for_each(|door| door.set_both(Flow::Open));
+    fleet.whole();
+    for n in 0..4 {
+        assert_ne!(fleet.get(n, "ghost"), MISSING);
+    }
+}
+
+#[test]
+fn a_replica_that_hears_nothing_or_late_holds_nobody_up_for_long_and_comes_whole_again() {
+    let mut fleet = Held::start("replica");
+    let key = "written";
+    let backup = {
+        let table = fleet.table();
+        let shard = &table.shards()[shard_of(key.as_bytes(), SHARDS) as usize];
+        let other = shard.in_sync.iter().find(|id| shard.primary != Some(**id)).unwrap();
+        fleet.proxy_at(table.nodes()[other].at.peer).unwrap()
+    };
+    let writer = fleet.primary(key).unwrap();
+    fleet.set_in_time(writer, key);
+    // Half a cut: what others say to it stays in the link, what it says itself is heard.
+    fleet.peers[backup].set(Way::There, Flow::Held);
+    let took = fleet.set_in_time(writer, key);
+    // It is gone on without after a second of silence, and a new epoch is begun then.
+    assert!(took < Duration::from_secs(5), "a write took {took:?}");
+    let gone = fleet.peers[backup].address();
+    fleet.until("it is out of sync", |_, t| {
+        let shard = &t.shards()[shard_of(key.as_bytes(), SHARDS) as usize];
+        !shard.in_sync.iter().any(|id| t.nodes()[id].at.peer == gone)
+    });
+    // All that was held comes at once, late and of another epoch, and changes nothing.
+    fleet.peers[backup].set(Way::There, Flow::Open);
+    fleet.whole();
+    // Every frame late, and connections reset in between: writes are slow, and none is lost.
+    fleet.peers.iter().for_each(|link| link.set_both(Flow::Delayed(60)));
+    for n in 0..12 {
+        fleet.set_in_time(n % 4, &format!("late-{n}"));
+        fleet.peers[n % 4].reset();
+    }
+    fleet.peers.iter().for_each(|link| link.set_both(Flow::Open));
+    fleet.whole();
+    for n in 0..12 {
+        assert_ne!(fleet.get((n + 1) % 4, &format!("late-{n}")), MISSING, "late-{n}");
+    }
+}
+
+#[test]
+fn without_a_quorum_of_the_group_nothing_is_promised_and_nothing_is_lost() {
+    let mut fleet = Held::start("quorum");
+    fleet.known_missing(0, "ghost");
+    assert!(fleet.set(1, "there"));
+    let ids: Vec<u64> = fleet.group.members.keys().copied().take(2).collect();
+    for id in &ids {
+        fleet.group.members.get_mut(id).unwrap().pause().unwrap();
+    }
+    // Longer than any word of the group is good: from here on no receipt, and reads ask the origin as ever.
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert!(!fleet.set(2, "ghost"), "a receipt without a confirmed shard");
+    for n in 0..4 {
+        assert_ne!(fleet.get(n, "there"), MISSING);
+    }
+    for id in &ids {
+        fleet.group.members.get_mut(id).unwrap().resume().unwrap();
+    }
+    fleet.set_in_time(2, "ghost");
+    fleet.whole();
+    for n in 0..4 {
+        assert_ne!(fleet.get(n, "ghost"), MISSING, "proxy {n}");
+    }
+}
+
+#[test]
+fn a_machine_whose_disk_was_changed_comes_as_another_and_the_rest_has_what_was_promised() {
+    let mut fleet = Held::start("damaged");
+    fleet.known_missing(0, "ghost");
+    fleet.set_in_time(1, "there");
+    let hit = fleet.primary("ghost").unwrap();
+    let mut proxy = fleet.proxies[hit].take().unwrap();
+    proxy.child.kill().unwrap();
+    proxy.child.wait().unwrap();
+    let file = fleet.disk(hit).join("copies.redb");
+    let mut bytes = std::fs::read(&file).unwrap();
+    let places: Vec<usize> = (0..bytes.len() - 5).filter(|n| &bytes[*n..*n + 5] == b"ghost").collect();
+    assert!(!places.is_empty(), "the entry is on the disk of its shard's primary");
+    places.iter().for_each(|n| bytes[*n] = b'G');
+    std::fs::write(&file, bytes).unwrap();
+    let again = proxy.beside(&fleet.registry);
+    again.logged("the store is damaged, it is put aside");
+    fleet.proxies[hit] = Some(again);
+    fleet.whole();
+    // Once its shards serve again what is known is known, and what was written is there.
+    fleet.known_missing(0, "ghost");
+    let asked = fleet.lookups("ghost");
+    for n in 0..4 {
+        assert_eq!(fleet.get(n, "ghost"), MISSING, "proxy {n}");
+        assert_ne!(fleet.get(n, "there"), MISSING, "proxy {n}");
+    }
+    assert_eq!(fleet.lookups("ghost"), asked);
+}
+
+#[test]
+fn a_full_disk_takes_a_node_out_and_its_shards_go_on_elsewhere() {
+    let mut fleet = Held::start("full");
+    fleet.known_missing(0, "ghost");
+    let full = fleet.primary("ghost").unwrap();
+    let pid = fleet.proxies[full].as_ref().unwrap().child.id();
+    full_disk(pid, true).unwrap();
+    // Whatever it is replica of needs its disk: it says so, promises nothing more and is replaced.
+    let others = fleet.others(full);
+    let took = fleet.set_in_time(others[0], "ghost");
+    assert!(took < Duration::from_secs(10), "a write took {took:?}");
+    fleet.proxies[full].as_ref().unwrap().logged("the disk failed, this node promises nothing more");
+    let gone = fleet.peers[full].address();
+    fleet.until("every shard has a primary on another disk", |_, t| {
+        t.shards().iter().all(|s| s.primary.is_some_and(|p| t.nodes()[&p].at.peer != gone))
+    });
+    for n in 0..4 {
+        assert_ne!(fleet.get(n, "ghost"), MISSING, "proxy {n}");
+    }
+    for n in 0..8 {
+        fleet.set_in_time(n % 4, &format!("after-{n}"));
+    }
+    // With room again and a start it is a replica as before.
+    let mut proxy = fleet.proxies[full].take().unwrap();
+    proxy.child.kill().unwrap();
+    proxy.child.wait().unwrap();
+    fleet.proxies[full] = Some(proxy.beside(&fleet.registry));
+    fleet.whole();
+    for n in 0..8 {
+        assert_ne!(fleet.get((n + 1) % 4, &format!("after-{n}")), MISSING, "after-{n}");
+    }
+}
--- a/copies/src/node.rs
+++ b/copies/src/node.rs
@@ -400,7 +400,8 @@
         std::mem::take(&mut self.out)
     }
 
-    /// A write failed: nothing is promised by this node any more, not even what is written next.
+    /// A write failed: nothing is promised by this node any more, not even what is written next. Its own clients still
+    /// ask other nodes by it.
     pub fn disk_failed(&mut self) {
         self.failed = true;
         self.after.clear();
@@ -424,6 +425,9 @@
     }
 
     fn follow(&mut self, now: Millis) {
+        if self.failed {
+            return;
+        }
         self.seen.retain(|id, _| self.table.nodes().contains_key(id));
         for (number, shard) in self.table.shards().to_vec().into_iter().enumerate() {
             let number = number as u32;
@@ -644,7 +648,8 @@
     pub fn step(&mut self, (now, unix): (Millis, Millis), from: NodeId, message: Message<C>) {
         // Before the group has said anything, nobody's epoch is known to be the latest; and who is not of the table is
         // no node.
-        if self.failed || !self.heard || !self.table.nodes().contains_key(&from) {
+        let theirs = !matches!(message, Message::Did { .. });
+        if self.failed && theirs || !self.heard || !self.table.nodes().contains_key(&from) {
             return;
         }
         match message {
--- a/proxy/src/group/copies.rs
+++ b/proxy/src/group/copies.rs
@@ -53,60 +53,97 @@
 /// Operations of a shard on the disk before its state is written whole in their place.
 const COMPACT_AFTER: u64 = 512;
 
-fn told(what: &str) -> impl Fn(redb::Error) -> String + '_ {
-    move |e| format!("copies.data: {what}: {e}")
+type Held<C> = Vec<(u32, u64, C)>;
+
+/// Why a store is of no use.
+enum Wrong {
+    /// Its bytes are not those that were written.
+    Damaged(String),
+    /// It cannot be opened here and now, or is another program's.
+    Other(String),
 }
 
-type Held<C> = Vec<(u32, u64, C)>;
+impl From<redb::Error> for Wrong {
+    fn from(error: redb::Error) -> Wrong {
+        match error {
+            redb::Error::Corrupted(why) => Wrong::Damaged(why),
+            redb::Error::Io(e) if e.kind() == io::ErrorKind::InvalidData => Wrong::Damaged(e.to_string()),
+            other => Wrong::Other(other.to_string()),
+        }
+    }
+}
+
+type Store<C> = (Database, NodeId, u64, Held<C>);
 
 /// Opens or makes a store: its number, the number of this start, and what it holds. One process has it open at a time.
-fn open<C: Content>(folder: &Path) -> Result<(Database, NodeId, u64, Held<C>), String> {
+/// A damaged one is put aside whole: what it promised is at the other replicas, and this one comes as another node with
+/// nothing. Guards against a byte that was changed on the disk and would be answered from, or copied, as kept.
+fn open<C: Content>(folder: &Path) -> Result<Store<C>, String> {
     std::fs::create_dir_all(folder)
         .map_err(|e| format!("copies.data: cannot make {}: {e}", folder.display()))?;
     let file = folder.join("copies.redb");
-    let db = Database::create(&file).map_err(|e| format!("copies.data: {}: {e}", file.display()))?;
-    let opened = || -> Result<_, redb::Error> {
+    let told = |why: String| format!("copies.data: {}: {why}", file.display());
+    match open_file(&file) {
+        Ok(store) => Ok(store),
+        Err(Wrong::Other(why)) => Err(told(why)),
+        Err(Wrong::Damaged(why)) => {
+            let aside = folder.join("copies.damaged");
+            log::error!(event = "damaged"; "copies: the store is damaged, it is put aside as {}: {why}", aside.display());
+            std::fs::rename(&file, &aside).map_err(|e| told(e.to_string()))?;
+            open_file(&file).map_err(|(Wrong::Damaged(why) | Wrong::Other(why))| told(why))
+        }
+    }
+}
+
+fn open_file<C: Content>(file: &Path) -> Result<Store<C>, Wrong> {
+    let mut db = Database::create(file).map_err(redb::Error::from)?;
+    // Reads alone check nothing. One that had to be mended went back behind what it promised.
+    if !db.check_integrity().map_err(redb::Error::from)? {
+        return Err(Wrong::Damaged("it could only be mended by going back".to_owned()));
+    }
+    let format = read_meta(&db, "format")?.unwrap_or(FORMAT);
+    if format != FORMAT {
+        return Err(Wrong::Other(format!("format {format}, where {FORMAT} is read")));
+    }
+    let number = read_meta(&db, "number")?;
+    let opened = || -> Result<(NodeId, u64), redb::Error> {
         let txn = db.begin_write()?;
-        let (number, start, format) = {
+        let number = number.unwrap_or_else(fresh_number);
+        {
             let mut meta = txn.open_table(META)?;
             let _ = (txn.open_table(WHOLE)?, txn.open_table(OPS)?);
-            let get = |meta: &redb::Table<&str, u64>, key| -> Result<Option<u64>, redb::Error> {
-                Ok(meta.get(key)?.map(|v| v.value()))
-            };
-            let format = get(&meta, "format")?.unwrap_or(FORMAT);
-            let number = get(&meta, "number")?.unwrap_or_else(fresh_number);
-            let start = get(&meta, "start")?.unwrap_or(0) + 1;
-            for (key, value) in [("format", format), ("number", number), ("start", start)] {
-                meta.insert(key, value)?;
-            }
-            (number, start, format)
-        };
-        // The count of starts is on the disk before anybody is told of this one.
+            meta.insert("format", FORMAT)?;
+            meta.insert("number", number)?;
+        }
         txn.commit()?;
-        Ok((number, start, format))
+        // The count of starts is on the disk before anybody is told of this one.
+        Ok((number, count_start(&db)?))
     };
-    let (number, start, format) = opened().map_err(told("cannot be opened"))?;
-    if format != FORMAT {
-        return Err(format!("copies.data: {}: format {format}, where {FORMAT} is read", file.display()));
-    }
-    let held = load(&db).map_err(|why| format!("copies.data: {}: {why}", file.display()))?;
+    let (number, start) = opened()?;
+    let held = load(&db).map_err(Wrong::Damaged)?;
     Ok((db, number, start, held))
 }
 
+fn read_meta(db: &Database, key: &str) -> Result<Option<u64>, redb::Error> {
+    let txn = db.begin_read()?;
+    match txn.open_table(META) {
+        Ok(meta) => Ok(meta.get(key)?.map(|v| v.value())),
+        Err(redb::TableError::TableDoesNotExist(_)) => Ok(None),
+        Err(e) => Err(e.into()),
+    }
+}
+
 /// Counts another start of a store that is open.
-fn count_start(db: &Database) -> Result<u64, String> {
-    let counted = || -> Result<u64, redb::Error> {
-        let txn = db.begin_write()?;
-        let start = {
-            let mut meta = txn.open_table(META)?;
-            let start = meta.get("start")?.map_or(0, |v| v.value()) + 1;
-            meta.insert("start", start)?;
-            start
-        };
-        txn.commit()?;
-        Ok(start)
+fn count_start(db: &Database) -> Result<u64, redb::Error> {
+    let txn = db.begin_write()?;
+    let start = {
+        let mut meta = txn.open_table(META)?;
+        let start = meta.get("start")?.map_or(0, |v| v.value()) + 1;
+        meta.insert("start", start)?;
+        start
     };
-    counted().map_err(|e| e.to_string())
+    txn.commit()?;
+    Ok(start)
 }
 
 fn load<C: Content>(db: &Database) -> Result<Held<C>, String> {
@@ -226,6 +263,8 @@
     reached: Cell<Option<bool>>,
     /// Something is on its way to the disk.
     writing: Cell<bool>,
+    /// A write failed: this node is out for good, until the process is started again.
+    lost: Cell<bool>,
     drift: Drift,
 }
 
@@ -283,6 +322,7 @@
             links: Cell::new(0),
             reached: Cell::new(None),
             writing: Cell::new(false),
+            lost: Cell::new(false),
             drift,
         });
         executor.spawn(Rc::clone(&copies).accept(listener)).detach();
@@ -465,6 +505,7 @@
                 Err(why) => {
                     log::error!(event = "disk"; "copies: the disk failed, this node promises nothing more: {why}");
                     self.node.borrow_mut().disk_failed();
+                    self.lost.set(true);
                     return;
                 }
             }
@@ -494,11 +535,15 @@
     /// is not known to anybody. Its number.
     async fn begin_anew(self: &Rc<Self>) -> Result<u64, String> {
         self.node.borrow_mut().disk_failed();
-        while self.writing.get() || !self.disk.is_empty() {
+        while !self.lost.get() && (self.writing.get() || !self.disk.is_empty()) {
             Timer::after(TICK).await;
         }
         let db = Arc::clone(&self.db);
-        let (start, held) = unblock(move || Ok::<_, String>((count_start(&db)?, load::<C>(&db)?))).await?;
+        let (start, held) = unblock(move || {
+            let start = count_start(&db).map_err(|e| e.to_string())?;
+            Ok::<_, String>((start, load::<C>(&db)?))
+        })
+        .await?;
         let node = Node::new(self.at.id, start, self.drift, held, Variant::Whole);
         self.node.replace(node);
         // Who waits is told what is true: it may have been kept.
@@ -518,9 +563,12 @@
             let sent = self.ticks.now();
             let have = self.node.borrow().table().version();
             let join = Request::Copies(Change::Join { at: self.at.clone(), start, shape });
-            let table = Request::Table { node: Some((self.at.id, start)), have };
+            // Guards against shards that nobody serves: while a node asks as itself, the group takes it to be up. One
+            // whose disk has failed asks where the others are, for its own clients.
+            let lost = self.lost.get();
+            let table = Request::Table { node: (!lost).then_some((self.at.id, start)), have };
             let limit = Duration::from_millis(every * 3).min(GROUP);
-            let answer = ask::leader(&self.doors, if joined { &table } else { &join }, limit).await;
+            let answer = ask::leader(&self.doors, if joined || lost { &table } else { &join }, limit).await;
             if self.reached.replace(Some(answer.is_ok())) != Some(answer.is_ok()) {
                 match &answer {
                     Ok(_) => log::info!("copies: the group is reached"),
@@ -546,7 +594,7 @@
                     every = (word.good_ms / 4).max(50);
                     let up = self.node.borrow_mut().told(sent, word, self.ticks.now());
                     self.pump();
-                    if !up {
+                    if !up && !self.lost.get() {
                         log::warn!(event = "gone"; "copies: the group took this node to be gone; it comes again");
                         joined = false;
                         match self.begin_anew().await {
@@ -570,3 +618,51 @@
 pub fn left(until: Instant) -> Duration {
     until.saturating_duration_since(Instant::now())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use notchdoor_missing::{Filter, Op};
+
+    fn op(n: u64) -> Op {
+        Op::Missing { key: format!("key-{n}").into_bytes(), token: 0, at: n }
+    }
+
+    /// A byte of the file that is another one is found at the start, wherever it is: the store is put aside, or what it
+    /// holds is what was written.
+    #[test]
+    fn a_changed_byte_of_the_store_is_never_answered_from() {
+        let folder = std::env::temp_dir().join(format!("notchdoor-store-{}", std::process::id()));
+        let written = {
+            let (db, ..) = open::<Filter>(&folder).unwrap();
+            let writes: Vec<_> = (1..=40).map(|seq| Write::Op { shard: 3, seq, op: op(seq) }).collect();
+            keep::<Filter>(&db, &writes).unwrap();
+            load::<Filter>(&db).unwrap()
+        };
+        let file = folder.join("copies.redb");
+        let (_, number, start, held) = open::<Filter>(&folder).unwrap();
+        assert_eq!((start, &held), (2, &written));
+        let good = std::fs::read(&file).unwrap();
+        let text = good.windows(5).position(|w| w == b"key-7").expect("a key stands in the file");
+        let mut put_aside = 0;
+        for at in [text, 0, 9, 70, 200].into_iter().chain((0..good.len()).step_by(good.len() / 40)) {
+            let mut bad = good.clone();
+            bad[at] ^= 0x10;
+            std::fs::write(&file, &bad).unwrap();
+            match open::<Filter>(&folder) {
+                Ok((_, other, _, held)) if other != number => {
+                    assert!(held.is_empty(), "byte {at}: another node holds {held:?}");
+                    assert_eq!(std::fs::read(folder.join("copies.damaged")).unwrap().len(), good.len());
+                    put_aside += 1;
+                }
+                Ok((.., held)) => assert_eq!(held, written, "byte {at}"),
+                Err(why) => assert!(why.starts_with("copies.data: "), "byte {at}: {why}"),
+            }
+            assert!(at != text || put_aside == 1, "a changed key is found");
+        }
+        assert!(put_aside > 3, "{put_aside} were put aside");
+        std::fs::write(&file, &good).unwrap();
+        drop(open::<Filter>(&folder).unwrap());
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
--- a/rig/src/group/process.rs
+++ b/rig/src/group/process.rs
@@ -1,12 +1,23 @@
 //! A process of the program under test: started, killed, paused, resumed, started again.
 
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use std::fs::File;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
+/// Makes the disk full for a process, or gives it room again: no file of its own may grow by a byte, or be written. One
+/// that does not ignore `SIGXFSZ` ends at its next write.
+pub fn full_disk(pid: u32, full: bool) -> io::Result<()> {
+    let pid = i32::try_from(pid).ok().and_then(Pid::from_raw).ok_or(io::ErrorKind::InvalidInput)?;
+    let room = full.then_some(0);
+    // The hard limit stays, or the room could not be given back.
+    let hard = prlimit(Some(pid), Resource::Fsize, Rlimit { current: room, maximum: None })?.maximum;
+    debug_assert_eq!(hard, None);
+    Ok(())
+}
+
 /// How to start the process, each time anew.
 pub type Starter = Box<dyn Fn() -> Command + Send>;
 
