lab pairs: this program and earlier revisions on one group, upgraded and rolled back

Revisions are built out of the repository's own history into target/pairs (rig/revisions.txt); three members and three proxies with leases and versions are started as one revision, changed one by one into the other, back half way, and on again, both ways; each member goes on, a holder acts after each step, the checker of leases judges it.

--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -1,6 +1,6 @@
 //! `notchdoor lab`: days of a whole fleet in virtual time.
 
-use crate::{group, Exit, Outcome};
+use crate::{group, pairs, Exit, Outcome};
 use clap::{Args, Subcommand};
 use notchdoor_lab::leases;
 use notchdoor_lab::leases::schedule::Schedule;
@@ -58,6 +58,13 @@
   notchdoor lab faults --plays 50 --processes 8
   notchdoor lab faults --plays 200 --broken no-fence --out found")]
     Faults(Faults),
+    /// Play this program and earlier revisions of it against each other on one lease group: an upgrade, rolled back half
+    /// way and made again, both ways.
+    #[command(after_help = "Examples:
+  notchdoor lab pairs
+  notchdoor lab pairs --with 7fa3b63
+  notchdoor lab pairs --program /path/to/an/earlier/notchdoor")]
+    Pairs(pairs::Pairs),
     /// Measure the lease group on processes: takeovers, load, latency, a long run.
     #[command(after_help = "Examples:
   notchdoor lab group takeover --plays 50 --out results/takeover
@@ -230,6 +237,7 @@
         Command::Shrink(shrink) => make_small(shrink),
         Command::Compare(compare) => hold_against(compare),
         Command::Faults(faults) => inject(faults),
+        Command::Pairs(options) => pairs::run(options),
         Command::Group(group) => group::run(group),
         Command::List { json } => {
             list(*json);
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod group;
 mod lab;
 mod load;
+mod pairs;
 mod settings;
 
 use clap::{CommandFactory, Parser, Subcommand};
--- /dev/null
+++ b/cli/src/pairs.rs
@@ -0,0 +1,68 @@
+//! `notchdoor lab pairs`: this program and earlier revisions of it on one lease group.
+
+use crate::{Exit, Outcome};
+use clap::Args;
+use notchdoor_rig::group::fleet::Plan;
+use notchdoor_rig::group::pairs;
+use std::path::PathBuf;
+
+#[derive(Args)]
+pub struct Pairs {
+    /// An earlier revision; those of `rig/revisions.txt` where none is given.
+    #[arg(long, value_name = "REVISION")]
+    with: Vec<String>,
+    /// An earlier build of the program, in place of revisions.
+    #[arg(long, value_name = "FILE", conflicts_with = "with")]
+    program: Option<PathBuf>,
+    /// The repository whose history has the revisions.
+    #[arg(long, value_name = "DIR", default_value = ".")]
+    repository: PathBuf,
+    /// Where revisions are built and kept.
+    #[arg(long, value_name = "DIR", default_value = "target/pairs")]
+    folder: PathBuf,
+    /// The bound on versions that the proxies act on, in milliseconds; 0 for none.
+    #[arg(long, default_value_t = 2000)]
+    within_ms: u64,
+}
+
+pub fn run(options: &Pairs) -> Outcome {
+    let present = std::env::current_exe().map_err(|e| format!("this program cannot be found: {e}"))?;
+    let mut programs = Vec::new();
+    if let Some(program) = &options.program {
+        programs.push((program.display().to_string(), program.clone()));
+    } else {
+        let listed = || pairs::revisions().map(str::to_owned).collect();
+        let revisions = if options.with.is_empty() { listed() } else { options.with.clone() };
+        for revision in revisions {
+            eprintln!("building {revision}");
+            let program = pairs::build(&options.repository, &revision, &options.folder)?;
+            programs.push((revision, program));
+        }
+    }
+    let mut all = Exit::Good;
+    for (name, earlier) in &programs {
+        // Both ways: from the earlier one to this and back, and the other way round.
+        let ways = [(earlier, &present, "to this one"), (&present, earlier, "from this one")];
+        for (n, (from, to, way)) in ways.into_iter().enumerate() {
+            let folder = std::env::temp_dir().join(format!("notchdoor-pairs-{}-{n}", std::process::id()));
+            let within = (options.within_ms > 0).then_some(options.within_ms);
+            let plan = Plan { within_ms: within, ..Plan::new(from, folder) };
+            match pairs::upgrade(plan, to) {
+                Ok(paired) => println!(
+                    "{name}, {way}: {} processes changed, a holder acted after {} ms at most; {} actions let in, {} \
+                     refused by the fence, {} handovers: nothing broken",
+                    paired.steps,
+                    paired.slowest.as_millis(),
+                    paired.checked.admitted,
+                    paired.checked.refused,
+                    paired.checked.handovers
+                ),
+                Err(why) => {
+                    println!("{name}, {way}: {why}");
+                    all = Exit::Lost;
+                }
+            }
+        }
+    }
+    Ok(all)
+}
--- a/rig/src/group/fleet.rs
+++ b/rig/src/group/fleet.rs
@@ -190,13 +190,13 @@
         }
         let file = self.plan.folder.join(format!("m{id}.toml"));
         std::fs::write(&file, text)?;
-        let program = self.plan.program.clone();
-        let start = move || {
-            let mut command = Command::new(&program);
+        let start = move |program: &Path| {
+            let mut command = Command::new(program);
             command.args(["coord", "run", "--config"]).arg(&file);
             command
         };
-        let process = Process::new(&format!("m{id}"), &self.plan.folder, Box::new(start));
+        let Plan { folder, program, .. } = &self.plan;
+        let process = Process::new(&format!("m{id}"), folder, program, Box::new(start));
         self.members.insert(id, process);
         Ok(())
     }
@@ -233,16 +233,17 @@
         let (file, config) = (folder.join("coord.toml"), folder.join("config.json"));
         std::fs::write(&file, text)?;
         std::fs::write(&config, proxy_config(&format!("p{proxy}")))?;
-        let (program, admin) = (self.plan.program.clone(), address());
+        let admin = address();
         self.admin.push(admin);
-        let start = move || {
-            let mut command = Command::new(&program);
+        let start = move |program: &Path| {
+            let mut command = Command::new(program);
             command.args(["serve", "--log-format", "json", "--log-level", "debug", "--coord"]).arg(&file);
             command.env("EDGE_CONFIG", &config).env("TMPDIR", &folder);
             command.env("EDGE_ADMIN_ADDR", admin.to_string());
             command
         };
-        self.proxies.push(Process::new(&format!("p{proxy}"), &self.plan.folder, Box::new(start)));
+        let Plan { folder, program, .. } = &self.plan;
+        self.proxies.push(Process::new(&format!("p{proxy}"), folder, program, Box::new(start)));
         Ok(())
     }
 
@@ -433,6 +434,11 @@
         Ok(checked)
     }
 
+    /// Tasks of the plan.
+    pub fn tasks(&self) -> usize {
+        self.plan.tasks.len()
+    }
+
     /// The name of a task.
     pub fn task(&self, n: usize) -> String {
         self.plan.tasks[n].clone()
--- a/rig/src/group/mod.rs
+++ b/rig/src/group/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod links;
 pub mod measure;
+pub mod pairs;
 pub mod process;
 pub mod resource;
 pub mod schedule;
--- a/rig/src/group/process.rs
+++ b/rig/src/group/process.rs
@@ -18,11 +18,12 @@
     Ok(())
 }
 
-/// How to start the process, each time anew.
-pub type Starter = Box<dyn Fn() -> Command + Send>;
+/// How to start the process of a program, each time anew.
+pub type Starter = Box<dyn Fn(&Path) -> Command + Send>;
 
 /// A process and the file that its log goes to. It is killed when this is dropped.
 pub struct Process {
+    program: PathBuf,
     start: Starter,
     log: PathBuf,
     child: Option<Child>,
@@ -31,9 +32,14 @@
 
 impl Process {
     /// One that is not started yet; its log goes on over all starts.
-    pub fn new(name: &str, folder: &Path, start: Starter) -> Process {
+    pub fn new(name: &str, folder: &Path, program: &Path, start: Starter) -> Process {
         let log = folder.join(format!("{name}.log"));
-        Process { start, log, child: None, paused: false }
+        Process { program: program.to_owned(), start, log, child: None, paused: false }
+    }
+
+    /// Takes another program from its next start on.
+    pub fn swap(&mut self, program: &Path) {
+        program.clone_into(&mut self.program);
     }
 
     /// Starts it, if it does not run.
@@ -42,7 +48,7 @@
             return Ok(());
         }
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let mut command = (self.start)();
+        let mut command = (self.start)(&self.program);
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
         (self.child, self.paused) = (Some(child), false);
         Ok(())
