Copies: a store that could not be read just now is not put aside as damaged

Read over: load told every error as text, and open took each for damage: a read error of the moment would have had a good store put aside and its node come as another. Only bytes that make no sense are damage now; the rest is an error that names the file, as for the other steps of open_file.

--- a/proxy/src/group/copies.rs
+++ b/proxy/src/group/copies.rs
@@ -63,6 +63,13 @@
     Other(String),
 }
 
+impl Wrong {
+    fn why(self) -> String {
+        let (Wrong::Damaged(why) | Wrong::Other(why)) = self;
+        why
+    }
+}
+
 impl From<redb::Error> for Wrong {
     fn from(error: redb::Error) -> Wrong {
         match error {
@@ -90,7 +97,7 @@
             let aside = folder.join("copies.damaged");
             log::error!(event = "damaged"; "copies: the store is damaged, it is put aside as {}: {why}", aside.display());
             std::fs::rename(&file, &aside).map_err(|e| told(e.to_string()))?;
-            open_file(&file).map_err(|(Wrong::Damaged(why) | Wrong::Other(why))| told(why))
+            open_file(&file).map_err(|wrong| told(wrong.why()))
         }
     }
 }
@@ -120,7 +127,7 @@
         Ok((number, count_start(&db)?))
     };
     let (number, start) = opened()?;
-    let held = load(&db).map_err(Wrong::Damaged)?;
+    let held = load(&db)?;
     Ok((db, number, start, held))
 }
 
@@ -146,9 +153,10 @@
     Ok(start)
 }
 
-fn load<C: Content>(db: &Database) -> Result<Held<C>, String> {
-    let failed = |e: redb::Error| e.to_string();
-    let bad = |shard: u32| move |e: postcard::Error| format!("shard {shard}: {e}");
+fn load<C: Content>(db: &Database) -> Result<Held<C>, Wrong> {
+    // What could not be read just now is no damage: the store is not put aside for it.
+    let failed = |e: redb::Error| Wrong::from(e);
+    let bad = |shard: u32| move |e: postcard::Error| Wrong::Damaged(format!("shard {shard}: {e}"));
     let txn = db.begin_read().map_err(|e| failed(e.into()))?;
     let whole = txn.open_table(WHOLE).map_err(|e| failed(e.into()))?;
     let ops = txn.open_table(OPS).map_err(|e| failed(e.into()))?;
@@ -164,7 +172,7 @@
         let op: C::Op = postcard::from_bytes(bytes.value()).map_err(bad(shard))?;
         let (last, content) = held.entry(shard).or_default();
         if seq != *last + 1 {
-            return Err(format!("shard {shard}: operation {seq} comes after {last}"));
+            return Err(Wrong::Damaged(format!("shard {shard}: operation {seq} comes after {last}")));
         }
         *last = seq;
         content.apply(&op);
@@ -541,7 +549,7 @@
         let db = Arc::clone(&self.db);
         let (start, held) = unblock(move || {
             let start = count_start(&db).map_err(|e| e.to_string())?;
-            Ok::<_, String>((start, load::<C>(&db)?))
+            Ok::<_, String>((start, load::<C>(&db).map_err(Wrong::why)?))
         })
         .await?;
         let node = Node::new(self.at.id, start, self.drift, held, Variant::Whole);
@@ -637,7 +645,7 @@
             let (db, ..) = open::<Filter>(&folder).unwrap();
             let writes: Vec<_> = (1..=40).map(|seq| Write::Op { shard: 3, seq, op: op(seq) }).collect();
             keep::<Filter>(&db, &writes).unwrap();
-            load::<Filter>(&db).unwrap()
+            load::<Filter>(&db).map_err(Wrong::why).unwrap()
         };
         let file = folder.join("copies.redb");
         let (_, number, start, held) = open::<Filter>(&folder).unwrap();
