What outlives a process is kept by deployment: no customer takes up another's workers out

Cause: Handover::join named its files by the proxy's name and address alone, in a folder that two customers on one machine may share; the second one's process took the first one's workers out by hand for its own, and counted its process as the other half of an upgrade. Now the names of classes, tenants, zones and kinds are part of the file's name; files of another deployment are logged and not opened. Ruled out: a digest of all settings, since an upgrade with a changed constant would then put back what is out.

--- a/proxy/src/state/handover.rs
+++ b/proxy/src/state/handover.rs
@@ -1,5 +1,6 @@
 //! What outlives a process, and how two processes of one proxy know of each other: a few small files in one folder,
-//! under the proxy's name and address.
+//! under the proxy's name, its address and its deployment: on a machine of two customers, each may have a proxy of the
+//! same name and address.
 //!
 //! The state file is replaced by rename, so that a process that dies on the way leaves the old one. A lock on one of
 //! the slots tells that its holder lives: it goes with the process, however that ends.
@@ -18,6 +19,8 @@
 const SLOTS: usize = 4;
 /// The largest file that is read.
 const MOST_BYTES: u64 = 256 * 1024;
+/// So many files of the folder are looked at.
+const MOST_FILES: usize = 4096;
 /// The most workers that can be out by hand.
 pub const MOST_OUT: usize = 256;
 
@@ -161,12 +164,22 @@
 }
 
 impl Handover {
-    /// Takes a slot in this folder and the state that is there. The error says why there is no handover; what is
+    /// Takes a slot in this folder and the state that is there. What another deployment has left there is left alone. The
+    /// error says why there is no handover; what is
     /// wrong with the state alone is told in the second place, and then nothing is out.
-    pub fn join(folder: &Path, name: &str, address: &str) -> Result<(Self, Option<String>), String> {
+    pub fn join(
+        folder: &Path,
+        name: &str,
+        address: &str,
+        deployment: u64,
+    ) -> Result<(Self, Option<String>), String> {
         let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '_' };
         let file: String = format!("{name:.64}-{address}").chars().map(plain).collect();
-        let base = folder.join(format!("notchdoor-{file}"));
+        let (any, own) = (format!("notchdoor-{file}"), format!("notchdoor-{file}-{deployment:016x}"));
+        for foreign in foreign(folder, &any, &own) {
+            log::warn!("handover: {foreign} is of another deployment and left alone");
+        }
+        let base = folder.join(own);
         for slot in 0..SLOTS {
             let path = slot_path(&base, slot);
             let lock = lockable(&path).map_err(|e| format!("{}: {e}", path.display()))?;
@@ -254,6 +267,19 @@
     }
 }
 
+/// The states in this folder that a proxy of this name and address has left which is not our own.
+fn foreign(folder: &Path, any: &str, own: &str) -> Vec<String> {
+    let files = std::fs::read_dir(folder).into_iter().flatten().flatten().take(MOST_FILES);
+    let names = files.filter_map(|f| f.file_name().into_string().ok());
+    let state = |name: &String| {
+        name.strip_suffix(".state").is_some_and(|base| {
+            let rest = base.strip_prefix(any).is_some_and(|r| r.is_empty() || r.starts_with('-'));
+            rest && base != own
+        })
+    };
+    names.filter(state).take(SLOTS).collect()
+}
+
 fn slot_path(base: &Path, slot: usize) -> PathBuf {
     base.with_extension(format!("{slot}.slot"))
 }
@@ -291,7 +317,7 @@
     }
 
     fn join(folder: &Path) -> Handover {
-        let (joined, wrong) = Handover::join(folder, "n3", "127.0.0.1:6379").unwrap();
+        let (joined, wrong) = Handover::join(folder, "n3", "127.0.0.1:6379", 1).unwrap();
         assert_eq!(wrong, None);
         joined
     }
@@ -342,14 +368,14 @@
         ];
         for (text, told) in cases {
             std::fs::write(&path, &text).unwrap();
-            let (joined, wrong) = Handover::join(&folder, "n3", "127.0.0.1:6379").unwrap();
+            let (joined, wrong) = Handover::join(&folder, "n3", "127.0.0.1:6379", 1).unwrap();
             assert!(wrong.as_ref().is_some_and(|w| w.contains(told)), "{told}: {wrong:?}");
             assert!(joined.state.out.is_empty(), "{text}");
         }
         std::fs::write(&path, good).unwrap();
         assert_eq!(join(&folder).state.out, ["w"]);
         assert!(
-            Handover::join(&folder.join("nowhere"), "n3", "a").is_err(),
+            Handover::join(&folder.join("nowhere"), "n3", "a", 1).is_err(),
             "a folder that cannot be written"
         );
     }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -171,6 +171,19 @@
     pub kinds: Vec<String>,
 }
 
+impl Names {
+    /// A number for the deployment that these are the names of: another customer's has another one.
+    pub fn deployment(&self) -> u64 {
+        let mut text = String::new();
+        for name in [&self.classes, &self.tenants, &self.zones, &self.kinds].into_iter().flatten() {
+            text.push_str(name);
+            // No name holds one, so that no two lists of names come to the same text.
+            text.push('\0');
+        }
+        notchdoor::key_hash(text.as_bytes())
+    }
+}
+
 /// A name's place among `names`.
 pub fn position(names: &[String], name: &str) -> Option<u32> {
     names.iter().position(|n| n == name).map(|i| i as u32)
