--- a/proxy/src/state/pool.rs
+++ b/proxy/src/state/pool.rs
@@ -7,6 +7,9 @@
 
 /// Idle connections that are kept for one worker.
 const MOST_IDLE: usize = 24;
+/// A connection rests so long after a reply before it takes another command. Guards against what comes some
+/// milliseconds behind a reply, such as a second copy of it: read too early it would be taken for the next one's.
+const REST: Micros = 8_000;
 
 /// One socket of a budget: given back when it is dropped.
 pub struct Ticket(Rc<Cell<usize>>);
@@ -91,17 +94,22 @@
         shelf.generation
     }
 
-    /// The connection that was used most recently, if it is not too old, and since when it has been idle.
+    /// The connection that was used most recently among those that are rested, if it is not too old; where none is,
+    /// the one that will be first. And when it is rested.
     pub fn take(&mut self, now: Micros, server: ServerId) -> Option<(Micros, C)> {
         let retire_after = self.retire_after;
-        let shelf = self.shelves.get_mut(&server)?;
-        let (since, connection) = shelf.idle.pop()?;
+        let idle = &mut self.shelves.get_mut(&server)?.idle;
+        let rested = idle.iter().rposition(|(since, _)| since + REST <= now);
+        if idle.is_empty() {
+            return None;
+        }
+        let (since, connection) = idle.remove(rested.unwrap_or(0));
         if since + retire_after > now {
-            return Some((since, connection));
+            return Some((since + REST, connection));
         }
-        // The others have been idle for longer still.
-        shelf.idle.clear();
-        None
+        // Those before it have been idle for longer still.
+        idle.drain(..rested.unwrap_or(0));
+        self.take(now, server)
     }
 
     /// Takes back a connection. It is dropped if its generation is over; of too many, the oldest is.
@@ -158,7 +166,7 @@
         for (now, c) in [(0, 'a'), (S, 'b'), (2 * S, 'c')] {
             pools.put(now, 1, generation, c);
         }
-        assert_eq!(pools.take(3 * S, 1), Some((2 * S, 'c')));
+        assert_eq!(pools.take(3 * S, 1), Some((2 * S + REST, 'c')));
         assert_eq!(pools.take(3 * S, 2), None);
         pools.sweep(27 * S, |_| true);
         assert_eq!(pools.idle(1), 1, "retired a tenth before the worker closes it");
