A watch that falls silent is replaced within the 6 s in which its changes count as told

Cause: silence was seen after 4.5 s, a connect could take 1 s, the pause follows, and a new watch that was silent too took another 4.5 s (watch.rs, SILENCE, CONNECT, LINE). Now 2.75 s of a beat of 2 s, 1.5 s for connect, request and first byte in one, 5 s for a line: a third call begins within 5.4 s.

--- a/proxy/src/wire/driver/watch.rs
+++ b/proxy/src/wire/driver/watch.rs
@@ -10,15 +10,17 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// A connection to the registry is up by then or never.
-const CONNECT: Duration = Duration::from_millis(1000);
+// A watch that falls silent is missed: whatever it does not tell counts as told 6 s after it fell silent. These times,
+// with the pauses of the module between calls, leave room within that for a second call where the first is silent too.
+
+/// A call has begun to be answered by then or never: the registry fails those that have waited for a second.
+const FIRST: Duration = Duration::from_millis(1500);
 /// A watch has a beat of 2 s; one that is silent for so long is dead. Guards against a registry that was
 /// cut off: its connection stays open and says nothing, and drains would go unheard.
-const SILENCE: Duration = Duration::from_millis(4500);
-
+const SILENCE: Duration = Duration::from_millis(2750);
 /// A line is whole so long after the one before it. Guards against a registry that sends a byte now and then: its
 /// watch is not silent, and drains would go unheard all the same.
-const LINE: Duration = Duration::from_secs(15);
+const LINE: Duration = Duration::from_secs(5);
 
 /// Watches until the watch ends, and tells the proxy how it did.
 pub async fn run(shell: Rc<Shell>) {
@@ -56,15 +58,18 @@
         proxy.counters.watches += 1;
         proxy.registry.rev()
     };
-    let mut io = within(CONNECT, Async::<TcpStream>::connect(registry)).await?;
-    let _ = io.get_ref().set_nodelay(true);
-    let request = registry::encode(&registry.to_string(), rev);
-    within(CONNECT, io.write_all(&request)).await?;
     let mut decoder = registry::Decoder::default();
     let mut buffer = vec![0; 16 * 1024];
     let (mut lines, mut line_at) = (0, Instant::now());
+    let answered = async {
+        let mut io = Async::<TcpStream>::connect(registry).await?;
+        let _ = io.get_ref().set_nodelay(true);
+        io.write_all(&registry::encode(&registry.to_string(), rev)).await?;
+        let n = io.read(&mut buffer).await?;
+        Ok((io, n))
+    };
+    let (mut io, mut n) = within(FIRST, answered).await?;
     loop {
-        let n = within(SILENCE.min(LINE.saturating_sub(line_at.elapsed())), io.read(&mut buffer)).await?;
         if n == 0 {
             return Ok(());
         }
@@ -81,5 +86,6 @@
             (lines, line_at) = (decoder.lines(), Instant::now());
             shell.heard.set(true);
         }
+        n = within(SILENCE.min(LINE.saturating_sub(line_at.elapsed())), io.read(&mut buffer)).await?;
     }
 }
