An attempt begins only for a client that is there, and every orderly end lingers

Cause: origin::encode passed X-Call-Info on as it came, so a fetch behind a miss told the client's first d. Now it tells what is left.

Now poll with RDHUP sees the close behind unread bytes, in every such wait, before a request is taken and before a command is written (delegation.rs, may_begin). - may_begin also holds back what was decided on before its connection came up: a request that is over, a worker that was started anew, a repeat past its window (Action::Send carries begin_by, from Brain::allowed). - Only errors lingered; a close over unread bytes reset the connection. Now every orderly end lingers, one way. - A stop went on reading connections that always had a request open, and ended with them unanswered; it reads nothing new from 0.55 s on, and what is open at its end is answered (Event::Due). - Pauses between registry calls grew to a quarter of askEvery and half as much again; 3 s at most now. - A request is answered 10 ms or a fortieth of its time before its client gives up.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -135,7 +135,7 @@
     fn write(&mut self, who: &str, action: Action, now: Micros, reply: &mut Vec<u8>) {
         let name = |id: &RequestId| self.tickets.get(id).map_or("", |t| t.name.as_str());
         let output = match &action {
-            Action::Send { id, server, give_up_at } => Output::Route {
+            Action::Send { id, server, give_up_at, .. } => Output::Route {
                 who,
                 ticket: name(id),
                 node: *server,
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -218,12 +218,13 @@
     listen: SocketAddr,
     lines: &[String],
     (sockets, memory): (u32, u32),
+    settings: &str,
 ) -> String {
     format!(
         r#"{{"name":"n0","listen":"{listen}","discovery":"{}","seed":"7","limits":{{"memory_mb":{memory},"sockets":{sockets}}},"known":{{"rev":41,"all":true,"targets":[{}]}},"settings":{}}}"#,
         registry.endpoint,
         lines.join(","),
-        settings()
+        settings
     )
 }
 
@@ -264,7 +265,8 @@
         Proxy::with_files(registry, lines, limits, &files)
     }
 
-    /// The same with files beside the configuration: `policy.toml`, and `coord.toml` of the lease group.
+    /// The same with files beside the configuration: `policy.toml`, and `coord.toml` of the lease group; or with other
+    /// settings, as `settings.json`.
     pub fn with_files(
         registry: &Registry,
         lines: &[String],
@@ -275,7 +277,9 @@
         let name = format!("notchdoor-test-{}-{}", std::process::id(), listen.port());
         let folder = Arc::new(Folder(std::env::temp_dir().join(name)));
         std::fs::create_dir_all(&folder.0).unwrap();
-        std::fs::write(folder.0.join("config"), config(registry, listen, lines, limits)).unwrap();
+        let settings = files.iter().find(|(name, _)| *name == "settings.json").map_or(settings(), |f| f.1);
+        let text = config(registry, listen, lines, limits, settings);
+        std::fs::write(folder.0.join("config"), text).unwrap();
         for (name, text) in files {
             std::fs::write(folder.0.join(name), text).unwrap();
         }
@@ -293,15 +297,31 @@
         proxy
     }
 
-    /// Starts a second process beside this one and waits until it says yes.
-    pub fn beside(&self, registry: &Registry) -> Proxy {
-        let second = Proxy::spawn(registry, self.listen, Arc::clone(&self.folder));
+    /// Starts the program once more on what is in this folder, and waits until it says yes.
+    pub fn again(registry: &Registry, folder: Arc<Folder>) -> Proxy {
+        Proxy::begun(registry, folder).until_ready()
+    }
+
+    /// The same without the wait.
+    pub fn begun(registry: &Registry, folder: Arc<Folder>) -> Proxy {
+        let text = std::fs::read_to_string(folder.0.join("config")).unwrap();
+        let config: serde_json::Value = serde_json::from_str(&text).unwrap();
+        let listen = config["listen"].as_str().unwrap().parse().unwrap();
+        Proxy::spawn(registry, listen, folder)
+    }
+
+    fn until_ready(self) -> Proxy {
         let until = Instant::now() + PATIENCE;
-        while second.call("GET", "/_ready", "").map(|(status, _)| status) != Some(200) {
+        while self.call("GET", "/_ready", "").map(|(status, _)| status) != Some(200) {
             assert!(Instant::now() < until, "never ready");
             std::thread::sleep(Duration::from_millis(5));
         }
-        second
+        self
+    }
+
+    /// Starts a second process beside this one and waits until it says yes.
+    pub fn beside(&self, registry: &Registry) -> Proxy {
+        Proxy::spawn(registry, self.listen, Arc::clone(&self.folder)).until_ready()
     }
 
     /// An operator's call: the status and the body; `None` if there is no answer.
@@ -372,7 +392,7 @@
 
     /// A configuration that names this registry and, beside it, a list long out of date.
     pub fn config(&self, registry: &Registry) -> String {
-        config(registry, self.listen, &[], (1024, 192)).replace("\"rev\":41", "\"rev\":3")
+        config(registry, self.listen, &[], (1024, 192), settings()).replace("\"rev\":41", "\"rev\":3")
     }
 
     pub fn client(&self) -> Client {
--- a/lab/src/baselines.rs
+++ b/lab/src/baselines.rs
@@ -162,7 +162,8 @@
         held.out += 1;
         held.sent.push((server, now));
         *self.out.entry(server).or_insert(0) += 1;
-        actions.push(Action::Send { id, server, give_up_at: held.request.due });
+        let due = held.request.due;
+        actions.push(Action::Send { id, server, give_up_at: due, begin_by: due });
     }
 
     fn may_send(&self, now: Micros, held: &Held) -> bool {
@@ -310,7 +311,7 @@
                 self.held.remove(&id);
             }
             Event::Timer(WATCH) => actions.push(Action::Watch),
-            Event::Timer(id) => {
+            Event::Timer(id) | Event::Due(id) => {
                 // Its attempts are given up at the same moment, and may have run.
                 if let Some(held) = self.held.get_mut(&id) {
                     if held.out > 0 {
--- a/lab/src/broken.rs
+++ b/lab/src/broken.rs
@@ -121,7 +121,7 @@
             if let Some((server, due)) = self.unsafe_ones.get(&id).copied().filter(|(_, due)| now < *due) {
                 let answers = |a: &Action| matches!(a, Action::Fail { id: i } | Action::Refuse { id: i, .. } if *i == id);
                 actions.retain(|a| !answers(a));
-                actions.push(Action::Send { id, server, give_up_at: due });
+                actions.push(Action::Send { id, server, give_up_at: due, begin_by: due });
             }
         }
         if self.how == Break::Miscounts && ended.is_some() {
--- a/lab/src/day/proxies.rs
+++ b/lab/src/day/proxies.rs
@@ -41,6 +41,7 @@
         Event::Left(id) => (16, *id, 0),
         Event::Timer(token) => (17, *token, 0),
         Event::Late(id) => (18, *id, 0),
+        Event::Due(id) => (19, *id, 0),
     }
 }
 
@@ -78,7 +79,7 @@
             ),
             Event::Left(id) => (Some(*id), "its client left".to_owned()),
             // Timers say little, and there are many.
-            Event::Started { .. } | Event::Timer(_) | Event::Late(_) => return,
+            Event::Started { .. } | Event::Timer(_) | Event::Late(_) | Event::Due(_) => return,
         };
         self.note(Some(proxy), request, None, || what);
     }
@@ -97,7 +98,7 @@
 
     fn act(&mut self, proxy: u32, action: Action) {
         match action {
-            Action::Send { id, server, give_up_at } => self.send(proxy, id, server, give_up_at),
+            Action::Send { id, server, give_up_at, .. } => self.send(proxy, id, server, give_up_at),
             Action::Cancel { id, attempt } => self.cancel(proxy, id, attempt),
             Action::Refuse { id, retry_after } => {
                 self.digest(22, &[u64::from(proxy), id, retry_after]);
--- a/limits/src/layer.rs
+++ b/limits/src/layer.rs
@@ -67,6 +67,7 @@
 struct Attempt {
     server: ServerId,
     give_up_at: Micros,
+    begin_by: Micros,
     /// Its number outside, once it was sent.
     number: Option<u32>,
     stage: Stage,
@@ -268,7 +269,9 @@
 
     fn carry(&mut self, now: Micros, action: Action, actions: &mut Vec<Action>) {
         match action {
-            Action::Send { id, server, give_up_at } => self.send(now, (id, server, give_up_at), actions),
+            Action::Send { id, server, give_up_at, begin_by } => {
+                self.send(now, (id, server), (give_up_at, begin_by), actions);
+            }
             Action::Cancel { id, attempt } => {
                 let Some(held) = self.held.get_mut(&id) else { return };
                 let Some(a) = held.attempts.get_mut(attempt as usize) else { return };
@@ -343,24 +346,26 @@
     fn send(
         &mut self,
         now: Micros,
-        (id, server, give_up_at): (RequestId, ServerId, Micros),
+        (id, server): (RequestId, ServerId),
+        (give_up_at, begin_by): (Micros, Micros),
         actions: &mut Vec<Action>,
     ) {
         if !self.held.contains_key(&id) {
             // Nothing that this layer knows of: it has no say in it.
-            return actions.push(Action::Send { id, server, give_up_at });
+            return actions.push(Action::Send { id, server, give_up_at, begin_by });
         }
         let allowed = self.may_send(now, id, server);
         let wait = if allowed.is_ok() { self.wait(id) } else { 0 };
         let held = self.held.get_mut(&id).expect("looked up above");
         let n = held.attempts.len() as u32;
         let trial = allowed.unwrap_or(false);
-        let mut attempt = Attempt { server, give_up_at, number: None, stage: Stage::Over, sent: now, trial };
+        let mut attempt =
+            Attempt { server, give_up_at, begin_by, number: None, stage: Stage::Over, sent: now, trial };
         if let Err(count) = allowed {
             count(&mut self.done);
             held.attempts.push(attempt);
             self.owed.push_back((id, n, Outcome::Moot));
-        } else if wait > 0 && now + wait >= held.due {
+        } else if wait > 0 && now + wait >= held.due.min(begin_by) {
             void_trial(&held.lane, &attempt);
             self.done.pointless += 1;
             held.attempts.push(attempt);
@@ -394,13 +399,14 @@
         a.number = Some(number);
         a.stage = Stage::Out;
         a.sent = now;
+        let begin_by = a.begin_by;
         let until = if a.give_up_at == 0 { held.due } else { a.give_up_at.min(held.due) };
         let give_up_at = limit.map_or(until, |l| l.min(until));
         held.sent += 1;
         held.out += 1;
         held.failed = false;
         self.out += 1;
-        actions.push(Action::Send { id, server: a.server, give_up_at });
+        actions.push(Action::Send { id, server: a.server, give_up_at, begin_by });
     }
 
     fn arrived(&mut self, now: Micros, mut request: Request, actions: &mut Vec<Action>) {
@@ -659,7 +665,9 @@
                 self.list(members, false);
                 self.pass(now, event, actions);
             }
-            Event::Timer(_) | Event::ListError | Event::Late(_) => self.pass(now, event, actions),
+            Event::Timer(_) | Event::ListError | Event::Late(_) | Event::Due(_) => {
+                self.pass(now, event, actions)
+            }
         }
         self.settle(now, actions);
     }
--- a/limits/tests/layer.rs
+++ b/limits/tests/layer.rs
@@ -52,7 +52,7 @@
 
 impl Decide for Rote {
     fn handle(&mut self, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) {
-        let send = |id, server| Action::Send { id, server, give_up_at: 0 };
+        let send = |id, server| Action::Send { id, server, give_up_at: 0, begin_by: Micros::MAX };
         match event {
             Event::Arrived(r) => {
                 self.held.insert(r.id, (1, 1, false));
@@ -201,7 +201,10 @@
     );
     // Other routes' attempts go on to the client's time.
     let mut host = Host::new(&text);
-    assert_eq!(host.arrive(1, 2, S), [Action::Send { id: 1, server: ORIGIN, give_up_at: S }]);
+    assert_eq!(
+        host.arrive(1, 2, S),
+        [Action::Send { id: 1, server: ORIGIN, give_up_at: S, begin_by: Micros::MAX }]
+    );
 }
 
 #[test]
--- a/proxy/src/lifecycle/signals.rs
+++ b/proxy/src/lifecycle/signals.rs
@@ -66,8 +66,13 @@
 
 /// New connections keep coming for up to 0.4 s after SIGTERM, and then the listener is closed.
 const STILL_ACCEPTING: Duration = Duration::from_millis(450);
+/// Connections that are still owed an answer then are not read any further: the longest of the requests that were
+/// taken before has its time until the stop is over.
+const STILL_TAKING: Duration = Duration::from_millis(550);
 /// SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM.
 const BEFORE_KILL: Duration = Duration::from_millis(600);
+/// What is still open so long before the stop has to be over is answered as it is, and the answers go out.
+const LAST_ANSWERS: Duration = Duration::from_millis(30);
 
 /// The longest deadline that SIGKILL waits for, and what is taken where the settings name none.
 const LONGEST: Duration = Duration::from_secs(3);
@@ -135,7 +140,8 @@
 }
 
 async fn stop(shell: &Rc<Shell>) {
-    let limit = Instant::now() + answering(shell.network.longest_deadline);
+    let begun = Instant::now();
+    let limit = begun + answering(shell.network.longest_deadline);
     shell.begin_stop();
     // With a successor on the same address, new connections go there once the listener is closed.
     if !shell.has_successor() {
@@ -143,7 +149,10 @@
     }
     shell.stop_accepting().await;
     while shell.clients_open() > 0 && Instant::now() < limit {
-        shell.retire_clients();
+        shell.retire_clients(begun.elapsed() >= STILL_TAKING);
+        if Instant::now() + LAST_ANSWERS >= limit {
+            shell.answer_all();
+        }
         Timer::after(Duration::from_millis(5)).await;
     }
     let (clients, owed) = (shell.clients_open(), shell.owed());
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -85,6 +85,8 @@
         call: Rc<C>,
         /// When to give up on it.
         give_up_at: Micros,
+        /// From then on its command may not be written any more.
+        begin_by: Micros,
     },
     /// Close a delegation's connection; nothing more is owed for it.
     Cancel(DelegationId),
@@ -301,6 +303,12 @@
         }
     }
 
+    /// Where the answer goes for which a delegation is out; `None` once nobody waits for it any more.
+    pub fn awaited(&self, delegation: DelegationId) -> Option<Place> {
+        let (id, _) = self.delegations.get(&delegation)?;
+        self.held.get(id).filter(|held| !held.over).map(|held| held.place)
+    }
+
     /// A delegation brings a value that is passed on as it comes: from here on the answer is its. Where that goes;
     /// `None` if nobody waits for it any more. The time is that from the command to its first byte, as
     /// [`Brought::took`].
@@ -423,6 +431,15 @@
         self.feed(now, Event::ListError);
     }
 
+    /// Gives every request its final answer now, but for those whose answer is being passed on.
+    pub fn answer_all(&mut self, now: Micros) {
+        let mut open: Vec<RequestId> = self.places.values().copied().collect();
+        open.sort_unstable();
+        for id in open {
+            self.feed(now, Event::Due(id));
+        }
+    }
+
     /// Fires the timers that have fallen due.
     pub fn tick(&mut self, now: Micros) {
         self.keep_up(now);
@@ -455,7 +472,9 @@
         let mut actions = std::mem::take(&mut self.actions);
         for action in actions.drain(..) {
             match action {
-                Action::Send { id, server, give_up_at } => self.send(now, id, server, give_up_at),
+                Action::Send { id, server, give_up_at, begin_by } => {
+                    self.send(now, id, server, (give_up_at, begin_by));
+                }
                 Action::Cancel { id, attempt } => self.cancel(now, id, attempt),
                 Action::Refuse { id, retry_after } => self.finish(id, Answer::Refused { retry_after }),
                 Action::Fail { id } => self.finish(id, Answer::Failed),
@@ -466,7 +485,13 @@
         self.actions = actions;
     }
 
-    fn send(&mut self, now: Micros, id: RequestId, server: ServerId, give_up_at: Micros) {
+    fn send(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        server: ServerId,
+        (give_up_at, begin_by): (Micros, Micros),
+    ) {
         let Some(held) = self.held.get_mut(&id) else { return };
         let delegation = self.next_delegation;
         self.next_delegation += 1;
@@ -474,7 +499,7 @@
         self.delegations.insert(delegation, (id, held.attempts.len() as u32));
         held.attempts.push(Attempt { delegation, sent: now, out: true });
         let call = Rc::clone(&held.call);
-        self.commands.push(Command::Delegate { delegation, server, call, give_up_at });
+        self.commands.push(Command::Delegate { delegation, server, call, give_up_at, begin_by });
     }
 
     fn cancel(&mut self, now: Micros, id: RequestId, n: u32) {
--- a/proxy/src/state/registry.rs
+++ b/proxy/src/state/registry.rs
@@ -70,6 +70,13 @@
     pub serving: bool,
 }
 
+impl Worker {
+    /// Where it is and since when it runs: a worker of which this has changed is another process.
+    pub fn process(&self) -> (SocketAddr, Micros) {
+        (self.endpoint, self.boot)
+    }
+}
+
 /// What an update comes to.
 #[derive(Debug, Default)]
 pub struct Applied {
--- a/proxy/src/wire/driver/client.rs
+++ b/proxy/src/wire/driver/client.rs
@@ -12,7 +12,9 @@
 use event_listener::Event;
 use futures_lite::future;
 use notchdoor::Micros;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -31,10 +33,10 @@
 const STALLED: Duration = Duration::from_secs(10);
 /// And for so long while answers that wait fill half of the room or more.
 const STALLED_SHORT: Micros = 1_000_000;
-/// For so long a connection that was told an error is kept after it, for less while others wait for its
-/// descriptor, and so many bytes of it are read on.
+/// For so long a connection is kept after the end of our side, for less while others wait for its descriptor, and so
+/// many bytes of it are read on.
 const LINGER: Duration = Duration::from_millis(500);
-const LINGER_SHORT: Duration = Duration::from_millis(40);
+const LINGER_SHORT: Duration = Duration::from_millis(20);
 const LINGER_BYTES: usize = 1024 * 1024;
 /// The time that a client has for a command, from its first byte, and for its first one, from connecting. A
 /// sweep acts on it within a quarter of a second more: some take 2 s over it, and those who never end it are owed an
@@ -57,6 +59,13 @@
 const CALM: Micros = 20_000;
 /// So many may go at once: those who wait may be hundreds, and their time is short.
 const MOST_RETIRED: usize = 8;
+/// How often it is looked whether a client is still there while nothing is read from it: nothing may begin for one that
+/// left 0.1 s ago.
+const LOOK_FOR: Duration = Duration::from_millis(20);
+/// A client is answered so long before its time is over, at the most and as a part of it: an answer on its way then
+/// would come too late.
+const ANSWER_AHEAD: Micros = 10_000;
+const ANSWER_AHEAD_PART: Micros = 40;
 /// Pause after a failure to accept: the descriptor that is missing comes back when a connection ends.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -99,6 +108,29 @@
         session.is_next(place) && session.output().len() < MOST_PASSING
     }
 
+    /// Whether the client has ended its side, or the connection is broken, whatever of it is unread before that.
+    fn gone(&self) -> bool {
+        let mut fds = [PollFd::new(&self.io, PollFlags::RDHUP)];
+        let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+        self.broken.get() || poll(&mut fds, Some(&at_once)).is_ok_and(|n| n > 0)
+    }
+
+    /// Waits for something else than the client's next bytes; `None` if it leaves meanwhile.
+    async fn while_there<T>(&self, what: impl Future<Output = T>) -> Option<T> {
+        let gone = async {
+            while !self.gone() {
+                Timer::after(LOOK_FOR).await;
+            }
+            None
+        };
+        future::or(async { Some(what.await) }, gone).await
+    }
+
+    /// Whether it may be closed where no request is open: not if a request may be on its way as its first one.
+    fn settled(&self, now: Micros) -> bool {
+        self.session.borrow().asked() > 0 || self.used.get() + NEVER_ASKED <= now
+    }
+
     /// Has the connection closed once nothing is owed on it.
     pub fn retire(&self) {
         self.retiring.set(true);
@@ -225,6 +257,42 @@
         }
     }
 
+    /// Whether a client has left. What it was owed is called off then, also where its task has yet to find out.
+    pub(super) fn client_gone(self: &Rc<Self>, id: u64) -> bool {
+        let Some(client) = self.clients.borrow().get(&id).map(Rc::clone) else { return true };
+        if !client.gone() {
+            return false;
+        }
+        client.broken.set(true);
+        client.wake();
+        self.part(id, &client);
+        true
+    }
+
+    /// Nothing more is read from a client, and none of the answers that it is owed are wanted.
+    fn part(self: &Rc<Self>, id: u64, client: &Client) {
+        client.session.borrow_mut().close();
+        let places = client.session.borrow().owed_places();
+        for place in places {
+            self.drive(|proxy, now| proxy.left(now, (id, place)));
+        }
+        client.room.notify(usize::MAX);
+    }
+
+    /// Has every client connection closed once all that was taken on it is answered. Where nothing new is taken any
+    /// more, nothing but the rest of a command is read on those that are still owed something.
+    pub fn retire_clients(&self, nothing_new: bool) {
+        let now = self.clock.now();
+        for client in self.clients.borrow().values() {
+            if nothing_new && client.session.borrow().pending() == 0 {
+                client.session.borrow_mut().close();
+            }
+            if nothing_new || client.settled(now) {
+                client.retire();
+            }
+        }
+    }
+
     /// Does something with the session of a client, if it is there, and writes what comes of it.
     pub(super) fn pass(&self, (id, _): (u64, u64), what: impl FnOnce(&mut Session)) {
         let client = self.clients.borrow().get(&id).map(Rc::clone);
@@ -376,23 +444,20 @@
 async fn serve(shell: Rc<Shell>, id: u64, client: Rc<Client>, ticket: Ticket) {
     let ending = future::or(write(&shell, &client), read(&shell, id, &client)).await;
     log::debug!(client = id, ending = ending.name(); "client {id}: {}", ending.name());
-    if matches!(ending, Ending::ClientMalformed | Ending::ClientSilent) {
+    shell.count_ending(ending);
+    shell.part(id, &client);
+    // One that has left, or takes nothing, has nothing to read.
+    if !matches!(ending, Ending::ClientLeft | Ending::ClientStalled) {
         linger(&shell, &client).await;
     }
     shell.clients.borrow_mut().remove(&id);
-    client.room.notify(usize::MAX);
-    shell.count_ending(ending);
-    client.session.borrow_mut().close();
-    let places = client.session.borrow().owed_places();
-    for place in places {
-        shell.drive(|proxy, now| proxy.left(now, (id, place)));
-    }
     drop(client);
     drop(ticket);
 }
 
-/// Ends the sending and reads on for a moment. Guards against a `-ERR` that the client never sees: a socket
-/// that is closed with unread bytes is reset, and what was written to it may be lost.
+/// The lingering close of every orderly end: ends the sending, and reads on for a moment what nobody will answer.
+/// Guards against an answer or an error that the client never sees: a socket that is closed with unread bytes is reset,
+/// and what was written to it may be lost. A request that crosses the end is its client's to send once more.
 async fn linger(shell: &Shell, client: &Client) {
     let _ = client.io.get_ref().shutdown(Shutdown::Write);
     let drain = async {
@@ -454,18 +519,29 @@
     loop {
         loop {
             // Guards against requests that a cut would take along: they are left unread until the answer is whole.
-            while client.session.borrow().passing() {
-                client.room.listen().await;
+            let passed = client.while_there(async {
+                while client.session.borrow().passing() {
+                    client.room.listen().await;
+                }
+            });
+            if passed.await.is_none() {
+                return Ending::ClientLeft;
             }
             let Some(ask) = client.session.borrow_mut().next_ask() else { break };
             // Guards against a whole command that is closed on, or told to have taken too long, while it waits for
             // room: it is owed an answer from here on.
             client.half_since.set(0);
-            while client.session.borrow().owed() > MOST_OWED
-                || client.session.borrow().waiting() > MOST_WAITING
-                || !shell.room()
-            {
-                Timer::after(NO_ROOM).await;
+            let room = client.while_there(async {
+                while client.session.borrow().owed() > MOST_OWED
+                    || client.session.borrow().waiting() > MOST_WAITING
+                    || !shell.room()
+                {
+                    Timer::after(NO_ROOM).await;
+                }
+            });
+            // Nothing is begun for a client that sent its commands and left.
+            if room.await.is_none() || client.gone() {
+                return Ending::ClientLeft;
             }
             match ask {
                 Ask::Ping(place) => client.session.borrow_mut().pong(place, shell.ready()),
@@ -476,7 +552,9 @@
         let incoming = client.session.borrow().incoming();
         if let Some(upload) = incoming.as_ref().filter(|u| u.room() == 0) {
             client.half_since.set(0);
-            upload.change_of().await;
+            if client.while_there(upload.change_of()).await.is_none() {
+                return Ending::ClientLeft;
+            }
             read_at = shell.clock.now();
             continue;
         }
@@ -491,6 +569,11 @@
         client.flush(shell.clock.now());
         shell.crowd_out();
         if !client.session.borrow().reads() {
+            // Its answers are still written, and then the connection is over by itself.
+            if client.over().is_none() {
+                client.while_there(future::pending::<()>()).await;
+                return Ending::ClientLeft;
+            }
             return future::pending().await;
         }
         let n = match client.io.get_ref().read(&mut buffer) {
@@ -513,6 +596,7 @@
 fn take(shell: &Rc<Shell>, client: &Client, place: (u64, u64), call: Call, read_at: Micros) {
     // The client's time runs from its last byte: the delegation sees to that where the value passes through.
     let wait = call.wait.min(shell.network.longest_wait());
+    let wait = wait - ANSWER_AHEAD.min(wait / ANSWER_AHEAD_PART);
     let wait = if call.upload.is_some() { wait.saturating_add(UPLOAD) } else { wait };
     let taken = shell.drive(|proxy, now| {
         let taken = Taken {
--- a/proxy/src/wire/driver/delegation.rs
+++ b/proxy/src/wire/driver/delegation.rs
@@ -23,9 +23,6 @@
 const STALLED: Duration = Duration::from_millis(100);
 /// And one that is passed on without such a one: its client has part of it, and nothing can be asked again.
 const STALLED_PASSING: Duration = Duration::from_secs(3);
-/// A connection rests so long after a reply before it takes another command. Guards against what comes right
-/// behind a reply, such as a second copy of it: read too early it would be taken for the next one's.
-const REST: Micros = 2_000;
 /// The part of the room for large answers that one delegation uses.
 struct Large<'a> {
     shell: &'a Shell,
@@ -113,6 +110,15 @@
     }
 }
 
+/// What a delegation keeps to.
+#[derive(Clone, Copy)]
+pub struct Times {
+    /// When it is given up.
+    pub give_up_at: Micros,
+    /// From then on its command may not be written any more.
+    pub begin_by: Micros,
+}
+
 /// How far a delegation has come.
 #[derive(Clone, Copy)]
 struct Stage<'a> {
@@ -132,13 +138,8 @@
 }
 
 /// Runs one delegation and tells the proxy how it ended.
-pub async fn run(
-    shell: Rc<Shell>,
-    delegation: DelegationId,
-    server: ServerId,
-    call: Rc<Call>,
-    give_up_at: Micros,
-) {
+pub async fn run(shell: Rc<Shell>, delegation: DelegationId, server: ServerId, call: Rc<Call>, times: Times) {
+    let give_up_at = times.give_up_at;
     // Whether the command's last byte was written: on this hangs whether it may have run.
     let sent = Cell::new(false);
     let begun = shell.clock.now();
@@ -163,7 +164,7 @@
         Reply::bare(if sent.get() { Ending::TimedOutSent } else { Ending::TimedOutUnsent })
     };
     let stage = Stage { delegation, sent: &sent, passing: &passing };
-    let reply = future::or(attempt(&shell, server, &call, give_up_at, stage, &mut trace), given_up).await;
+    let reply = future::or(attempt(&shell, server, &call, times, stage, &mut trace), given_up).await;
     log::debug!(
         delegation, server, ending = reply.ending.name();
         "delegation {delegation} to {server}: {}, {} us, of these {} for a connection, {} to the first byte, new={}",
@@ -197,12 +198,12 @@
     shell: &Rc<Shell>,
     server: ServerId,
     call: &Call,
-    give_up_at: Micros,
+    Times { give_up_at, begin_by }: Times,
     stage: Stage<'_>,
     trace: &mut Trace,
 ) -> Reply {
-    let Some((endpoint, is_origin)) =
-        shell.proxy.borrow().registry.worker(server).filter(|w| w.serving).map(|w| (w.endpoint, w.origin))
+    let Some((process, is_origin)) =
+        shell.proxy.borrow().registry.worker(server).filter(|w| w.serving).map(|w| (w.process(), w.origin))
     else {
         return Reply::bare(Ending::NotSent);
     };
@@ -215,19 +216,20 @@
         None => None,
     };
     let generation = shell.pools.borrow_mut().generation(server);
+    let endpoint = process.0;
     let connection = match checkout(shell, server, endpoint, trace).await {
         Ok(connection) => connection,
         Err(ending) => return Reply::bare(ending),
     };
     trace.connected = shell.clock.now();
-    // Guards against a command that is written to a worker which was taken out while the connection came up.
-    if !shell.proxy.borrow().registry.worker(server).is_some_and(|w| w.serving) {
-        return Reply::bare(Ending::NotSent);
+    if let Err(ending) = shell.may_begin(stage.delegation, (server, process), begin_by) {
+        return Reply::bare(ending);
     }
+    // A value that passes through has longer to come in, and its client waits no longer once it has.
+    let wait = give_up_at.saturating_sub(trace.connected).min(call.wait);
     let (bytes, mut decoder) = if is_origin {
-        (origin::encode(call, &endpoint.to_string()), Decoder::Origin(origin::Decoder::default()))
+        (origin::encode(call, wait, &endpoint.to_string()), Decoder::Origin(origin::Decoder::default()))
     } else {
-        let wait = give_up_at.saturating_sub(shell.clock.now());
         (worker::encode(call, wait), Decoder::Worker(worker::Decoder::default()))
     };
     let written = match &call.upload {
@@ -268,7 +270,35 @@
     reply
 }
 
-/// A connection to the worker: the one used most recently, else a new one.
+impl Shell {
+    /// Whether a delegation's command may be written now, and how it ends if not. Time has gone by since it was decided
+    /// on: a connection came up or was at rest. Guards against a command for a client that has left meanwhile, for a
+    /// request that is over, to a worker that was taken out or restarted, and against a repeat that comes too late to be
+    /// known for one.
+    fn may_begin(
+        self: &Rc<Self>,
+        delegation: DelegationId,
+        (server, process): (ServerId, (SocketAddr, Micros)),
+        begin_by: Micros,
+    ) -> Result<(), Ending> {
+        let (unchanged, awaited) = {
+            let proxy = self.proxy.borrow();
+            let worker = proxy.registry.worker(server).filter(|w| w.serving && w.process() == process);
+            (worker.is_some(), proxy.awaited(delegation))
+        };
+        match awaited {
+            Some((client, _)) if !self.client_gone(client) => {}
+            _ => return Err(Ending::Cancelled),
+        }
+        if unchanged && self.clock.now() < begin_by {
+            Ok(())
+        } else {
+            Err(Ending::NotSent)
+        }
+    }
+}
+
+/// A connection to the worker: the one used most recently that is rested, else a new one.
 async fn checkout(
     shell: &Rc<Shell>,
     server: ServerId,
@@ -277,9 +307,9 @@
 ) -> Result<Connection, Ending> {
     loop {
         let now = shell.clock.now();
-        let Some((since, connection)) = shell.pools.borrow_mut().take(now, server) else { break };
-        if since + REST > now {
-            Timer::at(shell.clock.instant(since + REST)).await;
+        let Some((rested_at, connection)) = shell.pools.borrow_mut().take(now, server) else { break };
+        if rested_at > now {
+            Timer::at(shell.clock.instant(rested_at)).await;
         }
         if connection.alive() {
             shell.proxy.borrow_mut().counters.reused += 1;
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -208,8 +208,9 @@
 
     fn execute(self: &Rc<Self>, command: Command<Call>) {
         match command {
-            Command::Delegate { delegation, server, call, give_up_at } => {
-                let run = delegation::run(Rc::clone(self), delegation, server, call, give_up_at);
+            Command::Delegate { delegation, server, call, give_up_at, begin_by } => {
+                let times = delegation::Times { give_up_at, begin_by };
+                let run = delegation::run(Rc::clone(self), delegation, server, call, times);
                 let task = self.executor.spawn(run);
                 self.delegations.borrow_mut().insert(delegation, task);
             }
@@ -301,6 +302,11 @@
         self.proxy.borrow().owed()
     }
 
+    /// Answers every request now: the process has no more time.
+    pub fn answer_all(self: &Rc<Self>) {
+        self.drive(Proxy::answer_all);
+    }
+
     /// Client connections that are open.
     pub fn clients_open(&self) -> usize {
         self.clients.borrow().len()
@@ -314,13 +320,6 @@
         }
     }
 
-    /// Has every client connection closed once all that was taken on it is answered.
-    pub fn retire_clients(&self) {
-        for client in self.clients.borrow().values() {
-            client.retire();
-        }
-    }
-
     /// Takes up another policy; false where that takes a restart.
     pub fn reload(&self, policy: Option<Arc<Policy>>) -> bool {
         self.proxy.borrow_mut().reload(self.clock.now(), policy)
--- a/proxy/src/wire/origin.rs
+++ b/proxy/src/wire/origin.rs
@@ -5,9 +5,11 @@
 use super::worker::{Piece, Reply};
 use super::{MAX_LARGE, MAX_UNTOLD, MAX_VALUE};
 use crate::ending::Ending;
+use notchdoor::Micros;
 
-/// `GET /KEY`, or `PUT /KEY` with the value (unless that passes through and follows in pieces), with the id and the list of names and values as it came.
-pub fn encode(call: &Call, host: &str) -> Vec<u8> {
+/// `GET /KEY`, or `PUT /KEY` with the value (unless that passes through and follows in pieces), with the id and the list
+/// of names and values, in which `d` is how long the proxy will wait.
+pub fn encode(call: &Call, wait: Micros, host: &str) -> Vec<u8> {
     let method = if call.writes().is_some() { "PUT" } else { "GET" };
     let mut out = Vec::with_capacity(call.size() + 256);
     out.extend_from_slice(format!("{method} /").as_bytes());
@@ -22,7 +24,7 @@
     out.extend_from_slice(format!(" HTTP/1.1\r\nHost: {host}\r\nX-Call-Id: ").as_bytes());
     out.extend_from_slice(&call.id);
     out.extend_from_slice(b"\r\nX-Call-Info: ");
-    out.extend_from_slice(&call.info);
+    out.extend_from_slice(&call.info_with_deadline(wait));
     if let Some(length) = call.writes() {
         out.extend_from_slice(format!("\r\nContent-Length: {length}\r\n\r\n").as_bytes());
         out.extend_from_slice(call.value.as_deref().unwrap_or_default());
@@ -134,12 +136,12 @@
     }
 
     #[test]
-    fn requests_carry_the_call_as_it_came() {
-        let get = encode(&call(&["OBJ.GET", "a/b?é", "id1", "c=read,d=480"]), "h:1");
+    fn requests_carry_the_call_as_it_came_but_for_the_time_that_is_left() {
+        let get = encode(&call(&["OBJ.GET", "a/b?é", "id1", "c=read,d=480"]), 99_900, "h:1");
         let text =
-            "GET /a/b%3F%C3%A9 HTTP/1.1\r\nHost: h:1\r\nX-Call-Id: id1\r\nX-Call-Info: c=read,d=480\r\n\r\n";
+            "GET /a/b%3F%C3%A9 HTTP/1.1\r\nHost: h:1\r\nX-Call-Id: id1\r\nX-Call-Info: c=read,d=99\r\n\r\n";
         assert_eq!(String::from_utf8_lossy(&get), text);
-        let put = encode(&call(&["OBJ.SET", "k", "id2", "c=put,d=1", "vv"]), "h:1");
+        let put = encode(&call(&["OBJ.SET", "k", "id2", "c=put,d=1", "vv"]), 1_000, "h:1");
         assert!(put.starts_with(b"PUT /k HTTP/1.1\r\n") && put.ends_with(b"\r\nContent-Length: 2\r\n\r\nvv"));
     }
 
--- a/proxy/tests/stages.rs
+++ b/proxy/tests/stages.rs
@@ -201,7 +201,7 @@
     fn settle(&mut self) {
         for command in self.proxy.take_commands() {
             match command {
-                Command::Delegate { delegation, server, call, give_up_at } => {
+                Command::Delegate { delegation, server, call, give_up_at, .. } => {
                     let server = match self.broken {
                         Broken::IgnoresDrains if !self.unwanted.is_empty() => self.home,
                         Broken::Stampedes if call.1 == 0 => self.newest.unwrap_or(server),
--- a/rig/tests/stand.rs
+++ b/rig/tests/stand.rs
@@ -77,7 +77,7 @@
     let sent = asks(&worker::encode(&got, 99_000));
     assert!(matches!(&sent[..], [Ask::Set { info: i, .. }] if *i == info("c=close,t=acme,d=99")), "{sent:?}");
     let mut requests = Requests::default();
-    for byte in origin::encode(&got, "origin:80") {
+    for byte in origin::encode(&got, got.wait, "origin:80") {
         assert_eq!(requests.next_request(), Ok(None));
         requests.feed(&[byte]);
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -74,8 +74,10 @@
 const EPOCH: Micros = 1_000_000;
 /// A refusal tells at least this: none at all would tell the client nothing.
 const LEAST_PAUSE: f64 = 1_000.0;
-/// Pause before discovery is asked again after a failure, at first; it doubles up to `ask_every`.
+/// Pause before discovery is asked again after a failure, at first; it doubles up to a quarter of `ask_every`, and to so
+/// much: half as much again and the call have to be over before a change counts as told, 6 s after it could be heard.
 const ASK_AGAIN: Micros = 250_000;
+const ASK_LATEST: Micros = 2_000_000;
 
 // ---- Randomness and placement --------------------------------------------------------------------------
 
@@ -405,6 +407,7 @@
     send: bool,
     place: Option<(Scope, u32)>,
     refuse: bool,
+    until: Micros,
 }
 
 const SILENCE: u64 = 0;
@@ -502,6 +505,7 @@
                 self.forget(id);
             }
             Event::Late(id) => self.silence(now, id, true, actions),
+            Event::Due(id) => self.finish(now, id, actions),
             Event::Timer(token) => match token & 3 {
                 SILENCE => self.silence(now, token >> 2, false, actions),
                 DUE => self.finish(now, token >> 2, actions),
@@ -579,7 +583,7 @@
         // Spread over half the pause: balancers that failed together should not ask together.
         let after = (self.ask_pause as f64 * (0.5 + self.rng.unit())) as Micros;
         actions.push(Action::Timer { after, token: DISCOVERY });
-        self.ask_pause = (self.ask_pause * 2).min((ask_every / 4).max(ASK_AGAIN));
+        self.ask_pause = (self.ask_pause * 2).min((ask_every / 4).clamp(ASK_AGAIN, ASK_LATEST));
     }
 
     // ---- Table ----
@@ -901,7 +905,7 @@
     /// What may be sent or answered next under the effect rules: their one place.
     fn allowed(&self, held: &Held, now: Micros) -> Allowed {
         let out = held.attempts.iter().any(|a| a.state == AttemptState::Out);
-        let mut allowed = Allowed { send: true, place: None, refuse: true };
+        let mut allowed = Allowed { send: true, place: None, refuse: true, until: held.request.due };
         let first_risk = held.attempts.iter().find(|a| a.state != AttemptState::NeverRan);
         if let Some(risk) = first_risk {
             let class = held.request.class.and_then(|c| self.settings.classes.get(c as usize));
@@ -912,14 +916,14 @@
                     let member = &self.servers[risk.server].member;
                     let group = if scope == Scope::Zone { member.zone } else { member.cell };
                     allowed.place = Some((scope, group));
-                    allowed.send = now < risk.sent + window;
+                    allowed.until = allowed.until.min(risk.sent + window);
                     allowed.refuse = scope == Scope::All;
                 }
             }
         }
         let spent = held.attempts.len() >= self.settings.max_attempts as usize;
         let second = out && !self.settings.second_copies;
-        allowed.send &= !(spent || second || held.over || held.streaming || now >= held.request.due);
+        allowed.send &= !(spent || second || held.over || held.streaming || now >= allowed.until);
         allowed
     }
 
@@ -960,7 +964,7 @@
             flight: None,
         };
         self.held.get_mut(&id).expect("looked up above").attempts.push(attempt);
-        actions.push(Action::Send { id, server, give_up_at });
+        actions.push(Action::Send { id, server, give_up_at, begin_by: allowed.until });
         true
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -240,6 +240,8 @@
     Timer(u64),
     /// A layer has waited long enough for the one attempt that is out, and grants a second copy.
     Late(RequestId),
+    /// The host can wait no longer for this request: the final answer is due now.
+    Due(RequestId),
 }
 
 /// What the balancer wants done, at once and in this order.
@@ -253,6 +255,9 @@
         server: ServerId,
         /// When to give up on this attempt.
         give_up_at: Micros,
+        /// From then on it may not begin any more, wherever it has been waiting: the client's time is over, or that
+        /// within which a repeat is known for one.
+        begin_by: Micros,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -843,3 +843,53 @@
     let fit = (21..51).filter(|&id| at_home(&mut brain, id, slow + 200 * MS)).count();
     assert!((3..=8).contains(&fit), "{fit} fit");
 }
+
+/// A repeat may wait for its connection for as long as its server would know it for one, and no longer.
+#[test]
+fn a_repeat_has_to_begin_while_it_is_known_for_one() {
+    let mut brain = brain(settings(), &members(4));
+    let by = |actions: &[Action]| match actions {
+        [.., Action::Send { begin_by, .. }] => Some(*begin_by),
+        _ => None,
+    };
+    let request = Request { write: true, class: Some(1), ..read(1, 1, START) };
+    assert_eq!(
+        by(&arrive(&mut brain, START, request)),
+        Some(START + 2 * S),
+        "the first: while its client waits"
+    );
+    let again = end(&mut brain, START + 100 * MS, 1, 0, Outcome::Reset, 100 * MS);
+    assert_eq!(by(&again), Some(START + 800 * MS));
+}
+
+/// A host that stops can wait for nothing more: what is open is answered as the rules allow, and called off.
+#[test]
+fn what_its_host_can_wait_for_no_longer_is_answered_at_once() {
+    let mut brain = brain(settings(), &members(4));
+    arrive(&mut brain, START, read(1, 1, START));
+    let write = Request { write: true, class: Some(3), ..read(2, 2, START) };
+    arrive(&mut brain, START, write);
+    let read = handle(&mut brain, START + MS, Event::Due(1));
+    assert!(refused(&read) && read.contains(&Action::Cancel { id: 1, attempt: 0 }), "{read:?}");
+    // It may have run: to come again would not be harmless.
+    assert_eq!(handle(&mut brain, START + MS, Event::Due(2)), [Action::Fail { id: 2 }]);
+    assert!(handle(&mut brain, START + MS, Event::Due(1)).is_empty(), "one answer");
+}
+
+/// A change counts as told 6 s after it could be heard: no pause between calls may be near that, whatever the settings
+/// leave a proxy for asking.
+#[test]
+fn the_registry_is_asked_again_within_three_seconds() {
+    let settings = Settings { discovery: Discovery::OnRequest { ask_every: 100 * S }, ..settings() };
+    let mut brain = brain(settings, &members(4));
+    let mut longest = 0;
+    for _ in 0..50 {
+        for action in handle(&mut brain, START, Event::ListError) {
+            match action {
+                Action::Timer { after, .. } => longest = longest.max(after),
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    assert!((2 * S..=3 * S).contains(&longest), "{longest}");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -70,7 +70,7 @@
 
     fn check(&mut self, action: Action) {
         match action {
-            Action::Send { id, server, give_up_at } => {
+            Action::Send { id, server, give_up_at, .. } => {
                 let now = self.now;
                 assert_eq!(
                     self.states[&server],
