--- a/cli/tests/crossings.rs
+++ b/cli/tests/crossings.rs
@@ -434,3 +434,25 @@
     write!(watch, "{:x}\r\n{json}\r\n", json.len()).unwrap();
     proxy.logged("version 43");
 }
+
+#[test]
+fn a_large_value_that_is_coming_in_when_a_stop_reads_nothing_new_comes_in_whole() {
+    let origin = Peer::origin(Box::new(|request| http("200 OK", &request[2])));
+    let (registry, worker) = (Registry::start(), Played::start());
+    let proxy = Proxy::start(&registry, &[worker.line("w"), line("o", &origin, "in_service", 0)]);
+    let mut client = proxy.client();
+    let (half, info) = ("x".repeat(100_000), "c=fix,t=acme,d=2000,k=5c");
+    let head =
+        format!("*5\r\n$7\r\nOBJ.SET\r\n$1\r\nk\r\n$3\r\nid1\r\n${}\r\n{info}\r\n$200000\r\n", info.len());
+    client.stream.write_all(format!("{head}{half}").as_bytes()).unwrap();
+    begun(&proxy, 1);
+    proxy.signal("TERM");
+    proxy.logged("stopping on");
+    // Past the time at which a stop reads nothing new.
+    std::thread::sleep(Duration::from_millis(900));
+    client.stream.write_all(format!("{half}\r\n").as_bytes()).unwrap();
+    assert_eq!(client.next(), Some(bulk("id1")));
+    drop(client);
+    let (good, log) = proxy.wait();
+    assert!(good && log.contains("stopped with every request answered"), "{log}");
+}
--- a/proxy/src/wire/driver/client.rs
+++ b/proxy/src/wire/driver/client.rs
@@ -284,7 +284,11 @@
     pub fn retire_clients(&self, nothing_new: bool) {
         let now = self.clock.now();
         for client in self.clients.borrow().values() {
-            if nothing_new && client.session.borrow().pending() == 0 {
+            let between = {
+                let session = client.session.borrow();
+                session.pending() == 0 && session.incoming().is_none()
+            };
+            if nothing_new && between {
                 client.session.borrow_mut().close();
             }
             if nothing_new || client.settled(now) {
