--- a/src/brain.rs
+++ b/src/brain.rs
@@ -74,8 +74,8 @@
 const EPOCH: Micros = 1_000_000;
 /// A refusal tells at least this: none at all would tell the client nothing.
 const LEAST_PAUSE: f64 = 1_000.0;
-/// Pause before discovery is asked again after a failure, at first; it doubles up to a quarter of `ask_every`, and to so
-/// much: half as much again and the call have to be over before a change counts as told, 6 s after it could be heard.
+/// Pause before discovery is asked again after a failure, at first; it doubles up to a quarter of `ask_every`, and
+/// to so much: with half as much again and the call it is over within the 6 s in which a change counts as told.
 const ASK_AGAIN: Micros = 250_000;
 const ASK_LATEST: Micros = 2_000_000;
 
