--- a/review/build.sh
+++ b/review/build.sh
@@ -8,7 +8,7 @@
     sh -c "$build"
 fi
 mkdir -p target/review
-for name in foreign missing unsent; do
+for name in foreign missing unsent lost stale spoilt primaries; do
     source=review/src/$name.rs
     if [ ! -x "target/review/$name" ] || [ "$source" -nt "target/review/$name" ] ||
         [ review/src/common.rs -nt "target/review/$name" ]; then
--- a/review/src/common.rs
+++ b/review/src/common.rs
@@ -455,15 +455,23 @@
 /// A relay in front of a server: every piece of bytes is passed on after a delay between two bounds, in order.
 pub struct Relay {
     pub address: SocketAddr,
+    gone: Flag,
+    open: Shared<Vec<TcpStream>>,
 }
 
 impl Relay {
     pub fn start(to: SocketAddr, delay_ms: (f64, f64), seed: u64) -> Relay {
         let listener = listen();
         let address = listener.local_addr().unwrap();
+        let (gone, open) = (Flag::default(), shared(Vec::new()));
+        let (cut, kept): (Flag, Shared<Vec<TcpStream>>) = (Arc::clone(&gone), Arc::clone(&open));
         thread::spawn(move || {
             let mut n = seed;
             for stream in listener.incoming().flatten() {
+                if cut.load(ORDER) {
+                    continue;
+                }
+                kept.lock().unwrap().extend(stream.try_clone());
                 let Ok(server) = TcpStream::connect(to) else { continue };
                 let _ = (stream.set_nodelay(true), server.set_nodelay(true));
                 let (Ok(a), Ok(b)) = (stream.try_clone(), server.try_clone()) else { continue };
@@ -472,7 +480,13 @@
                 pass(b, a, delay_ms, n.wrapping_add(1));
             }
         });
-        Relay { address }
+        Relay { address, gone, open }
+    }
+
+    /// Resets the open connections and takes no new one.
+    pub fn cut(&self) {
+        self.gone.store(true, ORDER);
+        self.open.lock().unwrap().drain(..).for_each(|s| drop(s.shutdown(Shutdown::Both)));
     }
 }
 
