A late second reply of a cache node is no longer served to another client

Cause: a RESP2 reply names no request, and the next one on a connection was taken for the reply to the last command. The only guard was a rest of 8 ms and one look for input (REUSE_DELAY, Connection::alive); a copy over a link of 17 to 32 ms comes after that look and before the reply. The command's own reply then went to the command after it.

Fix: each connection to a cache node remembers digests of its replies. The first reply after a command is the real one or a copy of an earlier one, so one that differs from all of them is the real one, whatever the times. One that equals an earlier one is confirmed by a PING before its value, or its connection, is used: replies come in order, so +PONG as the next reply shows that none is outstanding. No constant of time is part of this.

Tests: copy_of_an_earlier_reply_is_never_served_to_another_request forces the order, for buffered and streamed values and for misses; on the code before it failed.

--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -64,21 +64,7 @@
     }
 
     pub fn backend(handler: Handler) -> FakeServer {
-        FakeServer::start(handler, |reader| {
-            let mut resp = Reader::default();
-            loop {
-                let bytes = reader.fill_buf().ok().filter(|b| !b.is_empty())?.to_vec();
-                reader.consume(bytes.len());
-                resp.feed(&bytes);
-                if let Some(Value::Array(Some(words))) = resp.next_value().ok()? {
-                    let word = |w: &Value| match w {
-                        Value::Bulk(Some(w)) => String::from_utf8_lossy(w).into_owned(),
-                        other => panic!("expected a bulk string, got {other:?}"),
-                    };
-                    return Some(words.iter().map(word).collect());
-                }
-            }
-        })
+        FakeServer::start(handler, |reader| read_command(reader.get_mut()))
     }
 
     pub fn origin(handler: Handler) -> FakeServer {
@@ -100,6 +86,27 @@
     }
 }
 
+/// Reads the words of the next request to a backend; `None` at the end of the connection. Each `PING` before it is answered,
+/// and no byte behind it is read.
+pub fn read_command(stream: &mut TcpStream) -> Option<Vec<String>> {
+    let (mut reader, mut byte) = (Reader::default(), [0]);
+    loop {
+        stream.read_exact(&mut byte).ok()?;
+        reader.feed(&byte);
+        let Some(value) = reader.next_value().ok()? else { continue };
+        let Value::Array(Some(words)) = value else { panic!("expected an array, got {value:?}") };
+        let word = |w: Value| match w {
+            Value::Bulk(Some(w)) => String::from_utf8_lossy(&w).into_owned(),
+            other => panic!("expected a bulk string, got {other:?}"),
+        };
+        let words: Vec<String> = words.into_iter().map(word).collect();
+        if words[0] != "PING" {
+            return Some(words);
+        }
+        stream.write_all(b"+PONG\r\n").ok()?;
+    }
+}
+
 /// A backend's response for a cached value.
 pub fn hit_response(text: &str) -> Option<Vec<u8>> {
     Some(format!("*3\r\n${}\r\n{text}\r\n$3\r\nhit\r\n$-1\r\n", text.len()).into_bytes())
--- a/cli/tests/large.rs
+++ b/cli/tests/large.rs
@@ -23,11 +23,8 @@
     std::thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
             std::thread::spawn(move || {
-                let mut buffer = [0; 4096];
-                while let Ok(n) = stream.read(&mut buffer) {
-                    let text = String::from_utf8_lossy(&buffer[..n]).into_owned();
-                    let Some(key) = text.split("\r\n").nth(4).filter(|k| !k.is_empty()) else { return };
-                    let key = key.as_bytes()[0];
+                while let Some(words) = read_command(&mut stream) {
+                    let key = words[1].as_bytes()[0];
                     let value: Vec<u8> = (0..VALUE_BYTES).map(|at| byte_at(key, at)).collect();
                     let mut bytes = format!("*3\r\n${VALUE_BYTES}\r\n").into_bytes();
                     bytes.extend(&value);
--- a/cli/tests/sockets.rs
+++ b/cli/tests/sockets.rs
@@ -51,24 +51,6 @@
     drop(stream);
 }
 
-/// Reads the words of the next command; `None` at the end of the connection.
-fn read_command(stream: &mut TcpStream) -> Option<Vec<String>> {
-    let (mut reader, mut buffer) = (Reader::default(), [0; 4096]);
-    loop {
-        match stream.read(&mut buffer) {
-            Ok(n) if n > 0 => reader.feed(&buffer[..n]),
-            _ => return None,
-        }
-        if let Value::Array(Some(words)) = reader.next_value().ok()?.unwrap_or(Value::Int(0)) {
-            let word = |w: Value| match w {
-                Value::Bulk(Some(w)) => String::from_utf8_lossy(&w).into_owned(),
-                other => panic!("expected a bulk string, got {other:?}"),
-            };
-            return Some(words.into_iter().map(word).collect());
-        }
-    }
-}
-
 /// Reads the head of the next HTTP request and any body bytes received with it; `None` at the end of the connection.
 fn read_request(stream: &mut TcpStream) -> Option<String> {
     let (mut bytes, mut buffer) = (Vec::new(), [0; 4096]);
--- /dev/null
+++ b/cli/tests/surplus_replies.rs
@@ -0,0 +1,162 @@
+//! Backends that send a reply twice, the second copy at any time: no client gets what was made for another request.
+
+mod common;
+use common::*;
+use notchdoor_proxy::wire::resp::{write_bulk, Reader, Value};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+/// Sizes of values: one that the proxy buffers and one that it streams.
+const VALUE_BYTES: [usize; 2] = [16, 200_000];
+
+/// When the copy of the first reply on a connection is sent, seen from the backend.
+#[derive(Clone, Copy, Debug)]
+enum CopySent {
+    /// While the next command is on its way: the proxy has written it, the backend has not read it to its end.
+    BeforeNextCommand,
+    /// After the next command was read, and before the reply to it.
+    BeforeNextReply,
+    /// Right after the reply to the next command.
+    AfterNextReply,
+}
+
+/// What the backend replies to the first command on a connection, and sends a copy of.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum FirstReply {
+    Value,
+    Miss,
+}
+
+/// The value that a server makes for a request.
+fn value_for(id: &str, length: usize) -> Vec<u8> {
+    id.bytes().cycle().take(length).collect()
+}
+
+fn hit(id: &str, length: usize) -> Vec<u8> {
+    let mut reply = b"*3\r\n".to_vec();
+    write_bulk(&mut reply, &value_for(id, length));
+    reply.extend(b"$3\r\nhit\r\n$-1\r\n");
+    reply
+}
+
+/// Serves one connection. Every second reply is followed by a copy of the one before it.
+fn serve(mut stream: TcpStream, (first, copy, length): (FirstReply, CopySent, usize)) -> Option<()> {
+    loop {
+        let words = read_command(&mut stream)?;
+        let reply = match first {
+            FirstReply::Value => hit(&words[2], length),
+            FirstReply::Miss => b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_vec(),
+        };
+        stream.write_all(&reply).ok()?;
+        if matches!(copy, CopySent::BeforeNextCommand) {
+            // Once its first byte is here, the proxy can no longer see the copy before it writes the command.
+            stream.peek(&mut [0]).ok().filter(|n| *n > 0)?;
+            stream.write_all(&reply).ok()?;
+        }
+        let words = read_command(&mut stream)?;
+        if matches!(copy, CopySent::BeforeNextReply) {
+            stream.write_all(&reply).ok()?;
+        }
+        stream.write_all(&hit(&words[2], length)).ok()?;
+        if matches!(copy, CopySent::AfterNextReply) {
+            stream.write_all(&reply).ok()?;
+        }
+    }
+}
+
+fn start_backend(behavior: (FirstReply, CopySent, usize)) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let endpoint = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || serve(stream, behavior));
+        }
+    });
+    endpoint
+}
+
+/// Sends a read on a connection of its own and returns its answer; `None` if the answer is cut off.
+fn read(proxy: &Proxy, id: &str) -> Option<Value> {
+    let mut stream = {
+        let mut client = proxy.client();
+        client.send(&["OBJ.GET", &format!("key-{id}"), id, "c=read,t=acme,d=2000"]);
+        client.stream
+    };
+    let (mut reader, mut buffer) = (Reader::with_most(1 << 20), vec![0; 64 * 1024]);
+    loop {
+        if let Some(value) = reader.next_value().unwrap() {
+            return Some(value);
+        }
+        match stream.read(&mut buffer) {
+            Ok(n) if n > 0 => reader.feed(&buffer[..n]),
+            _ => return None,
+        }
+    }
+}
+
+/// Guards against a late copy of a reply being served to the next request on its connection (review case 1): the time
+/// between the reply and its copy does not matter, since the order is forced.
+#[test]
+fn copy_of_an_earlier_reply_is_never_served_to_another_request() {
+    for length in VALUE_BYTES {
+        for copy in [CopySent::BeforeNextCommand, CopySent::BeforeNextReply, CopySent::AfterNextReply] {
+            for first in [FirstReply::Value, FirstReply::Miss] {
+                let context = format!("{length} bytes, {first:?}, {copy:?}");
+                let backend = start_backend((first, copy, length));
+                let origin = FakeServer::origin(Box::new(move |request| {
+                    let value = value_for(&request[2], length);
+                    http_response("200 OK", std::str::from_utf8(&value).unwrap())
+                }));
+                let discovery = FakeDiscovery::start();
+                let list = [
+                    endpoint_entry_at("w", backend, "in_service", 0),
+                    endpoint_entry("o", &origin, "in_service", 0),
+                ];
+                let proxy = Proxy::start(&discovery, &list);
+                let mut served = 0;
+                for n in 0..24 {
+                    let id = format!("id-{n:02}");
+                    match read(&proxy, &id) {
+                        Some(Value::Bulk(Some(value))) => {
+                            assert!(
+                                value == value_for(&id, length),
+                                "{context}, {id}: got {:.20}",
+                                text(&value)
+                            );
+                            served += 1;
+                        }
+                        // A reply that cannot be told apart has failed, and a streamed one is cut off.
+                        None | Some(Value::Error(_)) => {}
+                        other => panic!("{context}, {id}: {other:?}"),
+                    }
+                }
+                assert!(served >= 12, "{context}: only {served} of 24 were served");
+            }
+        }
+    }
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// Backends that return the same value to every request send no copies: each repeated reply is confirmed by a fence, and
+/// the connections stay in use.
+#[test]
+fn equal_replies_are_confirmed_and_keep_their_connection() {
+    let backend = FakeServer::backend(Box::new(|_| hit_response("the same")));
+    let origin = FakeServer::origin(Box::new(|_| None));
+    let discovery = FakeDiscovery::start();
+    let list =
+        [endpoint_entry("w", &backend, "in_service", 0), endpoint_entry("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&discovery, &list);
+    let mut client = proxy.client();
+    for n in 0..20 {
+        assert_eq!(client.get("k", &format!("id{n}"), 2000), bulk("the same"));
+    }
+    assert_eq!((backend.requests().len(), origin.requests().len()), (20, 0));
+    proxy.signal("TERM");
+    let (exited_cleanly, log) = proxy.wait_for_exit();
+    assert!(exited_cleanly && log.contains(" opened=1 reused=19 "), "{log}");
+    assert!(log.contains(" replies_checked=19 replies_unconfirmed=0"), "{log}");
+}
--- a/proxy/src/state/metrics/counters.rs
+++ b/proxy/src/state/metrics/counters.rs
@@ -42,6 +42,10 @@
     pub watches: u64,
     /// Failed accepts of client connections.
     pub accept_errors: u64,
+    /// Replies of backends that equal an earlier reply on their connection.
+    pub replies_checked: u64,
+    /// Those of them that no fence confirmed as the reply to the last command.
+    pub replies_unconfirmed: u64,
     attempt_outcomes: HashMap<AttemptOutcome, u64>,
     connection_ends: HashMap<ConnectionEnd, u64>,
     watch_ends: HashMap<DiscoveryEnd, u64>,
@@ -103,13 +107,17 @@
             ("watches", self.watches),
             ("accept_errors", self.accept_errors),
         ];
+        let replies = [
+            ("replies_checked".to_owned(), self.replies_checked),
+            ("replies_unconfirmed".to_owned(), self.replies_unconfirmed),
+        ];
         let attempts =
             AttemptOutcome::ALL.map(|outcome| (outcome.name(), count(&self.attempt_outcomes, outcome)));
         let connections = ConnectionEnd::ALL.map(|end| (end.name(), count(&self.connection_ends, end)));
         let watches = DiscoveryEnd::ALL.map(|end| (end.name(), count(&self.watch_ends, end)));
         let ends = attempts.into_iter().chain(connections).chain(watches);
         let ends = ends.map(|(name, n)| (format!("{COUNTER_PREFIX}{name}"), n));
-        named.into_iter().map(|(name, n)| (name.to_owned(), n)).chain(ends).collect()
+        named.into_iter().map(|(name, n)| (name.to_owned(), n)).chain(ends).chain(replies).collect()
     }
 }
 
--- a/proxy/src/state/pool.rs
+++ b/proxy/src/state/pool.rs
@@ -7,8 +7,8 @@
 
 /// Idle connections that are kept for each server.
 const MAX_IDLE_CONNECTIONS: usize = 24;
-/// Pause after a reply before a connection is used again. Stray bytes, such as a duplicate of the reply, may arrive a few
-/// milliseconds later and would be mistaken for the next reply.
+/// Pause after a reply before a connection is used again. Most stray bytes, such as a second copy of the reply, arrive
+/// within it, and the connection is then dropped before it costs an attempt.
 const REUSE_DELAY: Micros = 8_000;
 
 /// The right to one socket of a budget, returned on drop.
--- a/proxy/src/wire/backend.rs
+++ b/proxy/src/wire/backend.rs
@@ -5,6 +5,7 @@
 use super::{MAX_STREAMED_VALUE, MAX_VALUE};
 use crate::outcome::AttemptOutcome;
 use notchdoor::Micros;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// The decoded reply to one attempt.
 #[derive(Debug, PartialEq)]
@@ -54,6 +55,9 @@
 pub struct Decoder {
     reader: Reader,
     state: State,
+    hasher: DefaultHasher,
+    /// Digest of the reply, once it is complete and valid.
+    digest: Option<u64>,
 }
 
 #[derive(Default)]
@@ -75,6 +79,11 @@
         self.reader.pending() > 0
     }
 
+    /// Digest of the reply; `None` unless it is complete and valid. Equal replies have equal digests.
+    pub fn digest(&self) -> Option<u64> {
+        self.digest
+    }
+
     /// Feeds received bytes and returns the parts of the reply that they complete.
     pub fn feed(&mut self, bytes: &[u8]) -> Vec<ReplyPart> {
         let mut parts = Vec::new();
@@ -118,19 +127,23 @@
         }
         let reply = match self.state {
             State::Streaming(_) => return Ok(()),
-            State::AfterValue => match self.reader.values_after_bulk(2)?.as_deref() {
+            State::AfterValue => {
+                let Some(values) = self.reader.values_after_bulk(2)? else { return Ok(()) };
+                values.hash(&mut self.hasher);
                 // The load report is not interpreted.
-                Some([Value::Bulk(_), _]) => Reply::without_value(AttemptOutcome::Served),
-                Some(_) => return Err(Malformed("no reply")),
-                None => return Ok(()),
-            },
-            _ => match self.reader.next_value()? {
-                Some(value) => classify_reply(value),
-                None => return Ok(()),
-            },
+                let [Value::Bulk(_), _] = values.as_slice() else { return Err(Malformed("no reply")) };
+                Reply::without_value(AttemptOutcome::Served)
+            }
+            _ => {
+                let Some(value) = self.reader.next_value()? else { return Ok(()) };
+                value.hash(&mut self.hasher);
+                classify_reply(value)
+            }
         };
         // Surplus bytes would be taken for the reply to the next command.
-        let reusable = reply.outcome != AttemptOutcome::Garbled && self.reader.pending() == 0;
+        let valid = reply.outcome != AttemptOutcome::Garbled;
+        let reusable = valid && self.reader.pending() == 0;
+        self.digest = valid.then(|| self.hasher.finish());
         parts.push(ReplyPart::Complete(Reply { reusable, ..reply }));
         Ok(())
     }
@@ -139,6 +152,7 @@
         let left = left - data.len();
         self.state = if left > 0 { State::Streaming(left) } else { State::AfterValue };
         if !data.is_empty() {
+            self.hasher.write(&data);
             parts.push(ReplyPart::ValueData(data));
         }
     }
--- a/proxy/src/wire/backend/tests.rs
+++ b/proxy/src/wire/backend/tests.rs
@@ -93,3 +93,41 @@
     let every_byte: Vec<usize> = (1..reply(tails[0].0).len()).collect();
     assert_eq!(decode_large_reply(&reply(tails[0].0), &every_byte), (value, tails[0].1), "byte by byte");
 }
+
+#[test]
+fn equal_replies_have_equal_digests_however_they_are_split() {
+    let digest = |bytes: &[u8], at: usize| {
+        let mut decoder = Decoder::default();
+        decoder.feed(&bytes[..at]);
+        assert_eq!(decoder.digest(), None, "an incomplete reply has a digest");
+        decoder.feed(&bytes[at..]);
+        decoder.digest()
+    };
+    let large = |byte: &str| {
+        let length = MAX_VALUE + 9;
+        format!("*3\r\n${length}\r\n{}\r\n$3\r\nhit\r\n$-1\r\n", byte.repeat(length)).into_bytes()
+    };
+    let replies = [
+        b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n".to_vec(),
+        b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$6\r\nutil=1\r\n".to_vec(),
+        b"*3\r\n$1\r\nw\r\n$3\r\nhit\r\n$-1\r\n".to_vec(),
+        b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_vec(),
+        b"-BUSY\r\n".to_vec(),
+        b"-ERR failed\r\n".to_vec(),
+        large("v"),
+        large("w"),
+    ];
+    let mut digests: Vec<_> = replies.iter().map(|reply| digest(reply, 0)).collect();
+    for (reply, expected) in replies.iter().zip(&digests) {
+        assert!(expected.is_some());
+        for at in [1, 4, reply.len() / 2, reply.len() - 1] {
+            assert_eq!(digest(reply, at), *expected, "split at {at}");
+        }
+    }
+    digests.sort_unstable();
+    digests.dedup();
+    assert_eq!(digests.len(), replies.len(), "different replies have equal digests");
+    let mut garbled = Decoder::default();
+    garbled.feed(b"+OK\r\n");
+    assert_eq!(garbled.digest(), None);
+}
--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -1,6 +1,6 @@
 //! Runs attempts: sends one command on a pooled connection and reads its reply.
 
-use super::connection::{checkout, Connection};
+use super::connection::{checkout, Connection, Process};
 use super::Runtime;
 use crate::negative_cache::KeyLookup;
 use crate::outcome::AttemptOutcome;
@@ -14,7 +14,6 @@
 use notchdoor::{Micros, ServerId};
 use std::cell::Cell;
 use std::io::{ErrorKind, Read, Write};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -68,6 +67,14 @@
         }
     }
 
+    /// Digest of a backend's complete reply. Responses of the origin have none.
+    fn digest(&self) -> Option<u64> {
+        match self {
+            Decoder::Backend(decoder) => decoder.digest(),
+            Decoder::Origin(_) => None,
+        }
+    }
+
     fn closed(&mut self) -> Reply {
         let whole = match self {
             Decoder::Backend(_) => None,
@@ -221,7 +228,7 @@
     };
     let generation = runtime.pools.borrow_mut().generation(server);
     let endpoint = process.0;
-    let connection = match checkout(runtime, server, endpoint, &mut timings.new).await {
+    let mut connection = match checkout(runtime, server, endpoint, &mut timings.new).await {
         Ok(connection) => connection,
         Err(outcome) => return Reply::without_value(outcome),
     };
@@ -255,9 +262,21 @@
     if timings.first > 0 {
         runtime.reachability.borrow_mut().reached(endpoint);
     }
-    if reply.reusable {
-        let now = runtime.clock.now();
-        runtime.pools.borrow_mut().put(now, server, generation, connection);
+    // A repeated reply may be a second copy of an earlier one, made for another request.
+    let repeated = decoder.digest().is_some_and(|digest| !connection.history.insert(digest));
+    let decisive = reply.outcome == AttemptOutcome::Served || command.value_len().is_some();
+    if repeated && decisive {
+        let confirmed =
+            reply.reusable && runtime.confirm_last_reply(&mut connection, (server, process)).await;
+        if !confirmed {
+            return Reply::without_value(AttemptOutcome::Garbled);
+        }
+        runtime.return_connection(server, generation, connection);
+    } else if repeated && reply.reusable {
+        // A read that got no value goes on the same whichever reply this was; only the connection waits for the fence.
+        runtime.spawn(confirm_and_return(Rc::clone(runtime), (server, process), generation, connection));
+    } else if reply.reusable {
+        runtime.return_connection(server, generation, connection);
     }
     match (negative_cache, lookup, reply.outcome) {
         (Some(negative_cache), Some(lookup), AttemptOutcome::Absent) => {
@@ -279,6 +298,18 @@
     reply
 }
 
+/// Returns a connection to its pool if a fence confirms that no reply is outstanding on it.
+async fn confirm_and_return(
+    runtime: Rc<Runtime>,
+    (server, process): (ServerId, Process),
+    generation: u64,
+    mut connection: Connection,
+) {
+    if runtime.confirm_last_reply(&mut connection, (server, process)).await {
+        runtime.return_connection(server, generation, connection);
+    }
+}
+
 impl Runtime {
     /// Checks again whether the command may be written, since getting a connection took time. Returns the outcome of
     /// the attempt if the client has left, the request is answered, the server was drained or restarted, or
@@ -286,14 +317,11 @@
     fn check_before_write(
         self: &Rc<Self>,
         attempt_id: AttemptId,
-        (server, process): (ServerId, (SocketAddr, Micros)),
+        (server, process): (ServerId, Process),
         begin_by: Micros,
     ) -> Result<(), AttemptOutcome> {
-        let (unchanged, awaited) = {
-            let proxy = self.proxy.borrow();
-            let backend = proxy.endpoints.backend(server).filter(|w| w.serving && w.process() == process);
-            (backend.is_some(), proxy.reply_slot(attempt_id))
-        };
+        let unchanged = self.is_serving(server, process);
+        let awaited = self.proxy.borrow().reply_slot(attempt_id);
         match awaited {
             Some(slot) if !self.client_has_left(slot.connection) => {}
             _ => return Err(AttemptOutcome::Cancelled),
--- a/proxy/src/wire/driver/connection.rs
+++ b/proxy/src/wire/driver/connection.rs
@@ -1,12 +1,13 @@
 //! Connections to servers: reused from the pool or newly opened.
 
+use super::reply_history::ReplyHistory;
 use super::Runtime;
 use crate::net::{self, ConnectError, Fault};
 use crate::outcome::AttemptOutcome;
 use crate::state::pool::Ticket;
 use async_io::{Async, Timer};
 use futures_lite::future;
-use notchdoor::ServerId;
+use notchdoor::{Micros, ServerId};
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -16,10 +17,17 @@
 /// the server has not seen the attempt.
 pub(super) const MAX_CONNECT_RETRIES: u32 = 3;
 const CONNECT_RETRY_PAUSE: Duration = Duration::from_millis(5);
+/// Maximum time to wait for the reply to a fence, unless the attempt times out before.
+const FENCE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A process of a server: its address and start time.
+pub(super) type Process = (SocketAddr, Micros);
 
 /// A connection to a server.
 pub struct Connection {
     pub(super) io: Async<TcpStream>,
+    /// The replies received on it.
+    pub(super) history: ReplyHistory,
     _ticket: Ticket,
 }
 
@@ -69,7 +77,7 @@
         let error = match future::or(connected, timed_out).await {
             Some(Ok(io)) => {
                 runtime.reachability.borrow_mut().reached(endpoint);
-                return Ok(Connection { io, _ticket: ticket });
+                return Ok(Connection { io, history: ReplyHistory::default(), _ticket: ticket });
             }
             Some(Err(error)) => error,
             // If the timeout was spent on retries of a local failure, that failure is reported, not a timeout.
@@ -94,6 +102,39 @@
 }
 
 impl Runtime {
+    /// Whether a server still accepts requests, in the same process as before.
+    pub(super) fn is_serving(&self, server: ServerId, process: Process) -> bool {
+        let proxy = self.proxy.borrow();
+        proxy.endpoints.backend(server).is_some_and(|backend| backend.serving && backend.process() == process)
+    }
+
+    /// Returns a connection to its pool, unless it cannot be used again.
+    pub(super) fn return_connection(&self, server: ServerId, generation: u64, connection: Connection) {
+        if !connection.history.is_full() {
+            self.pools.borrow_mut().put(self.clock.now(), server, generation, connection);
+        }
+    }
+
+    /// Whether a fence confirms that the last reply on a connection was the one to the last command.
+    pub(super) async fn confirm_last_reply(
+        &self,
+        connection: &mut Connection,
+        (server, process): (ServerId, Process),
+    ) -> bool {
+        self.proxy.borrow_mut().counters.replies_checked += 1;
+        let timed_out = async {
+            Timer::after(FENCE_TIMEOUT).await;
+            false
+        };
+        let confirmed = self.is_serving(server, process)
+            && future::or(connection.has_no_reply_outstanding(), timed_out).await;
+        if !confirmed {
+            self.proxy.borrow_mut().counters.replies_unconfirmed += 1;
+            log::debug!(server; "a reply of {server} may belong to an earlier command and was not confirmed");
+        }
+        confirmed
+    }
+
     /// Takes a descriptor for an upstream connection from the budget, after closing an idle connection if needed.
     fn upstream_ticket(&self) -> Option<Ticket> {
         let ticket = self.upstream_budget.take();
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod connection;
 pub mod hot_restart;
+mod reply_history;
 mod watch;
 
 use super::command::BackendCommand;
--- /dev/null
+++ b/proxy/src/wire/driver/reply_history.rs
@@ -0,0 +1,62 @@
+//! Tells the reply to a command from a late second copy of an earlier reply on the same connection.
+//!
+//! A RESP2 reply does not name its request, and a backend may send a reply twice, the second copy any time later. A copy
+//! that crosses the next command would be taken for the reply to it, and the real reply for that to the command after.
+//! The first reply after a command is either the real one or a copy of an earlier reply on the connection. So a reply that
+//! differs from all earlier ones is the real one, however late copies are. For one that does not, a fence decides: replies
+//! come in the order of the commands, so a reply that is followed by the reply to a fence is the only one so far, and
+//! thus the real one.
+
+use super::connection::Connection;
+use crate::wire::resp::{write_command, Reader, Value};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::collections::HashSet;
+
+/// Replies that are remembered for each connection. A connection with as many is not used again.
+const MAX_REPLIES: usize = 256;
+/// Bytes that can be read while the reply to a fence is awaited; a reply that begins is enough to refute it.
+const FENCE_BUFFER: usize = 64;
+
+/// Digests of the replies received on a connection.
+#[derive(Debug, Default)]
+pub struct ReplyHistory {
+    digests: HashSet<u64>,
+}
+
+impl ReplyHistory {
+    /// Records a reply. Returns false if an equal one was received before.
+    pub fn insert(&mut self, digest: u64) -> bool {
+        self.digests.insert(digest)
+    }
+
+    /// Whether no further reply can be remembered.
+    pub fn is_full(&self) -> bool {
+        self.digests.len() >= MAX_REPLIES
+    }
+}
+
+impl Connection {
+    /// Sends a fence and returns whether its reply is the next one, so that no reply to an earlier command is missing.
+    pub(super) async fn has_no_reply_outstanding(&mut self) -> bool {
+        let mut fence = Vec::new();
+        write_command(&mut fence, &[b"PING"]);
+        if self.io.write_all(&fence).await.is_err() {
+            return false;
+        }
+        let (mut reader, mut buffer) = (Reader::default(), [0; FENCE_BUFFER]);
+        loop {
+            match self.io.read(&mut buffer).await {
+                Ok(n) if n > 0 => reader.feed(buffer.get(..n).unwrap_or_default()),
+                _ => return false,
+            }
+            match reader.next_value() {
+                Ok(None) => {}
+                Ok(Some(Value::Simple(text))) => return text == b"PONG" && reader.pending() == 0,
+                _ => return false,
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/proxy/src/wire/driver/tests.rs
+++ b/proxy/src/wire/driver/tests.rs
@@ -26,36 +26,58 @@
     "mostHeld":20000,"retryAfter":true,"secondCopies":true},
     "obligations":{"askEvery":10000.0,"cold":8100.0,"coldFrom":0.31,"fallMultiple":4.0,"tipAfter":2000.0}}"#;
 
-/// Starts a server that answers each command or request with `value`.
-fn start_server(value: &'static [u8]) -> SocketAddr {
+/// Starts a server that handles each connection on its own thread.
+fn start_server(serve: impl Fn(TcpStream) + Copy + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            std::thread::spawn(move || {
-                let (mut bytes, mut buffer) = (Vec::new(), [0; 4096]);
-                while let Ok(n) = stream.read(&mut buffer) {
-                    bytes.extend(&buffer[..n]);
-                    let whole = bytes.ends_with(b"\r\n") || bytes.ends_with(b"\r\n\r\nv");
-                    if n == 0 || whole && stream.write_all(value).is_err() {
-                        return;
-                    }
-                    if whole {
-                        bytes.clear();
-                    }
-                }
-            });
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || serve(stream));
         }
     });
     address
 }
 
+/// Starts a backend that answers each read with the same value, and `PING` with `+PONG`.
 fn start_cache() -> SocketAddr {
-    start_server(b"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n")
+    start_server(|mut stream| {
+        let (mut reader, mut buffer) = (Reader::default(), [0; 4096]);
+        while let Ok(n) = stream.read(&mut buffer) {
+            reader.feed(&buffer[..n]);
+            while let Some(command) = reader.next_value().unwrap() {
+                let reply: &[u8] = match command {
+                    Value::Array(Some(words)) if words[0] == Value::Bulk(Some(b"OBJ.GET".to_vec())) => {
+                        b"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"
+                    }
+                    _ => b"+PONG\r\n",
+                };
+                if stream.write_all(reply).is_err() {
+                    return;
+                }
+            }
+            if n == 0 {
+                return;
+            }
+        }
+    })
 }
 
+/// Starts an origin that answers each request with the same value.
 fn start_origin() -> SocketAddr {
-    start_server(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue")
+    start_server(|mut stream| {
+        let (mut bytes, mut buffer) = (Vec::new(), [0; 4096]);
+        while let Ok(n) = stream.read(&mut buffer) {
+            bytes.extend(&buffer[..n]);
+            let whole = bytes.ends_with(b"\r\n\r\n") || bytes.ends_with(b"\r\n\r\nv");
+            let reply = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue";
+            if n == 0 || whole && stream.write_all(reply).is_err() {
+                return;
+            }
+            if whole {
+                bytes.clear();
+            }
+        }
+    })
 }
 
 fn config(caches: &[SocketAddr], origin: SocketAddr, discovery: SocketAddr) -> Config {
--- a/proxy/src/wire/resp.rs
+++ b/proxy/src/wire/resp.rs
@@ -12,7 +12,7 @@
 const MAX_OVERHEAD_BYTES: usize = 16 * 1024;
 
 /// A RESP2 value.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Value {
     /// Simple string.
     Simple(Vec<u8>),
