The origin runs no large write whose client stopped before the end of the command

Cause: a value above 64 KiB is passed on as it comes. To the origin nothing follows it: Content-Length ends the PUT, so the value's last byte made it a whole request, before the client's command was one (StreamedValue::next, write_streamed). The attempt ended as never sent, so the router could have sent it again, and the filter of missing keys got no tombstone.

Fix: the last byte of a streamed value is withheld until the command has been received to its end, for every server, and goes out in one write with what ends the command there; with that write the attempt counts as sent. What a server has before is no request, whatever the size, wherever the client stops, and whether it closes, resets, falls silent or sends something else in place of CR LF. That write may no longer stall without a bound.

Two tests that drain a streamed value name the new NextChunk::Last; one of them now also checks that the value isn't whole before its command is.

No connection, probe or round trip more; the last byte may go out in a write of its own.

--- a/cli/tests/large.rs
+++ b/cli/tests/large.rs
@@ -321,6 +321,82 @@
     );
 }
 
+/// How a client ends a write that it has not sent completely.
+#[derive(Clone, Copy, Debug)]
+enum ClientEnd {
+    /// It closes its connection.
+    Closes,
+    /// It resets its connection.
+    Resets,
+    /// It stays connected and sends nothing more.
+    Stays,
+    /// It sends other bytes than CR LF after the value.
+    SendsOther,
+}
+
+/// Sends a write without its last `missing` bytes, and waits until the proxy has given it up.
+fn send_incomplete_write(proxy: &Proxy, key: &str, (length, missing): (usize, usize), end: ClientEnd) {
+    let mut client = proxy.client().stream;
+    let mut bytes = write_head(key, &format!("cut-{key}"), "close", length);
+    bytes.extend((0..length).map(|at| byte_at(7, at)));
+    bytes.extend(b"\r\n");
+    bytes.truncate(bytes.len() - missing);
+    client.write_all(&bytes).unwrap();
+    // Gives the origin time to receive and run what the proxy passes on.
+    std::thread::sleep(Duration::from_millis(60));
+    match end {
+        ClientEnd::Closes => drop(client),
+        ClientEnd::Resets => {
+            socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO)).unwrap();
+            drop(client);
+        }
+        ClientEnd::Stays | ClientEnd::SendsOther => {
+            if matches!(end, ClientEnd::SendsOther) {
+                client.write_all(&vec![b'x'; missing]).unwrap();
+            }
+            let mut line = String::new();
+            client.set_read_timeout(Some(TIMEOUT)).unwrap();
+            BufReader::new(client).read_line(&mut line).unwrap();
+            assert!(line.starts_with("-ERR"), "{key}: {line}");
+        }
+    }
+}
+
+/// Guards against the origin running a write whose command the client never sent to its end (review case 3).
+#[test]
+fn large_write_without_the_end_of_its_command_never_runs() {
+    let (discovery, (origin, completed)) = (FakeDiscovery::start(), recording_origin());
+    let cache = FakeServer::backend(Box::new(|_| None));
+    let list = [endpoint_entry("w", &cache, "in_service", 0), endpoint_entry("o", &origin, "in_service", 0)];
+    let proxy = Proxy::with_limits(&discovery, &list, (1024, 192), None);
+    let mut sent_again = Vec::new();
+    for (n, length) in [64 * 1024 + 1, 160 * 1024, VALUE_BYTES].into_iter().enumerate() {
+        for missing in [1, 2, 3, 1000] {
+            for end in [ClientEnd::Closes, ClientEnd::Resets, ClientEnd::Stays, ClientEnd::SendsOther] {
+                // Other bytes in place of missing ones of the value are a value. A client that stays takes 2 s.
+                let skipped = match end {
+                    ClientEnd::SendsOther => missing > 2,
+                    ClientEnd::Stays => length != 160 * 1024,
+                    ClientEnd::Closes | ClientEnd::Resets => false,
+                };
+                if skipped {
+                    continue;
+                }
+                // An at-most-once write runs once, although its client has to send it again.
+                let key = format!("k{n}-{missing}-{end:?}");
+                send_incomplete_write(&proxy, &key, (length, missing), end);
+                sent_again.push((key, length));
+            }
+        }
+    }
+    for (key, length) in &sent_again {
+        let id = format!("whole-{key}");
+        assert_eq!(send_write(&proxy, (key, &id, "close"), *length, Duration::ZERO), "$2", "{key}");
+    }
+    let expected: Vec<_> = sent_again.into_iter().map(|(key, length)| (format!("/{key}"), length)).collect();
+    assert_eq!(*completed.lock().unwrap(), expected);
+}
+
 #[test]
 fn command_received_over_two_seconds_is_served() {
     let discovery = FakeDiscovery::start();
--- a/proxy/src/wire/client_session/tests.rs
+++ b/proxy/src/wire/client_session/tests.rs
@@ -56,8 +56,17 @@
                     continue;
                 }
                 let Some(streamed) = &streamed else { break };
-                let NextChunk::Bytes(more) = streamed.next() else { break };
-                got.extend(more);
+                match streamed.next() {
+                    NextChunk::Bytes(more) => {
+                        got.extend(more);
+                        assert!(
+                            got.len() < value.len(),
+                            "split at {at}: whole before the end of the command"
+                        );
+                    }
+                    NextChunk::Last(more) => got.extend(more),
+                    NextChunk::Wait | NextChunk::Aborted => break,
+                }
             }
         }
         assert_eq!(commands, 2, "split at {at}");
--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -334,8 +334,8 @@
     }
 }
 
-/// Writes a command with a streamed value. Sets `sent` once the last byte is written, so a client that disconnects
-/// before the end of the value has sent no request.
+/// Writes a command with a streamed value, followed by `tail`. The last byte is written, and `sent` set, only after the
+/// client's command was received to its end: a client that stops before has sent no request.
 async fn write_streamed(
     connection: &Connection,
     head: &[u8],
@@ -344,25 +344,34 @@
     sent: &Cell<bool>,
 ) -> Result<(), AttemptOutcome> {
     let unfinished = Cell::new(false);
-    let mut bytes = head.to_vec();
+    write_or_stall(connection, head, &unfinished).await?;
     loop {
-        let stalled = async {
-            Timer::after(RELAY_STALL_TIMEOUT).await;
-            Err(AttemptOutcome::BrokenUnsent)
-        };
-        future::or(write(connection, &bytes, &unfinished), stalled).await?;
-        bytes = loop {
-            let changed = streamed.changed();
-            match streamed.next() {
-                NextChunk::Bytes(bytes) => break bytes,
-                NextChunk::Wait => changed.await,
-                NextChunk::End => return write(connection, tail, sent).await,
-                NextChunk::Aborted => return Err(AttemptOutcome::NotSent),
+        let changed = streamed.changed();
+        match streamed.next() {
+            NextChunk::Bytes(bytes) => write_or_stall(connection, &bytes, &unfinished).await?,
+            NextChunk::Last(mut bytes) => {
+                bytes.extend_from_slice(tail);
+                return write_or_stall(connection, &bytes, sent).await;
             }
-        };
+            NextChunk::Wait => changed.await,
+            NextChunk::Aborted => return Err(AttemptOutcome::NotSent),
+        }
     }
 }
 
+/// Like [`write`], but fails if the server does not accept all bytes within `RELAY_STALL_TIMEOUT`.
+async fn write_or_stall(
+    connection: &Connection,
+    bytes: &[u8],
+    sent: &Cell<bool>,
+) -> Result<(), AttemptOutcome> {
+    let stalled = async {
+        Timer::after(RELAY_STALL_TIMEOUT).await;
+        Err(AttemptOutcome::BrokenUnsent)
+    };
+    future::or(write(connection, bytes, sent), stalled).await
+}
+
 /// Writes `bytes` and sets `sent` once the last byte is written.
 async fn write(connection: &Connection, mut bytes: &[u8], sent: &Cell<bool>) -> Result<(), AttemptOutcome> {
     while !bytes.is_empty() {
--- a/proxy/src/wire/streamed_value.rs
+++ b/proxy/src/wire/streamed_value.rs
@@ -6,15 +6,19 @@
 /// Maximum number of buffered bytes; no more is read from the client at this limit.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
+/// Bytes of the value that are withheld until the client's command is complete. Where the value ends the request to the
+/// server, its last byte makes the server run the request.
+const WITHHELD_BYTES: usize = 1;
+
 /// Result of [`StreamedValue::next`].
 #[derive(Debug, PartialEq, Eq)]
 pub enum NextChunk {
-    /// Bytes to send.
+    /// Bytes to send. The value does not end with them.
     Bytes(Vec<u8>),
-    /// No bytes are buffered; more will arrive.
+    /// The last bytes of the value. The client has sent its command completely.
+    Last(Vec<u8>),
+    /// Nothing can be sent now; more will arrive.
     Wait,
-    /// The whole value has been returned.
-    End,
     /// The value was aborted or skipped.
     Aborted,
 }
@@ -27,8 +31,8 @@
     buffered: RefCell<Vec<u8>>,
     /// Bytes were returned by `next` and cannot be sent again.
     started: Cell<bool>,
+    /// The client's command was received to its end.
     complete: Cell<bool>,
-    aborted: Cell<bool>,
     /// The rest of the value is discarded.
     skipped: Cell<bool>,
     changed: Event,
@@ -48,7 +52,6 @@
             buffered: RefCell::default(),
             started: Cell::new(false),
             complete: Cell::new(false),
-            aborted: Cell::new(false),
             skipped: Cell::new(false),
             changed: Event::new(),
         }
@@ -74,7 +77,7 @@
         }
     }
 
-    /// Marks the value as completely received.
+    /// Marks the value and the end of its command as completely received.
     pub fn finish(&self) {
         self.complete.set(true);
         self.notify();
@@ -82,7 +85,6 @@
 
     /// Marks the value as never to be completed, and discards buffered bytes.
     pub fn abort(&self) {
-        self.aborted.set(true);
         self.skip();
     }
 
@@ -98,21 +100,26 @@
         !self.started.get() && !self.skipped.get()
     }
 
-    /// Removes and returns the buffered bytes, or the state of the value if there are none.
+    /// Removes and returns the bytes that can be sent, or the state of the value if there are none.
     pub fn next(&self) -> NextChunk {
-        let bytes = self.buffered.take();
-        if !bytes.is_empty() {
-            self.started.set(true);
-            self.notify();
-            return NextChunk::Bytes(bytes);
-        }
-        if self.aborted.get() || self.skipped.get() {
+        if self.skipped.get() {
             return NextChunk::Aborted;
         }
-        if self.complete.get() {
-            NextChunk::End
-        } else {
-            NextChunk::Wait
+        let mut buffered = self.buffered.borrow_mut();
+        let sendable = match self.complete.get() {
+            true => buffered.len(),
+            false => buffered.len().saturating_sub(WITHHELD_BYTES),
+        };
+        if sendable == 0 {
+            return NextChunk::Wait;
+        }
+        let withheld = buffered.split_off(sendable);
+        let bytes = std::mem::replace(&mut *buffered, withheld);
+        self.started.set(true);
+        self.notify();
+        match self.complete.get() {
+            true => NextChunk::Last(bytes),
+            false => NextChunk::Bytes(bytes),
         }
     }
 
@@ -121,7 +128,7 @@
         self.changed.listen().await;
     }
 
-    /// Waits until the value is completely received.
+    /// Waits until the client's command is completely received.
     pub async fn wait_complete(&self) {
         while !self.complete.get() {
             self.changed.listen().await;
