Load: a request that is sent after its deadline no longer ends the run

Cause: `due - sent` in Clients::attempt overflows when the generator is so late that a request starts after its deadline; a release build told the target a deadline of centuries instead. A request that starts more than most_late after it was due is void now, as the results say of it, and a later try tells the least deadline.

The new test makes requests late by deadlines of 1 ms at a million a second: on the code before it failed with "attempt to subtract with overflow", each run.

--- a/load/src/client.rs
+++ b/load/src/client.rs
@@ -76,6 +76,8 @@
     ids: Cell<u64>,
     thread: u64,
     open: Cell<usize>,
+    /// Open requests that have not started yet.
+    unstarted: Cell<u64>,
 }
 
 /// How one exchange ended.
@@ -100,12 +102,17 @@
             ids: Cell::new(0),
             thread,
             open: Cell::new(0),
+            unstarted: Cell::new(0),
             shared,
         })
     }
 
     pub fn into_part(self: Rc<Self>) -> Option<Part> {
-        Rc::into_inner(self).map(|clients| clients.part.into_inner())
+        let clients = Rc::into_inner(self)?;
+        let mut part = clients.part.into_inner();
+        // The run ended before the generator got to them.
+        part.voided += clients.unstarted.get();
+        Some(part)
     }
 
     fn now(&self) -> Time {
@@ -136,6 +143,7 @@
         }
         drop(part);
         self.open.set(self.open.get() + 1);
+        self.unstarted.set(self.unstarted.get() + 1);
         let clients = Rc::clone(self);
         let order = async move {
             clients.order(want).await;
@@ -144,9 +152,14 @@
         executor.spawn(order).detach();
     }
 
-    /// One request, with all its tries.
+    /// One request, with all its tries. It is void if the generator was so busy that it starts too late.
     async fn order(&self, want: ClientRequest) {
+        self.unstarted.set(self.unstarted.get() - 1);
         let spec = &self.shared.spec;
+        if self.now().saturating_sub(want.requested_at) > self.shared.most_late {
+            self.part.borrow_mut().voided += 1;
+            return;
+        }
         let class = &spec.classes[want.class as usize];
         let claim = self.part.borrow_mut().recorder.wanted(spec, &want);
         let once = format!("{:016x}", self.id());
@@ -217,7 +230,8 @@
             key: &key,
             value: want.write.then_some(&self.shared.value[..]),
             once: matches!(class.effect(), Effect::Deduplicated { .. }).then_some(once),
-            wait_ms: ((due - sent) / 1000).max(1),
+            // A try may start after the deadline if the generator is late.
+            wait_ms: (due.saturating_sub(sent) / 1000).max(1),
             again,
         };
         let waits = async {
--- a/load/tests/run.rs
+++ b/load/tests/run.rs
@@ -215,3 +215,16 @@
     assert!(!kept.tells() && kept.voided > kept.due / 10, "{kept:?}");
     assert_eq!(day.counts.wanted + kept.voided, kept.due, "what is void was not wanted of the target");
 }
+
+/// Guards against a crash of the generator when it sends a request only after that request's deadline.
+#[test]
+fn request_that_is_sent_after_its_deadline_does_not_end_the_run() {
+    let peer = peer(Box::new(|_| Some(OK)));
+    let mut spec = spec(&[]);
+    for class in &mut spec.classes {
+        class.deadline_ms = 1.0;
+    }
+    let (day, kept) = run(&spec, "calm", 1, &options(peer.address, Arrivals::Constant(1e6))).unwrap();
+    assert!(kept.late_p99_ms > 1.0, "no request was late: {kept:?}");
+    assert_eq!(day.counts.wanted + kept.voided, kept.due);
+}
