Only a value on a doubtful connection costs a fence, not each equal miss

Change: such a connection goes back to its pool as doubtful. The argument is the same: +PONG right behind a value shows that no reply is outstanding, whichever command before it may have got a copy.

The test now also holds a reply back until a third command, and fails if the doubt is not remembered.

--- a/cli/tests/surplus_replies.rs
+++ b/cli/tests/surplus_replies.rs
@@ -14,6 +14,8 @@
 enum CopySent {
     /// While the next command is on its way: the proxy has written it, the backend has not read it to its end.
     BeforeNextCommand,
+    /// The same, and the reply to that command is only sent while the command after it is on its way.
+    BeforeNextCommandAndReplyHeld,
     /// After the next command was read, and before the reply to it.
     BeforeNextReply,
     /// Right after the reply to the next command.
@@ -39,6 +41,12 @@
     reply
 }
 
+/// Waits for the first byte of the next command: from then on the proxy cannot see what is sent before it has written the
+/// command. `None` if the connection ends.
+fn wait_for_next_command(stream: &TcpStream) -> Option<()> {
+    stream.peek(&mut [0]).ok().filter(|n| *n > 0).map(drop)
+}
+
 /// Serves one connection. Every second reply is followed by a copy of the one before it.
 fn serve(mut stream: TcpStream, (first, copy, length): (FirstReply, CopySent, usize)) -> Option<()> {
     loop {
@@ -48,12 +56,14 @@
             FirstReply::Miss => b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_vec(),
         };
         stream.write_all(&reply).ok()?;
-        if matches!(copy, CopySent::BeforeNextCommand) {
-            // Once its first byte is here, the proxy can no longer see the copy before it writes the command.
-            stream.peek(&mut [0]).ok().filter(|n| *n > 0)?;
+        if matches!(copy, CopySent::BeforeNextCommand | CopySent::BeforeNextCommandAndReplyHeld) {
+            wait_for_next_command(&stream)?;
             stream.write_all(&reply).ok()?;
         }
         let words = read_command(&mut stream)?;
+        if matches!(copy, CopySent::BeforeNextCommandAndReplyHeld) {
+            wait_for_next_command(&stream)?;
+        }
         if matches!(copy, CopySent::BeforeNextReply) {
             stream.write_all(&reply).ok()?;
         }
@@ -99,7 +109,12 @@
 #[test]
 fn copy_of_an_earlier_reply_is_never_served_to_another_request() {
     for length in VALUE_BYTES {
-        for copy in [CopySent::BeforeNextCommand, CopySent::BeforeNextReply, CopySent::AfterNextReply] {
+        for copy in [
+            CopySent::BeforeNextCommand,
+            CopySent::BeforeNextCommandAndReplyHeld,
+            CopySent::BeforeNextReply,
+            CopySent::AfterNextReply,
+        ] {
             for first in [FirstReply::Value, FirstReply::Miss] {
                 let context = format!("{length} bytes, {first:?}, {copy:?}");
                 let backend = start_backend((first, copy, length));
--- a/proxy/src/state/metrics/counters.rs
+++ b/proxy/src/state/metrics/counters.rs
@@ -42,9 +42,9 @@
     pub watches: u64,
     /// Failed accepts of client connections.
     pub accept_errors: u64,
-    /// Replies of backends that equal an earlier reply on their connection.
+    /// Replies of backends that may have been second copies of earlier ones, and were checked by a fence.
     pub replies_checked: u64,
-    /// Those of them that no fence confirmed as the reply to the last command.
+    /// Those of them that the fence did not confirm as the reply to the last command.
     pub replies_unconfirmed: u64,
     attempt_outcomes: HashMap<AttemptOutcome, u64>,
     connection_ends: HashMap<ConnectionEnd, u64>,
--- a/proxy/src/state/pool.rs
+++ b/proxy/src/state/pool.rs
@@ -59,9 +59,26 @@
     }
 }
 
+/// Whether replies may be outstanding on a connection.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ReplyOrder {
+    /// No reply is outstanding.
+    #[default]
+    Certain,
+    /// A reply may have been a second copy of an earlier one, so that the real one may be outstanding.
+    Doubtful,
+}
+
+/// An idle connection.
+struct Idle<C> {
+    since: Micros,
+    order: ReplyOrder,
+    connection: C,
+}
+
 struct ServerPool<C> {
-    /// Connections with the time since when they are idle, oldest first.
-    idle: Vec<(Micros, C)>,
+    /// Idle connections, the one that is idle for longest first.
+    idle: Vec<Idle<C>>,
     /// Connections of earlier generations are not returned to the pool.
     generation: u64,
 }
@@ -94,32 +111,40 @@
         pool.generation
     }
 
-    /// Takes the most recently used connection whose `REUSE_DELAY` has passed, or else the one for which it passes first.
-    /// Returns it with the time from which it may be used.
+    /// Takes the most recently used connection whose `REUSE_DELAY` has passed, one whose reply order is certain if there is
+    /// any, or else the connection for which it passes first. Returns it with the time from which it may be used.
     pub fn take(&mut self, now: Micros, server: ServerId) -> Option<(Micros, C)> {
         let max_idle = self.max_idle;
         let idle = &mut self.servers.get_mut(&server)?.idle;
-        let reusable = idle.iter().rposition(|(since, _)| since + REUSE_DELAY <= now);
         if idle.is_empty() {
             return None;
         }
-        let (since, connection) = idle.remove(reusable.unwrap_or(0));
+        let reusable = |order| idle.iter().rposition(|i| i.since + REUSE_DELAY <= now && i.order == order);
+        let certain = reusable(ReplyOrder::Certain);
+        let index = certain.or_else(|| reusable(ReplyOrder::Doubtful)).unwrap_or(0);
+        let Idle { since, connection, .. } = idle.remove(index);
         if since + max_idle > now {
             return Some((since + REUSE_DELAY, connection));
         }
         // The connections before it are older still.
-        idle.drain(..reusable.unwrap_or(0));
+        idle.drain(..index);
         self.take(now, server)
     }
 
     /// Returns a connection to its pool. It is dropped if its generation has ended; a full pool drops its oldest one.
-    pub fn put(&mut self, now: Micros, server: ServerId, generation: u64, connection: C) {
+    pub fn put(
+        &mut self,
+        now: Micros,
+        server: ServerId,
+        generation: u64,
+        (connection, order): (C, ReplyOrder),
+    ) {
         let pool = self.servers.get_mut(&server).filter(|s| s.generation == generation);
         let Some(pool) = pool else { return };
         if pool.idle.len() >= MAX_IDLE_CONNECTIONS {
             pool.idle.remove(0);
         }
-        pool.idle.push((now, connection));
+        pool.idle.push(Idle { since: now, order, connection });
     }
 
     /// Drops a server's idle connections, and those in use once they are returned.
@@ -131,13 +156,13 @@
     pub fn sweep(&mut self, now: Micros, alive: impl Fn(&C) -> bool) {
         for pool in self.servers.values_mut() {
             let max_idle = self.max_idle;
-            pool.idle.retain(|(since, c)| since + max_idle > now && alive(c));
+            pool.idle.retain(|idle| idle.since + max_idle > now && alive(&idle.connection));
         }
     }
 
     /// Drops the connection that has been idle for longest. Returns false if there is none.
     pub fn evict(&mut self) -> bool {
-        let oldest = |s: &&mut ServerPool<C>| s.idle.first().map_or(Micros::MAX, |(since, _)| *since);
+        let oldest = |s: &&mut ServerPool<C>| s.idle.first().map_or(Micros::MAX, |idle| idle.since);
         match self.servers.values_mut().filter(|s| !s.idle.is_empty()).min_by_key(oldest) {
             Some(pool) => {
                 pool.idle.remove(0);
--- a/proxy/src/state/pool/tests.rs
+++ b/proxy/src/state/pool/tests.rs
@@ -9,14 +9,14 @@
     let mut pools = Pools::new(30 * SECOND);
     let generation = pools.generation(1);
     for (now, c) in [(0, 'a'), (SECOND, 'b'), (2 * SECOND, 'c')] {
-        pools.put(now, 1, generation, c);
+        pools.put(now, 1, generation, (c, ReplyOrder::Certain));
     }
     assert_eq!(pools.take(3 * SECOND, 1), Some((2 * SECOND + REUSE_DELAY, 'c')));
     assert_eq!(pools.take(3 * SECOND, 2), None);
     pools.sweep(27 * SECOND, |_| true);
     assert_eq!(pools.idle(1), 1, "dropped a tenth of the time before the server closes it");
     assert_eq!(pools.take(28 * SECOND, 1), None, "too old, although not swept yet");
-    pools.put(40 * SECOND, 1, generation, 'd');
+    pools.put(40 * SECOND, 1, generation, ('d', ReplyOrder::Certain));
     pools.sweep(40 * SECOND, |&c| c != 'd');
     assert_eq!(pools.idle(1), 0, "closed by the server");
 }
@@ -25,12 +25,12 @@
 fn connections_of_an_ended_generation_are_not_pooled() {
     let mut pools = Pools::new(30 * SECOND);
     let generation = pools.generation(1);
-    pools.put(0, 1, generation, 'a');
+    pools.put(0, 1, generation, ('a', ReplyOrder::Certain));
     pools.drop_server(1);
-    pools.put(0, 1, generation, 'b');
+    pools.put(0, 1, generation, ('b', ReplyOrder::Certain));
     assert_eq!(pools.take(0, 1), None);
     assert_ne!(pools.generation(1), generation);
-    pools.put(0, 1, generation, 'c');
+    pools.put(0, 1, generation, ('c', ReplyOrder::Certain));
     assert_eq!(pools.take(0, 1), None);
 }
 
@@ -40,7 +40,7 @@
     let budget = Budget::new(MAX_IDLE_CONNECTIONS + 1);
     let generation = pools.generation(1);
     for now in 0..=MAX_IDLE_CONNECTIONS as u64 {
-        pools.put(now, 1, generation, budget.take());
+        pools.put(now, 1, generation, (budget.take(), ReplyOrder::Certain));
     }
     assert_eq!((pools.idle(1), budget.used()), (MAX_IDLE_CONNECTIONS, MAX_IDLE_CONNECTIONS));
     let _last = budget.take();
@@ -49,3 +49,21 @@
     while pools.evict() {}
     assert_eq!(pools.idle(1), 0);
 }
+
+#[test]
+fn connections_whose_reply_order_is_certain_are_taken_first() {
+    let mut pools = Pools::new(30 * SECOND);
+    let generation = pools.generation(1);
+    let idle = [
+        (0, 'a', ReplyOrder::Certain),
+        (1, 'b', ReplyOrder::Doubtful),
+        (2, 'c', ReplyOrder::Certain),
+        (SECOND, 'd', ReplyOrder::Certain),
+    ];
+    for (now, connection, order) in idle {
+        pools.put(now, 1, generation, (connection, order));
+    }
+    // The connection 'd' has only just become idle.
+    let taken: Vec<char> = (0..4).filter_map(|_| pools.take(SECOND, 1)).map(|(_, c)| c).collect();
+    assert_eq!(taken, ['c', 'a', 'b', 'd']);
+}
--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -5,6 +5,7 @@
 use crate::negative_cache::KeyLookup;
 use crate::outcome::AttemptOutcome;
 use crate::proxy::{AttemptId, AttemptReply, ReplySlot};
+use crate::state::pool::ReplyOrder;
 use crate::wire::backend::{self, Reply, ReplyPart};
 use crate::wire::command::BackendCommand;
 use crate::wire::streamed_value::{NextChunk, StreamedValue};
@@ -262,20 +263,20 @@
     if timings.first > 0 {
         runtime.reachability.borrow_mut().reached(endpoint);
     }
-    // A repeated reply may be a second copy of an earlier one, made for another request.
-    let repeated = decoder.digest().is_some_and(|digest| !connection.history.insert(digest));
+    if decoder.digest().is_some_and(|digest| !connection.history.insert(digest)) {
+        // It may be a second copy of an earlier reply, made for another request.
+        connection.order = ReplyOrder::Doubtful;
+    }
+    // A read that gets no value goes on the same whichever reply it got.
     let decisive = reply.outcome == AttemptOutcome::Served || command.value_len().is_some();
-    if repeated && decisive {
+    if decisive && connection.order == ReplyOrder::Doubtful {
         let confirmed =
             reply.reusable && runtime.confirm_last_reply(&mut connection, (server, process)).await;
         if !confirmed {
             return Reply::without_value(AttemptOutcome::Garbled);
         }
-        runtime.return_connection(server, generation, connection);
-    } else if repeated && reply.reusable {
-        // A read that got no value goes on the same whichever reply this was; only the connection waits for the fence.
-        runtime.spawn(confirm_and_return(Rc::clone(runtime), (server, process), generation, connection));
-    } else if reply.reusable {
+    }
+    if reply.reusable {
         runtime.return_connection(server, generation, connection);
     }
     match (negative_cache, lookup, reply.outcome) {
@@ -298,18 +299,6 @@
     reply
 }
 
-/// Returns a connection to its pool if a fence confirms that no reply is outstanding on it.
-async fn confirm_and_return(
-    runtime: Rc<Runtime>,
-    (server, process): (ServerId, Process),
-    generation: u64,
-    mut connection: Connection,
-) {
-    if runtime.confirm_last_reply(&mut connection, (server, process)).await {
-        runtime.return_connection(server, generation, connection);
-    }
-}
-
 impl Runtime {
     /// Checks again whether the command may be written, since getting a connection took time. Returns the outcome of
     /// the attempt if the client has left, the request is answered, the server was drained or restarted, or
@@ -414,6 +403,10 @@
                 }
                 for part in decoder.feed(buffer.get(..n).unwrap_or_default()) {
                     match part {
+                        // What is relayed cannot be taken back, so the order must be certain before it.
+                        ReplyPart::ValueStart(_) if connection.order == ReplyOrder::Doubtful => {
+                            return Reply::without_value(AttemptOutcome::Garbled);
+                        }
                         ReplyPart::ValueStart(length) => {
                             progress.relaying.set(true);
                             let response_time = timings.response_time();
--- a/proxy/src/wire/driver/connection.rs
+++ b/proxy/src/wire/driver/connection.rs
@@ -4,7 +4,7 @@
 use super::Runtime;
 use crate::net::{self, ConnectError, Fault};
 use crate::outcome::AttemptOutcome;
-use crate::state::pool::Ticket;
+use crate::state::pool::{ReplyOrder, Ticket};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use notchdoor::{Micros, ServerId};
@@ -28,6 +28,8 @@
     pub(super) io: Async<TcpStream>,
     /// The replies received on it.
     pub(super) history: ReplyHistory,
+    /// Whether a reply may be outstanding on it while it is idle.
+    pub(super) order: ReplyOrder,
     _ticket: Ticket,
 }
 
@@ -77,7 +79,12 @@
         let error = match future::or(connected, timed_out).await {
             Some(Ok(io)) => {
                 runtime.reachability.borrow_mut().reached(endpoint);
-                return Ok(Connection { io, history: ReplyHistory::default(), _ticket: ticket });
+                return Ok(Connection {
+                    io,
+                    history: ReplyHistory::default(),
+                    order: ReplyOrder::Certain,
+                    _ticket: ticket,
+                });
             }
             Some(Err(error)) => error,
             // If the timeout was spent on retries of a local failure, that failure is reported, not a timeout.
@@ -111,11 +118,13 @@
     /// Returns a connection to its pool, unless it cannot be used again.
     pub(super) fn return_connection(&self, server: ServerId, generation: u64, connection: Connection) {
         if !connection.history.is_full() {
-            self.pools.borrow_mut().put(self.clock.now(), server, generation, connection);
+            let order = connection.order;
+            self.pools.borrow_mut().put(self.clock.now(), server, generation, (connection, order));
         }
     }
 
-    /// Whether a fence confirms that the last reply on a connection was the one to the last command.
+    /// Whether a fence confirms that the last reply on a connection was the one to the last command. If so, its reply
+    /// order is certain again.
     pub(super) async fn confirm_last_reply(
         &self,
         connection: &mut Connection,
@@ -128,7 +137,9 @@
         };
         let confirmed = self.is_serving(server, process)
             && future::or(connection.has_no_reply_outstanding(), timed_out).await;
-        if !confirmed {
+        if confirmed {
+            connection.order = ReplyOrder::Certain;
+        } else {
             self.proxy.borrow_mut().counters.replies_unconfirmed += 1;
             log::debug!(server; "a reply of {server} may belong to an earlier command and was not confirmed");
         }
