A late second response of the origin is not served to another read

HTTP has no command that could serve as a fence. A response that equals an earlier one on its connection, status, headers and body, is no longer served to a read; the read goes back to the cache, where the origin's value is stored, and the connection is closed.

Test: copy_of_an_earlier_response_of_the_origin_is_never_served_to_another_read forces the order; on the code before it failed.

--- a/cli/tests/surplus_replies.rs
+++ b/cli/tests/surplus_replies.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use notchdoor_proxy::wire::resp::{write_bulk, Reader, Value};
-use std::io::{Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
 /// Sizes of values: one that the proxy buffers and one that it streams.
@@ -74,17 +74,45 @@
     }
 }
 
-fn start_backend(behavior: (FirstReply, CopySent, usize)) -> SocketAddr {
+/// Starts a server that handles each connection on its own thread.
+fn start_server(serve: impl Fn(TcpStream) -> Option<()> + Copy + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let endpoint = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            std::thread::spawn(move || serve(stream, behavior));
+            std::thread::spawn(move || serve(stream));
         }
     });
     endpoint
 }
 
+/// Serves one connection to an origin. A copy of every second response is sent while the next request is on its way.
+fn serve_origin(stream: TcpStream) -> Option<()> {
+    let mut reader = BufReader::new(stream);
+    loop {
+        let response = http_response("200 OK", &read_http_request(&mut reader)?)?;
+        reader.get_mut().write_all(&response).ok()?;
+        wait_for_next_command(reader.get_ref())?;
+        reader.get_mut().write_all(&response).ok()?;
+        let id = read_http_request(&mut reader)?;
+        reader.get_mut().write_all(&http_response("200 OK", &id)?).ok()?;
+    }
+}
+
+/// Reads a request with a body of one byte at most, byte by byte, and returns its id.
+fn read_http_request(reader: &mut BufReader<TcpStream>) -> Option<String> {
+    let (mut head, mut byte) = (Vec::new(), [0]);
+    while !head.ends_with(b"\r\n\r\n") {
+        reader.get_mut().read_exact(&mut byte).ok()?;
+        head.extend(byte);
+    }
+    let head = String::from_utf8(head).unwrap();
+    if head.starts_with("PUT") {
+        reader.get_mut().read_exact(&mut byte).ok()?;
+    }
+    head.lines().find_map(|line| line.strip_prefix("X-Call-Id: ")).map(str::to_owned)
+}
+
 /// Sends a read on a connection of its own and returns its answer; `None` if the answer is cut off.
 fn read(proxy: &Proxy, id: &str) -> Option<Value> {
     let mut stream = {
@@ -117,7 +145,7 @@
         ] {
             for first in [FirstReply::Value, FirstReply::Miss] {
                 let context = format!("{length} bytes, {first:?}, {copy:?}");
-                let backend = start_backend((first, copy, length));
+                let backend = start_server(move |stream| serve(stream, (first, copy, length)));
                 let origin = FakeServer::origin(Box::new(move |request| {
                     let value = value_for(&request[2], length);
                     http_response("200 OK", std::str::from_utf8(&value).unwrap())
@@ -175,3 +203,45 @@
     assert!(exited_cleanly && log.contains(" opened=1 reused=19 "), "{log}");
     assert!(log.contains(" replies_checked=19 replies_unconfirmed=0"), "{log}");
 }
+
+/// Starts a proxy whose backend has no key and whose origin sends copies of its responses.
+fn start_proxy_with_repeating_origin(discovery: &FakeDiscovery) -> (Proxy, FakeServer) {
+    let miss = FakeServer::backend(Box::new(|_| Some(b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_vec())));
+    let list = [
+        endpoint_entry("w", &miss, "in_service", 0),
+        endpoint_entry_at("o", start_server(serve_origin), "in_service", 0),
+    ];
+    (Proxy::start(discovery, &list), miss)
+}
+
+/// Guards against a late copy of the origin's response being served to the next read on its connection.
+#[test]
+fn copy_of_an_earlier_response_of_the_origin_is_never_served_to_another_read() {
+    let discovery = FakeDiscovery::start();
+    let (proxy, _backend) = start_proxy_with_repeating_origin(&discovery);
+    let mut served = 0;
+    for n in 0..24 {
+        let id = format!("id-{n:02}");
+        match read(&proxy, &id) {
+            Some(Value::Bulk(Some(value))) => {
+                assert_eq!(text(&value), id);
+                served += 1;
+            }
+            Some(Value::Error(_)) => {}
+            other => panic!("{id}: {other:?}"),
+        }
+    }
+    assert!(served >= 8, "only {served} of 24 were served");
+}
+
+/// Guards against a late copy of a receipt being given for the next write on its connection.
+#[test]
+fn copy_of_an_earlier_receipt_is_never_given_for_another_write() {
+    let discovery = FakeDiscovery::start();
+    let (proxy, _backend) = start_proxy_with_repeating_origin(&discovery);
+    for n in 0..24 {
+        let id = format!("id-{n:02}");
+        let receipt = proxy.client().request(&["OBJ.SET", "k", &id, "c=close,t=acme,d=600", "v"]);
+        assert!(receipt == bulk(&id) || matches!(receipt, Value::Error(_)), "{id}: {receipt:?}");
+    }
+}
--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -68,11 +68,11 @@
         }
     }
 
-    /// Digest of a backend's complete reply. Responses of the origin have none.
+    /// Digest of a complete reply.
     fn digest(&self) -> Option<u64> {
         match self {
             Decoder::Backend(decoder) => decoder.digest(),
-            Decoder::Origin(_) => None,
+            Decoder::Origin(decoder) => decoder.digest(),
         }
     }
 
@@ -267,16 +267,20 @@
         // It may be a second copy of an earlier reply, made for another request.
         connection.order = ReplyOrder::Doubtful;
     }
+    let doubtful = connection.order == ReplyOrder::Doubtful;
+    let is_read = command.value_len().is_none();
     // A read that gets no value goes on the same whichever reply it got.
-    let decisive = reply.outcome == AttemptOutcome::Served || command.value_len().is_some();
-    if decisive && connection.order == ReplyOrder::Doubtful {
-        let confirmed =
-            reply.reusable && runtime.confirm_last_reply(&mut connection, (server, process)).await;
-        if !confirmed {
+    if doubtful && (reply.outcome == AttemptOutcome::Served || !is_read) {
+        // HTTP has no fence. The origin's receipts are given all the same, since equal ones may be usual.
+        let trusted = match is_origin {
+            true => !is_read,
+            false => reply.reusable && runtime.confirm_last_reply(&mut connection, (server, process)).await,
+        };
+        if !trusted {
             return Reply::without_value(AttemptOutcome::Garbled);
         }
     }
-    if reply.reusable {
+    if reply.reusable && !(doubtful && is_origin) {
         runtime.return_connection(server, generation, connection);
     }
     match (negative_cache, lookup, reply.outcome) {
--- a/proxy/src/wire/http.rs
+++ b/proxy/src/wire/http.rs
@@ -1,5 +1,7 @@
 //! Incremental decoder of HTTP/1.1 responses.
 
+use std::hash::{DefaultHasher, Hasher};
+
 /// Maximum size of the head, and of a chunk size or trailer line.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum number of headers.
@@ -44,6 +46,8 @@
     /// Number of consumed bytes in the buffer. Removed once per feed, not per chunk, to avoid quadratic copying.
     consumed: usize,
     keep_alive: bool,
+    /// Hashes the head and the body.
+    hasher: DefaultHasher,
 }
 
 /// The bytes are not a valid HTTP response, or exceed a limit.
@@ -52,7 +56,13 @@
 
 impl Default for Decoder {
     fn default() -> Self {
-        Decoder { state: State::Head, buffer: Vec::new(), consumed: 0, keep_alive: true }
+        Decoder {
+            state: State::Head,
+            buffer: Vec::new(),
+            consumed: 0,
+            keep_alive: true,
+            hasher: DefaultHasher::new(),
+        }
     }
 }
 
@@ -76,6 +86,11 @@
         Ok(parts)
     }
 
+    /// Digest of the response; `None` before its end. Equal responses have equal digests.
+    pub fn digest(&self) -> Option<u64> {
+        matches!(self.state, State::Done).then(|| self.hasher.finish())
+    }
+
     /// Whether received bytes are not yet part of a decoded part.
     pub fn has_unread(&self) -> bool {
         !self.unread().is_empty()
@@ -105,6 +120,12 @@
         self.buffer.get(from..self.consumed).unwrap_or_default()
     }
 
+    fn consume_data(&mut self, n: usize) -> Part {
+        let data = self.consume(n).to_vec();
+        self.hasher.write(&data);
+        Part::Data(data)
+    }
+
     /// Length of the next line, line feed included; `None` if it is incomplete.
     fn line_length(&self) -> Result<Option<usize>, Malformed> {
         match self.unread().iter().position(|&b| b == b'\n') {
@@ -130,7 +151,7 @@
                     let n = left.min(self.unread().len() as u64);
                     let chunked = matches!(self.state, State::Chunk(_));
                     self.state = if chunked { State::Chunk(left - n) } else { State::Length(left - n) };
-                    return Ok(Some(Part::Data(self.consume(n as usize).to_vec())));
+                    return Ok(Some(self.consume_data(n as usize)));
                 }
                 State::Length(_) | State::Chunk(_) => self.state = State::ChunkEnd,
                 State::ChunkSize => match httparse::parse_chunk_size(self.unread()) {
@@ -160,7 +181,7 @@
                 State::UntilClose if self.unread().is_empty() => return Ok(None),
                 State::UntilClose => {
                     let n = self.unread().len();
-                    return Ok(Some(Part::Data(self.consume(n).to_vec())));
+                    return Ok(Some(self.consume_data(n)));
                 }
                 State::Done => return Ok(None),
             }
@@ -218,7 +239,8 @@
             Some(n) => State::Length(n),
             None => State::UntilClose,
         };
-        self.consume(n);
+        let head = self.consume(n).to_vec();
+        self.hasher.write(&head);
         Ok(Some(Part::Head { status, rejected, length }))
     }
 }
--- a/proxy/src/wire/origin.rs
+++ b/proxy/src/wire/origin.rs
@@ -51,6 +51,11 @@
         self.status != 0 || self.http.has_unread()
     }
 
+    /// Digest of the response, with its headers; `None` before its end. Equal responses have equal digests.
+    pub fn digest(&self) -> Option<u64> {
+        self.http.digest()
+    }
+
     /// Feeds received bytes and returns the parts of the reply that they complete.
     pub fn feed(&mut self, bytes: &[u8]) -> Vec<ReplyPart> {
         match self.http.feed(bytes) {
