--- a/coordination/src/retry_pacing.rs
+++ b/coordination/src/retry_pacing.rs
@@ -9,7 +9,7 @@
 const TARGET_REQUESTS_PER_S: u64 = 50;
 /// Period over which requests are counted before the delay is adjusted.
 const COUNT_PERIOD_MS: Millis = 1_000;
-/// Maximum delay, as a multiple of the TTL.
+/// Maximum delay, as a multiple of the TTL: some client asks by then even if all others are gone.
 const MAX_DELAY_TTLS: u64 = 2;
 
 /// Request rate and retry delay for one held task.
--- a/limits/src/layer/request.rs
+++ b/limits/src/layer/request.rs
@@ -6,7 +6,7 @@
 use notchdoor::{Effect, Micros, ServerId};
 use std::rc::Rc;
 
-/// A retry is withheld if less than this share of the attempt timeout is left before the deadline.
+/// A retry is withheld if less than this share of the attempt timeout is left before the deadline: it could not end.
 const MIN_RETRY_TIME_SHARE: f64 = 0.25;
 /// Lower bound of an attempt timeout that was shortened for a client with little time left.
 const MIN_ATTEMPT_TIMEOUT_US: f64 = 1_000.0;
--- a/src/router/admission.rs
+++ b/src/router/admission.rs
@@ -4,9 +4,10 @@
 use crate::interface::{Micros, Request, Settings};
 
 /// The share of the origin's window that reads may use. The rest is reserved for writes, which cannot be
-/// served from a cache.
+/// served from a cache: a write without a slot is lost for good, while a read is retried.
 const MAX_READ_WINDOW_SHARE: f64 = 0.6;
-/// A call to the origin times out after this multiple of the delay at which the window is cut.
+/// A call to the origin times out after this multiple of the delay at which the window is cut: by then it is
+/// lost, not slow.
 const GIVE_UP_DELAY_MULTIPLE: u64 = 4;
 
 /// Returns whether the origin's window has capacity for the request and the client can be answered in time.
--- a/src/router/attempt_results.rs
+++ b/src/router/attempt_results.rs
@@ -63,7 +63,7 @@
 
     /// Handles a read that its cache has not answered for a while, so that a server that accepts requests
     /// without answering is detected before its requests time out. Sends a hedged request only if a layer
-    /// granted it.
+    /// granted it: hedging every such read costs more than it saves.
     pub(super) fn handle_slow_read(
         &mut self,
         now: Micros,
--- a/src/router/backends.rs
+++ b/src/router/backends.rs
@@ -8,7 +8,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::{Index, IndexMut};
 
-/// The minimum time between two weight updates of a fleet of up to [`SERVERS_PER_UPDATE_INTERVAL`] servers.
+/// The minimum time between two weight updates of a fleet of up to [`SERVERS_PER_UPDATE_INTERVAL`] servers. A
+/// warming cache gains a little weight in each.
 const WEIGHT_UPDATE_INTERVAL: Micros = 100_000;
 /// The update interval grows by [`WEIGHT_UPDATE_INTERVAL`] for each this many servers, to bound the CPU time.
 const SERVERS_PER_UPDATE_INTERVAL: u64 = 256;
--- a/src/router/congestion_window.rs
+++ b/src/router/congestion_window.rs
@@ -18,20 +18,23 @@
 use crate::interface::{Micros, Settings};
 use std::collections::VecDeque;
 
-/// The number `k` of delays that Equation 2 averages.
+/// The number `k` of delays that Equation 2 averages: enough to average out single slow attempts, few enough
+/// to detect congestion early.
 pub(super) const MEAN_SAMPLES: usize = 8;
 /// The minimum number of delays for a decision; fewer are dominated by noise.
 pub(super) const MIN_SAMPLES: usize = 4;
-/// Lower bound on `alpha`, as a share of `CCT_estimation`.
+/// Lower bound on `alpha`, as a share of `CCT_estimation`: our reading of the paper's 1/2.
 const ALPHA_DELAY_SHARE: f64 = 0.5;
-/// Lower bound on `alpha`, in standard deviations of the mean of `k` normal delays.
+/// Lower bound on `alpha`, in standard deviations of the mean of `k` normal delays. Chance alone seldom goes
+/// that far.
 const ALPHA_DEVIATIONS: f64 = 3.0;
 /// Lower bound on `alpha`, as a share of the difference between latency objective and `CCT_estimation`. Does
-/// not apply to a single cache, whose read may still have to go to the origin within the objective.
+/// not apply to a single cache, whose read may still have to go to the origin within the objective. A fetch is
+/// the last step, and a delay within the objective does no harm.
 const ALPHA_SLACK_SHARE: f64 = 0.5;
-/// The initial window, in attempts.
+/// The initial window, in attempts. Doubling from one would take the first three round trips after a start.
 const INITIAL_WINDOW: f64 = 8.0;
-/// The initial slow start threshold, in attempts.
+/// The initial slow start threshold, in attempts: slow start may double the initial window once.
 const INITIAL_THRESHOLD: f64 = 16.0;
 /// The minimum window, in attempts: one attempt per 64 normal delays.
 pub(super) const MIN_WINDOW: f64 = 1.0 / 64.0;
--- a/src/router/hot_keys.rs
+++ b/src/router/hot_keys.rs
@@ -3,9 +3,10 @@
 use crate::interface::{Key, Micros};
 use std::collections::BTreeMap;
 
-/// The minimum length of a counting epoch.
+/// The minimum length of a counting epoch: a key turns hot within a second or two.
 pub(super) const EPOCH_LENGTH: Micros = 1_000_000;
-/// A key gets one more cache for each multiple of this share of its first cache's fair share of all reads.
+/// A key gets one more cache for each multiple of this share of its first cache's fair share of all reads:
+/// beside its even share of the other keys, a cache gets half of that again from one key.
 const SHARE_PER_REPLICA: f64 = 0.5;
 /// The minimum number of reads of a key within two epochs before it counts as hot.
 const MIN_HOT_READS: u32 = 4;
--- a/src/router/normal_delay.rs
+++ b/src/router/normal_delay.rs
@@ -7,7 +7,7 @@
 
 use super::congestion_window::MIN_SAMPLES;
 
-/// The number of samples in an interval.
+/// The number of samples in an interval: two full sets of the samples that Equation 2 averages.
 const INTERVAL_SAMPLES: u32 = 16;
 /// The gain for an interval that cannot contain congestion caused by this proxy.
 const FAST_GAIN: f64 = 0.5;
--- a/src/router/outlier_detection.rs
+++ b/src/router/outlier_detection.rs
@@ -7,7 +7,7 @@
 use super::backends::{Backend, BackendIndex, Backends};
 use crate::interface::{Micros, Outcome};
 
-/// Weight of the newest sample in a cache's average latency and failure share.
+/// Weight of the newest sample in a cache's average latency and failure share: a few answers decide.
 const SAMPLE_GAIN: f64 = 0.25;
 /// A cache is failing if more than this share of its recent attempts failed.
 const MAX_FAILURE_SHARE: f64 = 0.5;
--- a/src/router/slow_start.rs
+++ b/src/router/slow_start.rs
@@ -3,7 +3,8 @@
 //! A cache that has just started is empty and slow, and fails if it gets much more load than it can handle.
 //! Its budget is a share of the rate of cache hits that this proxy sees; demand is unsuitable as a measure,
 //! since in an overload it exceeds what any cache can handle. Reads beyond the budget are denied at random in
-//! proportion. A token bucket is not used, because all proxies would send their saved tokens at once.
+//! proportion. A token bucket is not used, because all proxies would send their saved tokens at once, and
+//! a bucket of one token would admit half of the reads that come one at a time, which crowds the warm caches.
 
 use crate::interface::{Micros, Settings};
 
--- a/src/router/tenant_quotas.rs
+++ b/src/router/tenant_quotas.rs
@@ -7,20 +7,23 @@
 use super::random::SplitMix64;
 use crate::interface::{Micros, Settings, Tenant};
 
-/// The depth of a token bucket, in seconds of its refill rate.
+/// The depth of a token bucket, in seconds of its refill rate: bursts of clients that keep to their quota on
+/// average are within quota.
 const BURST_SECONDS: f64 = 2.0;
 /// The minimum depth of a token bucket. Allows small bursts by tenants with small quotas.
 const MIN_BURST_TOKENS: f64 = 4.0;
-/// The time constant of a tenant's average request rate.
+/// The time constant of a tenant's average request rate: long beside its bursts, short beside a shift of traffic
+/// between proxies.
 const RATE_AVERAGING_SECONDS: f64 = 5.0;
 /// The minimum time between two estimates of the traffic ratio, each of which visits all tenants.
 const TRAFFIC_RATIO_INTERVAL: Micros = 200_000;
 /// The minimum traffic ratio. A bucket that is too small rejects requests within quota, one that is too large
 /// only protects less, so the refill rate never falls below the even share.
 const MIN_TRAFFIC_RATIO: f64 = 1.0;
-/// The admission probability is multiplied by this factor when a request within quota is lost.
+/// The admission probability is multiplied by this factor when a request within quota is lost: contention must
+/// end within a few such losses.
 const DECREASE_FACTOR: f64 = 0.5;
-/// Added to the admission probability when a request within quota is served.
+/// Added to the admission probability when a request within quota is served: from 0 it takes 200 to admit all.
 const INCREASE_PER_SUCCESS: f64 = 0.005;
 /// A quota of at least this many requests per second at one proxy counts as unlimited. Avoids overflow in
 /// sums over the tenants.
