--- a/cli/tests/surplus_replies.rs
+++ b/cli/tests/surplus_replies.rs
@@ -245,3 +245,42 @@
         assert!(receipt == bulk(&id) || matches!(receipt, Value::Error(_)), "{id}: {receipt:?}");
     }
 }
+
+/// Serves one connection: two equal values, so that the second one is confirmed by a fence; then a copy of the value before
+/// the next reply, and, once the fence for it is on its way, a copy of the reply to the first fence.
+fn serve_with_copy_of_fence_reply(mut stream: TcpStream) -> Option<()> {
+    let same = hit("same", VALUE_BYTES[0]);
+    for _ in 0..2 {
+        read_command(&mut stream)?;
+        stream.write_all(&same).ok()?;
+    }
+    let words = read_command(&mut stream)?;
+    stream.write_all(&same).ok()?;
+    wait_for_next_command(&stream)?;
+    stream.write_all(b"+PONG\r\n").ok()?;
+    stream.write_all(&hit(&words[2], VALUE_BYTES[0])).ok()?;
+    read_command(&mut stream).map(drop)
+}
+
+/// Guards against a copy of an earlier fence's reply confirming a copy of a value.
+#[test]
+fn copy_of_a_fence_reply_never_confirms_a_copy_of_a_value() {
+    let backend = start_server(serve_with_copy_of_fence_reply);
+    let origin = FakeServer::origin(Box::new(|_| None));
+    let discovery = FakeDiscovery::start();
+    let list =
+        [endpoint_entry_at("w", backend, "in_service", 0), endpoint_entry("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&discovery, &list);
+    for n in 0..8 {
+        // The backend makes the value `same` for the first two requests of a connection, whatever their ids.
+        for id in ["same".to_owned(), "same".to_owned(), format!("own-{n}")] {
+            match read(&proxy, &id) {
+                Some(Value::Bulk(Some(value))) if value == value_for("same", VALUE_BYTES[0]) => {
+                    assert!(id == "same", "{id} of round {n} was given a copy");
+                }
+                Some(Value::Bulk(_) | Value::Error(_)) | None => {}
+                other => panic!("{id}: {other:?}"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cli/tests/unproven_replies.rs
@@ -0,0 +1,361 @@
+//! Surplus replies behind a fault proxy, at caches and the origin: nothing is concluded for a request, neither a value nor
+//! that it never ran, from bytes that were made for another one. The order is forced, so no time is part of a test.
+
+mod common;
+#[path = "common/fault_proxy.rs"]
+mod fault_proxy;
+
+use common::*;
+use fault_proxy::{Carried, FaultProxy, Insertion};
+use notchdoor_proxy::wire::resp::Value;
+use notchdoor_testbed::wire::frames::Protocol;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// How often each request ran, by its id.
+type Runs = Arc<Mutex<HashMap<String, usize>>>;
+
+/// What a server replies to requests for a key, by the prefix of the key.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Kind {
+    /// The value, or a write's receipt.
+    Value,
+    /// The same, many times as long.
+    LongValue,
+    /// The cache does not have the key, and the origin returns the value.
+    Miss,
+    /// The cache rejects the read, or the origin the request.
+    Busy,
+    /// The server fails; the request has run.
+    Error,
+}
+
+impl Kind {
+    const ALL: [Kind; 5] = [Kind::Value, Kind::LongValue, Kind::Miss, Kind::Busy, Kind::Error];
+
+    fn of(key: &str) -> Kind {
+        Kind::ALL.into_iter().find(|kind| key.starts_with(kind.prefix())).expect("a key of a kind")
+    }
+
+    fn prefix(self) -> &'static str {
+        match self {
+            Kind::Value => "value-",
+            Kind::LongValue => "long-",
+            Kind::Miss => "miss-",
+            Kind::Busy => "busy-",
+            Kind::Error => "error-",
+        }
+    }
+}
+
+/// The value or receipt that a server makes for a request.
+fn value_for(id: &str, kind: Kind) -> String {
+    if kind == Kind::LongValue {
+        id.repeat(40)
+    } else {
+        format!("made-for-{id}")
+    }
+}
+
+const LOAD_REPORT: &str = "rate=12.5,fail_rate=0.1,busy=0.42";
+
+fn cache_reply(kind: Kind, id: &str) -> Vec<u8> {
+    let report = format!("${}\r\n{LOAD_REPORT}\r\n", LOAD_REPORT.len());
+    match kind {
+        Kind::Value | Kind::LongValue => {
+            let value = value_for(id, kind);
+            format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n{report}", value.len())
+        }
+        Kind::Miss => format!("*3\r\n$-1\r\n$4\r\nmiss\r\n{report}"),
+        Kind::Busy => "-BUSY 5\r\n".to_owned(),
+        Kind::Error => "-ERR failed\r\n".to_owned(),
+    }
+    .into_bytes()
+}
+
+fn origin_reply(kind: Kind, id: &str) -> Vec<u8> {
+    let report = format!("\r\nX-Load-Report: {LOAD_REPORT}");
+    match kind {
+        Kind::Busy => http_response(&format!("503 Service Unavailable\r\nX-Rejected: 1{report}"), ""),
+        Kind::Error => http_response(&format!("500 Internal Server Error{report}"), ""),
+        _ => http_response(&format!("200 OK{report}"), &value_for(id, kind)),
+    }
+    .unwrap()
+}
+
+/// Counts a run of the request unless the reply says that it did not run.
+fn record(runs: &Runs, id: &str, ran: bool) {
+    if ran {
+        *runs.lock().unwrap().entry(id.to_owned()).or_default() += 1;
+    }
+}
+
+/// Two caches and an origin, each behind a fault proxy, with a proxy in front of them.
+struct Fleet {
+    proxy: Proxy,
+    runs: Runs,
+    caches: Vec<FakeServer>,
+    origin: FakeServer,
+    fault_proxies: Vec<FaultProxy>,
+    _discovery: FakeDiscovery,
+}
+
+impl Fleet {
+    fn start(at_caches: &Insertion, at_origin: &Insertion) -> Fleet {
+        let runs = Runs::default();
+        let cache = || {
+            let runs = Arc::clone(&runs);
+            FakeServer::backend(Box::new(move |words| {
+                let kind = Kind::of(&words[1]);
+                record(&runs, &words[2], matches!(kind, Kind::Value | Kind::LongValue | Kind::Error));
+                Some(cache_reply(kind, &words[2]))
+            }))
+        };
+        let caches = vec![cache(), cache()];
+        let origin_runs = Arc::clone(&runs);
+        let origin = FakeServer::origin(Box::new(move |request| {
+            let kind = Kind::of(request[1].trim_start_matches('/'));
+            record(&origin_runs, &request[2], kind != Kind::Busy);
+            Some(origin_reply(kind, &request[2]))
+        }));
+        let mut fault_proxies: Vec<FaultProxy> =
+            caches.iter().map(|cache| FaultProxy::start(cache.endpoint, Protocol::Resp, at_caches)).collect();
+        fault_proxies.push(FaultProxy::start(origin.endpoint, Protocol::Http, at_origin));
+        let entry = |(uid, at): (&str, &FaultProxy)| endpoint_entry_at(uid, at.endpoint, "in_service", 0);
+        let list: Vec<String> = ["w0", "w1", "o"].into_iter().zip(&fault_proxies).map(entry).collect();
+        let discovery = FakeDiscovery::start();
+        let proxy = Proxy::start(&discovery, &list);
+        Fleet { proxy, runs, caches, origin, fault_proxies, _discovery: discovery }
+    }
+
+    /// How often each request ran, once every command that was sent has been handled.
+    fn runs(&self) -> HashMap<String, usize> {
+        self.fault_proxies.iter().for_each(FaultProxy::wait_until_idle);
+        self.runs.lock().unwrap().clone()
+    }
+}
+
+/// One request of a test.
+#[derive(Clone, Copy, Debug)]
+struct Ask {
+    write: bool,
+    class: &'static str,
+    kind: Kind,
+}
+
+const fn read(class: &'static str, kind: Kind) -> Ask {
+    Ask { write: false, class, kind }
+}
+
+const fn write(class: &'static str, kind: Kind) -> Ask {
+    Ask { write: true, class, kind }
+}
+
+impl Ask {
+    fn at_most_once(&self) -> bool {
+        self.class == "close"
+    }
+
+    /// Sends the request on a connection of its own and returns its answer.
+    fn send(&self, proxy: &Proxy, id: &str) -> Value {
+        let key = format!("{}{id}", self.kind.prefix());
+        let info = format!("c={},t=acme,d={}", self.class, if self.at_most_once() { 600 } else { 2000 });
+        match self.write {
+            true => proxy.client().request(&["OBJ.SET", &key, id, &info, "v"]),
+            false => proxy.client().request(&["OBJ.GET", &key, id, &info]),
+        }
+    }
+
+    /// What is wrong with the answer to a request that ran so often, if anything.
+    fn violation(&self, id: &str, answer: &Value, runs: usize) -> Option<String> {
+        let wrong = match answer {
+            _ if self.at_most_once() && runs > 1 => format!("ran {runs} times"),
+            Value::Bulk(Some(value)) if *value == value_for(id, self.kind).into_bytes() => return None,
+            Value::Error(line) if line.starts_with(b"BUSY") && self.at_most_once() && runs > 0 => {
+                "refused after it ran".to_owned()
+            }
+            Value::Error(_) => return None,
+            Value::Bulk(Some(value)) => format!("got {}", String::from_utf8_lossy(value)),
+            other => format!("got {other:?}"),
+        };
+        Some(format!("{self:?} {id}: {wrong}"))
+    }
+}
+
+/// Sends the requests `rounds` times, one after another, and checks each answer against what ran. Returns how many were
+/// served.
+fn check(fleet: &Fleet, context: &str, asks: &[Ask], rounds: usize) -> usize {
+    let mut answers = Vec::new();
+    for round in 0..rounds {
+        for (n, ask) in asks.iter().enumerate() {
+            let id = format!("{round:03}{n}");
+            let answer = ask.send(&fleet.proxy, &id);
+            answers.push((ask, id, answer));
+        }
+    }
+    let runs = fleet.runs();
+    let runs_of = |id: &str| runs.get(id).copied().unwrap_or(0);
+    let violations: Vec<String> =
+        answers.iter().filter_map(|(ask, id, answer)| ask.violation(id, answer, runs_of(id))).collect();
+    let some = violations.get(..4).unwrap_or(&violations);
+    assert!(violations.is_empty(), "{context}: {} of {} wrong: {some:#?}", violations.len(), answers.len());
+    answers.iter().filter(|(_, _, answer)| matches!(answer, Value::Bulk(_))).count()
+}
+
+fn nothing() -> Insertion {
+    Arc::new(|_: &Carried| Vec::new())
+}
+
+/// A whole copy of the last reply on the connection, if it contains this text.
+fn copy_of_replies_with(text: &'static str) -> Insertion {
+    Arc::new(move |carried: &Carried| {
+        let holds = carried.last().windows(text.len()).any(|window| window == text.as_bytes());
+        if holds {
+            carried.last().to_vec()
+        } else {
+            Vec::new()
+        }
+    })
+}
+
+/// The beginning of a copy of the last reply on the connection, one byte longer each time.
+fn growing_part_of_a_copy() -> Insertion {
+    let length = AtomicUsize::new(0);
+    Arc::new(move |carried: &Carried| {
+        let last = carried.last();
+        if last.is_empty() {
+            return Vec::new();
+        }
+        let length = length.fetch_add(1, Ordering::Relaxed) % last.len();
+        last[..length].to_vec()
+    })
+}
+
+/// Guards against a late copy of a miss sending a read that ran at its cache to the origin, where it runs again.
+#[test]
+fn copy_of_a_miss_never_makes_an_at_most_once_read_run_twice() {
+    let fleet = Fleet::start(&copy_of_replies_with("miss"), &nothing());
+    let served = check(&fleet, "miss", &[read("close", Kind::Miss), read("close", Kind::Value)], 32);
+    assert!(served >= 32, "only {served} of 64 were served");
+}
+
+/// Guards against a late copy of `-BUSY` sending a read that ran at its cache to another cache, where it runs again.
+#[test]
+fn copy_of_a_rejection_never_makes_an_at_most_once_read_run_twice() {
+    let fleet = Fleet::start(&copy_of_replies_with("-BUSY"), &nothing());
+    let asks = [read("read", Kind::Busy), read("close", Kind::Value)];
+    let served = check(&fleet, "rejection", &asks, 32);
+    assert!(served >= 16, "only {served} of 32 were served");
+}
+
+/// Guards against a late copy of a receipt being given for another write, keyed or at most once.
+#[test]
+fn copy_of_a_receipt_is_never_given_for_another_write() {
+    for class in ["fix", "close"] {
+        let fleet = Fleet::start(&nothing(), &copy_of_replies_with("200 OK"));
+        let served = check(&fleet, class, &[write(class, Kind::Value)], 32);
+        assert_eq!(served, 32, "{class}");
+    }
+}
+
+/// Guards against a late copy of a read's response being given for a write, and of a receipt for a read.
+#[test]
+fn copies_of_origin_responses_are_never_given_across_reads_and_writes() {
+    let fleet = Fleet::start(&nothing(), &copy_of_replies_with("200 OK"));
+    let asks = [
+        read("read", Kind::Miss),
+        write("close", Kind::Value),
+        read("read", Kind::Miss),
+        write("fix", Kind::Value),
+    ];
+    let served = check(&fleet, "reads and writes", &asks, 24);
+    assert!(served >= 72, "only {served} of 96 were served");
+}
+
+/// Guards against a late copy of the origin's 503 having a write refused after it ran.
+#[test]
+fn copy_of_a_rejection_of_the_origin_never_has_a_write_refused_that_ran() {
+    // A rejection shrinks the origin's window for seconds, so each fleet is used for one.
+    for _ in 0..8 {
+        let fleet = Fleet::start(&nothing(), &copy_of_replies_with("503"));
+        let asks = [read("read", Kind::Miss), write("close", Kind::Busy), write("close", Kind::Value)];
+        check(&fleet, "503", &asks, 1);
+    }
+}
+
+/// Guards against a copy of a miss of a read at the origin: the read has run there and must not be refused or repeated.
+#[test]
+fn copies_of_origin_responses_never_repeat_or_refuse_an_at_most_once_read() {
+    for text in ["503", "200 OK", "500"] {
+        for _ in 0..8 {
+            let fleet = Fleet::start(&nothing(), &copy_of_replies_with(text));
+            let asks = [read("read", Kind::Miss), write("close", Kind::Busy), read("close", Kind::Miss)];
+            check(&fleet, text, &asks, 2);
+        }
+    }
+}
+
+/// An origin that gives the same receipt to every write sends no copies: all writes are served.
+#[test]
+fn equal_receipts_of_an_honest_origin_are_served() {
+    let miss = FakeServer::backend(Box::new(|_| Some(cache_reply(Kind::Miss, ""))));
+    let origin = FakeServer::origin(Box::new(|_| http_response("200 OK", "stored")));
+    let discovery = FakeDiscovery::start();
+    let list = [endpoint_entry("w", &miss, "in_service", 0), endpoint_entry("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&discovery, &list);
+    let mut client = proxy.client();
+    for n in 0..24 {
+        for (class, wait) in [("close", 600), ("fix", 2000), ("read", 2000)] {
+            let info = format!("c={class},t=acme,d={wait}");
+            let answer = client.request(&["OBJ.SET", "k", &format!("{class}{n}"), &info, "v"]);
+            assert_eq!(answer, bulk("stored"), "{class}{n}");
+        }
+    }
+    assert_eq!(origin.requests().len(), 72, "each write is sent once");
+}
+
+/// Guards against the beginning of a copy, of any length, running into the reply behind it: neither a value made of both
+/// nor a conclusion of either is used.
+#[test]
+fn part_of_a_copy_never_decides_a_read_at_a_cache() {
+    for first in Kind::ALL {
+        for class in ["read", "close"] {
+            for second in [Kind::Value, Kind::Miss, Kind::Error] {
+                let fleet = Fleet::start(&growing_part_of_a_copy(), &nothing());
+                let asks = [read("read", first), read(class, second)];
+                check(&fleet, &format!("{first:?} before {class} {second:?}"), &asks, 24);
+            }
+        }
+    }
+}
+
+/// The same at the origin.
+#[test]
+fn part_of_a_copy_never_decides_a_request_at_the_origin() {
+    for first in [write("fix", Kind::LongValue), write("fix", Kind::Busy), read("read", Kind::Miss)] {
+        for second in [write("close", Kind::Value), write("fix", Kind::Value), read("close", Kind::Miss)] {
+            let fleet = Fleet::start(&nothing(), &growing_part_of_a_copy());
+            check(
+                &fleet,
+                &format!("{first:?} before {second:?}"),
+                &[read("read", Kind::Miss), first, second],
+                40,
+            );
+        }
+    }
+}
+
+#[test]
+fn servers_of_this_file_are_reached_without_faults() {
+    let fleet = Fleet::start(&nothing(), &nothing());
+    let asks = [
+        read("read", Kind::Value),
+        read("close", Kind::Miss),
+        write("close", Kind::Value),
+        write("fix", Kind::LongValue),
+    ];
+    assert_eq!(check(&fleet, "no faults", &asks, 8), 32);
+    assert!(fleet.caches.iter().all(|cache| !cache.requests().is_empty()));
+    assert_eq!(fleet.origin.requests().len(), 24);
+}
