Log the request, connection and reply of each attempt, and why a request was answered

Debug lines now name the client's id, the number of the connection, what the reply stated and whether the command was sent; further attempts and final answers name the outcome before them; closed connections the reason.

--- a/cli/tests/common/fault_proxy.rs
+++ b/cli/tests/common/fault_proxy.rs
@@ -13,8 +13,6 @@
 
 /// What a connection has carried so far.
 pub struct Carried {
-    /// The number of the connection, in the order of acceptance.
-    pub connection: usize,
     /// The replies forwarded, oldest first.
     pub replies: Vec<Vec<u8>>,
 }
@@ -73,9 +71,9 @@
         let in_progress = Arc::new(AtomicUsize::new(0));
         let (count, insert) = (Arc::clone(&in_progress), Arc::clone(insert));
         std::thread::spawn(move || {
-            for (connection, client) in listener.incoming().flatten().enumerate() {
+            for client in listener.incoming().flatten() {
                 let (count, insert) = (Arc::clone(&count), Arc::clone(&insert));
-                let carried = Carried { connection, replies: Vec::new() };
+                let carried = Carried { replies: Vec::new() };
                 std::thread::spawn(move || forward(client, (target, protocol), carried, (&insert, &count)));
             }
         });
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -13,6 +13,7 @@
 use notchdoor_limits::policy::Policy;
 use notchdoor_limits::stack::Stack;
 use notchdoor_settings::{index_of, DeploymentNames};
+use std::borrow::Cow;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -27,6 +28,8 @@
     attempt_id: AttemptId,
     sent: Micros,
     outstanding: bool,
+    /// How it ended; `None` before.
+    outcome: Option<AttemptOutcome>,
 }
 
 struct InFlightRequest<C> {
@@ -42,6 +45,20 @@
     streaming: Option<u32>,
 }
 
+impl Attempt {
+    /// How it ended, for the log.
+    fn outcome_name(&self) -> &'static str {
+        self.outcome.map_or("outstanding", AttemptOutcome::name)
+    }
+}
+
+impl<C> InFlightRequest<C> {
+    /// The client's id, for the log.
+    fn name(&self) -> Cow<'_, str> {
+        String::from_utf8_lossy(&self.client_id)
+    }
+}
+
 /// The router with the state needed to run it: endpoints, requests in flight, timers and counters.
 pub struct Proxy<C> {
     stack: Stack,
@@ -175,6 +192,8 @@
             self.counters.left += 1;
             if let Some(request) = self.in_flight.get_mut(&id) {
                 request.finished = true;
+                let attempts = request.attempts.len();
+                log::debug!(attempts; "request {}: the client left after {attempts} attempts", request.name());
             }
             self.process_event(now, Event::ClientLeft(id));
             self.remove_if_done(id);
@@ -222,6 +241,7 @@
         if let Some(request) = self.in_flight.get_mut(&id) {
             if let Some(attempt) = request.attempts.get_mut(n as usize) {
                 attempt.outstanding = false;
+                attempt.outcome = Some(outcome);
                 waited = reply.waited.unwrap_or(now.saturating_sub(attempt.sent));
             }
             let streamed = request.streaming == Some(n);
@@ -354,7 +374,14 @@
         self.next_attempt_id += 1;
         self.counters.sent += 1;
         self.outstanding.insert(attempt_id, (id, request.attempts.len() as u32));
-        request.attempts.push(Attempt { attempt_id, sent: now, outstanding: true });
+        if let Some(last) = request.attempts.last() {
+            log::debug!(
+                attempt_id, after = last.attempt_id, server, last = last.outcome_name();
+                "request {}: attempt {attempt_id} to {server} after attempt {} ended {}",
+                request.name(), last.attempt_id, last.outcome_name()
+            );
+        }
+        request.attempts.push(Attempt { attempt_id, sent: now, outstanding: true, outcome: None });
         let call = Rc::clone(&request.call);
         self.commands.push(Command::StartAttempt { attempt_id, server, call, give_up_at, begin_by });
     }
@@ -363,6 +390,7 @@
         let Some(request) = self.in_flight.get_mut(&id) else { return };
         let Some(attempt) = request.attempts.get_mut(n as usize).filter(|a| a.outstanding) else { return };
         attempt.outstanding = false;
+        attempt.outcome = Some(AttemptOutcome::Cancelled);
         self.outstanding.remove(&attempt.attempt_id);
         self.commands.push(Command::Cancel(attempt.attempt_id));
         self.counters.attempt_ended(AttemptOutcome::Cancelled);
@@ -381,6 +409,13 @@
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(request) = self.in_flight.get_mut(&id).filter(|request| !request.finished) else { return };
         request.finished = true;
+        let (attempts, last) = (request.attempts.len(), request.attempts.last());
+        let last = last.map_or("none", Attempt::outcome_name);
+        log::debug!(
+            attempts, last, answer = answer.name();
+            "request {}: answered {} after {attempts} attempts, the last one: {last}",
+            request.name(), answer.name()
+        );
         self.reply_slots.remove(&request.reply_slot);
         if let Some(class) = self.counters.classes.get_mut(request.class as usize) {
             match answer {
--- a/proxy/src/proxy/request.rs
+++ b/proxy/src/proxy/request.rs
@@ -36,6 +36,20 @@
     Truncated,
 }
 
+impl Answer {
+    /// The name in the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Rejected { .. } => "rejected",
+            Answer::Failed => "failed",
+            Answer::Absent => "absent",
+            Answer::Streamed => "streamed",
+            Answer::Truncated => "truncated",
+        }
+    }
+}
+
 /// Why a request was not accepted. The message is sent to the client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum RequestError {
--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -129,6 +129,39 @@
     sent: Cell<bool>,
     /// Set once the reply is being relayed; the attempt no longer times out.
     relaying: Cell<bool>,
+    /// The number of the connection, 0 until there is one.
+    connection: Cell<u64>,
+    /// The outcome that the reply stated, once it was received completely. The outcome of the attempt differs if the
+    /// reply was not used.
+    replied: Cell<Option<AttemptOutcome>>,
+}
+
+/// The end of an attempt, for the log.
+struct AttemptEnd<'a> {
+    attempt: &'a Attempt,
+    progress: &'a Progress,
+    outcome: AttemptOutcome,
+    started_at: Micros,
+}
+
+impl AttemptEnd<'_> {
+    fn log(&self, timings: &AttemptTimings, now: Micros) {
+        let (attempt_id, server) = (self.attempt.id, self.attempt.server);
+        let request = String::from_utf8_lossy(&self.attempt.command.id);
+        let connection = self.progress.connection.get();
+        let replied = self.progress.replied.get().map_or("none", AttemptOutcome::name);
+        let sent = self.progress.sent.get();
+        log::debug!(
+            attempt_id, server, ending = self.outcome.name(), request:% = request, connection, replied, sent;
+            "attempt {attempt_id} to {server}: {}, {} us in total, {} us to connect, {} us to the first byte, new={}, \
+             request={request}, connection={connection}, reply={replied}, sent={sent}",
+            self.outcome.name(),
+            now - self.started_at,
+            timings.connected.saturating_sub(self.started_at),
+            timings.first.saturating_sub(timings.written),
+            timings.new
+        );
+    }
 }
 
 /// Waits until the client can receive more of a relayed reply; `None` if it has left.
@@ -141,20 +174,13 @@
 
 /// Runs one attempt and reports its outcome to the proxy.
 pub async fn run(runtime: Rc<Runtime>, attempt: Attempt) {
-    let (attempt_id, server, command) = (attempt.id, attempt.server, &attempt.command);
+    let (attempt_id, command) = (attempt.id, &attempt.command);
     let started_at = runtime.clock.now();
     let (progress, mut timings) = (Progress::default(), AttemptTimings::default());
     let timed_out = time_out(&runtime, &attempt, started_at, &progress);
     let reply = future::or(exchange(&runtime, &attempt, &progress, &mut timings), timed_out).await;
-    log::debug!(
-        attempt_id, server, ending = reply.outcome.name();
-        "attempt {attempt_id} to {server}: {}, {} us in total, {} us to connect, {} us to the first byte, new={}",
-        reply.outcome.name(),
-        runtime.clock.now() - started_at,
-        timings.connected.saturating_sub(started_at),
-        timings.first.saturating_sub(timings.written),
-        timings.new
-    );
+    let ended = AttemptEnd { attempt: &attempt, progress: &progress, outcome: reply.outcome, started_at };
+    ended.log(&timings, runtime.clock.now());
     if let Some(task) = runtime.attempts_in_flight.borrow_mut().remove(&attempt_id) {
         task.detach();
     }
@@ -234,6 +260,7 @@
         Err(outcome) => return Reply::without_value(outcome),
     };
     timings.connected = runtime.clock.now();
+    progress.connection.set(connection.id);
     if let Err(outcome) = runtime.check_before_write(attempt.id, (server, process), begin_by) {
         return Reply::without_value(outcome);
     }
@@ -260,6 +287,9 @@
     drop(bytes);
     timings.written = runtime.clock.now();
     let reply = read(runtime, &connection, &mut decoder, attempt.id, progress, timings).await;
+    if decoder.digest().is_some() {
+        progress.replied.set(Some(reply.outcome));
+    }
     if timings.first > 0 {
         runtime.reachability.borrow_mut().reached(endpoint);
     }
--- a/proxy/src/wire/driver/connection.rs
+++ b/proxy/src/wire/driver/connection.rs
@@ -25,6 +25,8 @@
 
 /// A connection to a server.
 pub struct Connection {
+    /// Number in the log; never reused.
+    pub(super) id: u64,
     pub(super) io: Async<TcpStream>,
     /// The replies received on it.
     pub(super) history: ReplyHistory,
@@ -59,6 +61,10 @@
             runtime.proxy.borrow_mut().counters.reused += 1;
             return Ok(connection);
         }
+        log::debug!(
+            connection = connection.id, server;
+            "connection {} to {server} closed: it ended or has unread input", connection.id
+        );
     }
     *is_new = true;
     connect(runtime, endpoint).await
@@ -80,6 +86,7 @@
             Some(Ok(io)) => {
                 runtime.reachability.borrow_mut().reached(endpoint);
                 return Ok(Connection {
+                    id: runtime.next_connection.replace(runtime.next_connection.get() + 1),
                     io,
                     history: ReplyHistory::default(),
                     order: ReplyOrder::Certain,
@@ -117,10 +124,15 @@
 
     /// Returns a connection to its pool, unless it cannot be used again.
     pub(super) fn return_connection(&self, server: ServerId, generation: u64, connection: Connection) {
-        if !connection.history.is_full() {
-            let order = connection.order;
-            self.pools.borrow_mut().put(self.clock.now(), server, generation, (connection, order));
+        if connection.history.is_full() {
+            log::debug!(
+                connection = connection.id, server;
+                "connection {} to {server} closed: its history of replies is full", connection.id
+            );
+            return;
         }
+        let order = connection.order;
+        self.pools.borrow_mut().put(self.clock.now(), server, generation, (connection, order));
     }
 
     /// Whether a fence confirms that the last reply on a connection was the one to the last command. If so, its reply
@@ -141,7 +153,11 @@
             connection.order = ReplyOrder::Certain;
         } else {
             self.proxy.borrow_mut().counters.replies_unconfirmed += 1;
-            log::debug!(server; "a reply of {server} may belong to an earlier command and was not confirmed");
+            log::debug!(
+                connection = connection.id, server;
+                "a reply of {server} on connection {} may belong to an earlier command and was not confirmed",
+                connection.id
+            );
         }
         confirmed
     }
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -80,6 +80,8 @@
     operators: Rc<LocalExecutor<'static>>,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     next_client: Cell<u64>,
+    /// Number of the next connection to a server.
+    next_connection: Cell<u64>,
     attempts_in_flight: RefCell<HashMap<AttemptId, Task<()>>>,
     /// The watch on discovery, while one runs.
     watch: RefCell<Option<Task<()>>>,
@@ -145,6 +147,7 @@
             operators: executors.operators,
             clients: RefCell::default(),
             next_client: Cell::new(1),
+            next_connection: Cell::new(1),
             attempts_in_flight: RefCell::default(),
             watch: RefCell::default(),
             acceptor: RefCell::default(),
