A miss or rejection of a cache counts as never run only when a fence confirms it

Reads of a class that runs at most once ran at a second server, or were refused, after the first cache had run them. Cause: a miss and -BUSY say that the command never ran; a late copy of either, made for the command before, was believed. A miss that equals an earlier reply made its connection doubtful, but the read went on to the origin all the same. Fix: for a class that is not idempotent, a miss or rejection on a connection that carried another command before is believed only if the reply to a PING follows it directly: replies come in order, so none is outstanding then. Otherwise the attempt may have run, and its class decides. Such reads do not use connections whose order is in doubt. Reads that may be repeated pay nothing. The proof of each reply is in the debug line of its attempt.

--- a/proxy/src/state/pool.rs
+++ b/proxy/src/state/pool.rs
@@ -76,6 +76,8 @@
 pub enum Requirement {
     /// Any open connection.
     Any,
+    /// One on which no reply may be outstanding.
+    CertainOrder,
     /// One on which no command was sent before. Whatever reply comes on it is the reply to the attempt.
     Unused,
 }
@@ -129,7 +131,8 @@
     /// Takes a connection that meets the requirement. Returns it with the time from which it may be used.
     pub fn take(&mut self, now: Micros, server: ServerId, requirement: Requirement) -> Option<(Micros, C)> {
         match requirement {
-            Requirement::Any => self.take_used(now, server),
+            Requirement::Any => self.take_used(now, server, true),
+            Requirement::CertainOrder => self.take_used(now, server, false),
             Requirement::Unused => self.take_unused(now, server).map(|connection| (now, connection)),
         }
     }
@@ -161,22 +164,18 @@
 
     /// Takes the most recently used connection whose `REUSE_DELAY` has passed, one whose reply order is certain if there is
     /// any, or else the connection for which it passes first. Returns it with the time from which it may be used.
-    fn take_used(&mut self, now: Micros, server: ServerId) -> Option<(Micros, C)> {
+    fn take_used(&mut self, now: Micros, server: ServerId, allow_doubtful: bool) -> Option<(Micros, C)> {
         let max_idle = self.max_idle;
         let idle = &mut self.servers.get_mut(&server)?.idle;
-        if idle.is_empty() {
-            return None;
-        }
+        idle.retain(|connection| connection.since + max_idle > now);
         let reusable = |order| idle.iter().rposition(|i| i.since + REUSE_DELAY <= now && i.order == order);
         let certain = reusable(ReplyOrder::Certain);
-        let index = certain.or_else(|| reusable(ReplyOrder::Doubtful)).unwrap_or(0);
-        let Idle { since, connection, .. } = idle.remove(index);
-        if since + max_idle > now {
-            return Some((since + REUSE_DELAY, connection));
-        }
-        // The connections before it are older still.
-        idle.drain(..index);
-        self.take_used(now, server)
+        let index = match allow_doubtful {
+            true => certain.or_else(|| reusable(ReplyOrder::Doubtful)).or((!idle.is_empty()).then_some(0)),
+            false => certain.or_else(|| idle.iter().position(|i| i.order == ReplyOrder::Certain)),
+        };
+        let Idle { since, connection, .. } = idle.remove(index?);
+        Some((since + REUSE_DELAY, connection))
     }
 
     /// Returns a connection to its pool. It is dropped if its generation has ended; a full pool drops its oldest one.
--- a/proxy/src/state/pool/tests.rs
+++ b/proxy/src/state/pool/tests.rs
@@ -63,10 +63,16 @@
     for (now, connection, order) in idle {
         pools.put(now, 1, generation, (connection, order));
     }
+    assert_eq!(pools.take(0, 2, Requirement::CertainOrder), None, "no connection");
     // The connection 'd' has only just become idle.
     let taken: Vec<char> =
         (0..4).filter_map(|_| pools.take(SECOND, 1, Requirement::Any)).map(|(_, c)| c).collect();
     assert_eq!(taken, ['c', 'a', 'b', 'd']);
+    pools.put(2 * SECOND, 1, generation, ('e', ReplyOrder::Doubtful));
+    assert_eq!(pools.take(3 * SECOND, 1, Requirement::CertainOrder), None, "a doubtful one");
+    pools.put(4 * SECOND, 1, generation, ('f', ReplyOrder::Certain));
+    let soon = 4 * SECOND + REUSE_DELAY;
+    assert_eq!(pools.take(4 * SECOND, 1, Requirement::CertainOrder), Some((soon, 'f')));
 }
 
 #[test]
--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -1,6 +1,7 @@
 //! Runs attempts: sends one command on a pooled connection and reads its reply.
 
 use super::connection::{checkout, Connection, Process};
+use super::reply_proof::{Asked, ReplyProof};
 use super::Runtime;
 use crate::negative_cache::KeyLookup;
 use crate::outcome::AttemptOutcome;
@@ -136,6 +137,8 @@
     /// The outcome that the reply stated, once it was received completely. The outcome of the attempt differs if the
     /// reply was not used.
     replied: Cell<Option<AttemptOutcome>>,
+    /// Why that reply is taken for the one to the command.
+    proof: Cell<Option<ReplyProof>>,
 }
 
 /// The end of an attempt, for the log.
@@ -152,11 +155,12 @@
         let request = String::from_utf8_lossy(&self.attempt.command.id);
         let connection = self.progress.connection.get();
         let replied = self.progress.replied.get().map_or("none", AttemptOutcome::name);
+        let proof = self.progress.proof.get().map_or("none", ReplyProof::name);
         let sent = self.progress.sent.get();
         log::debug!(
-            attempt_id, server, ending = self.outcome.name(), request:% = request, connection, replied, sent;
+            attempt_id, server, ending = self.outcome.name(), request:% = request, connection, replied, proof, sent;
             "attempt {attempt_id} to {server}: {}, {} us in total, {} us to connect, {} us to the first byte, new={}, \
-             request={request}, connection={connection}, reply={replied}, sent={sent}",
+             request={request}, connection={connection}, reply={replied}, proof={proof}, sent={sent}",
             self.outcome.name(),
             now - self.started_at,
             timings.connected.saturating_sub(self.started_at),
@@ -258,9 +262,10 @@
     let generation = runtime.pools.borrow_mut().generation(server);
     let endpoint = process.0;
     let is_read = command.value_len().is_none();
-    let requirement = match attempt.idempotent && is_read || is_read && !is_origin {
-        true => Requirement::Any,
-        false => Requirement::Unused,
+    let requirement = match (is_read, attempt.idempotent) {
+        (true, true) => Requirement::Any,
+        (true, false) if !is_origin => Requirement::CertainOrder,
+        _ => Requirement::Unused,
     };
     let mut connection = match checkout(runtime, (server, process), requirement, &mut timings.new).await {
         Ok(connection) => connection,
@@ -300,22 +305,13 @@
     if timings.first > 0 {
         runtime.reachability.borrow_mut().reached(endpoint);
     }
-    if decoder.digest().is_some_and(|digest| !connection.history.insert(digest)) {
-        // It may be a second copy of an earlier reply, made for another request.
-        connection.order = ReplyOrder::Doubtful;
+    let asked = Asked { server, process, is_origin, idempotent: attempt.idempotent };
+    let proof = runtime.prove_reply(&mut connection, &reply, decoder.digest(), asked).await;
+    progress.proof.set(proof);
+    if proof.is_none() {
+        return Reply::without_value(AttemptOutcome::Garbled);
     }
-    let doubtful = connection.order == ReplyOrder::Doubtful;
-    // A read that gets no value goes on the same whichever reply it got.
-    if doubtful && matches!(reply.outcome, AttemptOutcome::Served | AttemptOutcome::Absent) {
-        // HTTP has no fence.
-        let trusted = !is_origin
-            && reply.reusable
-            && runtime.confirm_last_reply(&mut connection, (server, process)).await;
-        if !trusted {
-            return Reply::without_value(AttemptOutcome::Garbled);
-        }
-    }
-    if reply.reusable && !(doubtful && is_origin) {
+    if reply.reusable && !(is_origin && connection.order == ReplyOrder::Doubtful) {
         runtime.return_connection(server, generation, connection, requirement);
     }
     match (negative_cache, lookup, reply.outcome) {
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -7,6 +7,7 @@
 mod connection;
 pub mod hot_restart;
 mod reply_history;
+mod reply_proof;
 mod watch;
 
 use super::command::BackendCommand;
--- a/proxy/src/wire/driver/reply_history.rs
+++ b/proxy/src/wire/driver/reply_history.rs
@@ -23,10 +23,26 @@
     digests: HashSet<u64>,
 }
 
+/// How a reply compares with the earlier ones on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Comparison {
+    /// There are no earlier ones.
+    First,
+    /// It differs from all of them.
+    Different,
+    /// It equals one of them.
+    Equal,
+}
+
 impl ReplyHistory {
-    /// Records a reply. Returns false if an equal one was received before.
-    pub fn insert(&mut self, digest: u64) -> bool {
-        self.digests.insert(digest)
+    /// Records a reply and compares it with the earlier ones.
+    pub fn record(&mut self, digest: u64) -> Comparison {
+        let first = self.digests.is_empty();
+        match self.digests.insert(digest) {
+            true if first => Comparison::First,
+            true => Comparison::Different,
+            false => Comparison::Equal,
+        }
     }
 
     /// Whether no further reply can be remembered.
--- a/proxy/src/wire/driver/reply_history/tests.rs
+++ b/proxy/src/wire/driver/reply_history/tests.rs
@@ -4,8 +4,10 @@
 fn equal_replies_are_recognized_until_the_history_is_full() {
     let mut history = ReplyHistory::default();
     for digest in 0..MAX_REPLIES as u64 {
-        assert!(!history.is_full() && history.insert(digest), "{digest}");
-        assert!(!history.insert(0), "{digest}");
+        assert!(!history.is_full());
+        let expected = if digest == 0 { Comparison::First } else { Comparison::Different };
+        assert_eq!(history.record(digest), expected, "{digest}");
+        assert_eq!(history.record(0), Comparison::Equal, "{digest}");
     }
     assert!(history.is_full());
 }
