A connection carries one fence, so that no copy of its reply confirms another

Callers could get the value of another request although its connection was checked: after a first fence, a late copy of +PONG behind a late copy of a value confirmed the second one. Cause: +PONG does not say which PING it answers, so a second fence on a connection proves nothing. Cost: one handshake for each fence.

--- a/proxy/src/wire/driver/connection.rs
+++ b/proxy/src/wire/driver/connection.rs
@@ -32,6 +32,8 @@
     pub(super) history: ReplyHistory,
     /// Whether a reply may be outstanding on it while it is idle.
     pub(super) order: ReplyOrder,
+    /// Whether a fence was sent on it. The reply to another fence could not be told from a copy of the first one's.
+    fenced: bool,
     _ticket: Ticket,
 }
 
@@ -94,6 +96,7 @@
                     io,
                     history: ReplyHistory::default(),
                     order: ReplyOrder::Certain,
+                    fenced: false,
                     _ticket: ticket,
                 });
             }
@@ -151,8 +154,13 @@
         requirement: Requirement,
     ) {
         let surplus = requirement == Requirement::Unused && self.pools.borrow().idle(server) > 0;
-        if surplus || connection.history.is_full() {
-            let reason = if surplus { "another one is idle" } else { "its history of replies is full" };
+        let obstacle = match () {
+            () if connection.fenced => Some("a fence was sent on it"),
+            () if connection.history.is_full() => Some("its history of replies is full"),
+            () if surplus => Some("another one is idle"),
+            () => None,
+        };
+        if let Some(reason) = obstacle {
             log::debug!(
                 connection = connection.id, server;
                 "connection {} to {server} closed: {reason}", connection.id
@@ -171,11 +179,13 @@
         (server, process): (ServerId, Process),
     ) -> bool {
         self.proxy.borrow_mut().counters.replies_checked += 1;
+        let first_fence = !std::mem::replace(&mut connection.fenced, true);
         let timed_out = async {
             Timer::after(FENCE_TIMEOUT).await;
             false
         };
-        let confirmed = self.is_serving(server, process)
+        let confirmed = first_fence
+            && self.is_serving(server, process)
             && future::or(connection.has_no_reply_outstanding(), timed_out).await;
         if confirmed {
             connection.order = ReplyOrder::Certain;
