The beginning of a copy that runs into the next reply is recognized and not used

Callers, also of reads that may be repeated, got values of another request or values made of two replies. Cause: a copy that is cut off runs into the reply behind it, and both are read as one: the first reply's value with the last bytes of its word or load report replaced, or a value that ends in the other reply's first bytes. The digest of the whole reply then differs from all earlier ones, which counted as proof. Unit tests cut every copy of 11 replies and 10 responses before every other one; all that are read as one are recognized. Fix: the fingerprint of a reply says where another reply may begin inside it. Outside of the value such a reply is not used on a connection that carried another one; inside the value it is not if the value starts like an earlier one. Replies with a value are compared by the value alone, so a copy with another load report is recognized too.

--- a/cli/tests/unproven_replies.rs
+++ b/cli/tests/unproven_replies.rs
@@ -349,6 +349,13 @@
     }
 }
 
+/// The same for reads that may be repeated, which share connections to the origin.
+#[test]
+fn part_of_a_copy_never_decides_a_read_at_the_origin() {
+    let fleet = Fleet::start(&nothing(), &growing_part_of_a_copy());
+    check(&fleet, "reads", &[read("read", Kind::Miss)], 250);
+}
+
 #[test]
 fn servers_of_this_file_are_reached_without_faults() {
     let fleet = Fleet::start(&nothing(), &nothing());
--- a/proxy/src/wire/backend.rs
+++ b/proxy/src/wire/backend.rs
@@ -1,11 +1,11 @@
 //! Encodes commands to backends and decodes their replies.
 
 use super::command::BackendCommand;
+use super::fingerprint::{Fingerprint, Fingerprinter, RESP_REPLY_STARTS};
 use super::resp::{write_command, write_command_head, Head, Malformed, Reader, Value};
 use super::{MAX_STREAMED_VALUE, MAX_VALUE};
 use crate::outcome::AttemptOutcome;
 use notchdoor::Micros;
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// The decoded reply to one attempt.
 #[derive(Debug, PartialEq)]
@@ -51,13 +51,23 @@
 }
 
 /// Incremental decoder of one reply.
-#[derive(Default)]
 pub struct Decoder {
     reader: Reader,
     state: State,
-    hasher: DefaultHasher,
-    /// Digest of the reply, once it is complete and valid.
-    digest: Option<u64>,
+    fingerprinter: Fingerprinter,
+    /// Fingerprint of the reply, once it is complete and valid.
+    fingerprint: Option<Fingerprint>,
+}
+
+impl Default for Decoder {
+    fn default() -> Self {
+        Decoder {
+            reader: Reader::default(),
+            state: State::default(),
+            fingerprinter: Fingerprinter::new(RESP_REPLY_STARTS),
+            fingerprint: None,
+        }
+    }
 }
 
 #[derive(Default)]
@@ -79,9 +89,9 @@
         self.reader.pending() > 0
     }
 
-    /// Digest of the reply; `None` unless it is complete and valid. Equal replies have equal digests.
-    pub fn digest(&self) -> Option<u64> {
-        self.digest
+    /// Fingerprint of the reply; `None` unless it is complete and valid.
+    pub fn fingerprint(&self) -> Option<Fingerprint> {
+        self.fingerprint
     }
 
     /// Feeds received bytes and returns the parts of the reply that they complete.
@@ -129,21 +139,21 @@
             State::Streaming(_) => return Ok(()),
             State::AfterValue => {
                 let Some(values) = self.reader.values_after_bulk(2)? else { return Ok(()) };
-                values.hash(&mut self.hasher);
+                values.iter().for_each(|value| check_element(value, &mut self.fingerprinter));
                 // The load report is not interpreted.
                 let [Value::Bulk(_), _] = values.as_slice() else { return Err(Malformed("no reply")) };
                 Reply::without_value(AttemptOutcome::Served)
             }
             _ => {
                 let Some(value) = self.reader.next_value()? else { return Ok(()) };
-                value.hash(&mut self.hasher);
+                push_reply(&value, &mut self.fingerprinter);
                 classify_reply(value)
             }
         };
         // Surplus bytes would be taken for the reply to the next command.
         let valid = reply.outcome != AttemptOutcome::Garbled;
         let reusable = valid && self.reader.pending() == 0;
-        self.digest = valid.then(|| self.hasher.finish());
+        self.fingerprint = valid.then(|| self.fingerprinter.finish());
         parts.push(ReplyPart::Complete(Reply { reusable, ..reply }));
         Ok(())
     }
@@ -152,12 +162,42 @@
         let left = left - data.len();
         self.state = if left > 0 { State::Streaming(left) } else { State::AfterValue };
         if !data.is_empty() {
-            self.hasher.write(&data);
+            self.fingerprinter.push_value(&data);
             parts.push(ReplyPart::ValueData(data));
         }
     }
 }
 
+/// Adds a reply that was buffered to its fingerprint.
+fn push_reply(reply: &Value, fingerprinter: &mut Fingerprinter) {
+    match reply {
+        Value::Array(Some(items)) => match items.split_first() {
+            Some((Value::Bulk(Some(value)), rest)) => {
+                fingerprinter.push_value(value);
+                rest.iter().for_each(|element| check_element(element, fingerprinter));
+            }
+            _ => {
+                fingerprinter.push_kind(reply);
+                items.iter().for_each(|element| check_element(element, fingerprinter));
+            }
+        },
+        Value::Error(line) => {
+            fingerprinter.push_kind(reply);
+            fingerprinter.check(line);
+        }
+        other => fingerprinter.push_kind(other),
+    }
+}
+
+/// Checks that no other reply begins in an element beside the value.
+fn check_element(element: &Value, fingerprinter: &mut Fingerprinter) {
+    match element {
+        Value::Array(_) | Value::Error(_) => fingerprinter.mark_reply_elsewhere(),
+        Value::Bulk(Some(text)) | Value::Simple(text) => fingerprinter.check(text),
+        Value::Bulk(None) | Value::Int(_) => {}
+    }
+}
+
 fn classify_reply(value: Value) -> Reply {
     match value {
         // Value, status and load report. The load report is not interpreted.
--- a/proxy/src/wire/backend/tests.rs
+++ b/proxy/src/wire/backend/tests.rs
@@ -94,34 +94,36 @@
     assert_eq!(decode_large_reply(&reply(tails[0].0), &every_byte), (value, tails[0].1), "byte by byte");
 }
 
+fn fingerprint(bytes: &[u8], at: usize) -> Option<Fingerprint> {
+    let mut decoder = Decoder::default();
+    decoder.feed(&bytes[..at]);
+    assert_eq!(decoder.fingerprint(), None, "an incomplete reply has a fingerprint");
+    decoder.feed(&bytes[at..]);
+    decoder.fingerprint()
+}
+
 #[test]
-fn equal_replies_have_equal_digests_however_they_are_split() {
-    let digest = |bytes: &[u8], at: usize| {
-        let mut decoder = Decoder::default();
-        decoder.feed(&bytes[..at]);
-        assert_eq!(decoder.digest(), None, "an incomplete reply has a digest");
-        decoder.feed(&bytes[at..]);
-        decoder.digest()
-    };
+fn equal_replies_have_equal_fingerprints_however_they_are_split() {
     let large = |byte: &str| {
         let length = MAX_VALUE + 9;
         format!("*3\r\n${length}\r\n{}\r\n$3\r\nhit\r\n$-1\r\n", byte.repeat(length)).into_bytes()
     };
     let replies = [
         b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n".to_vec(),
-        b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$6\r\nutil=1\r\n".to_vec(),
         b"*3\r\n$1\r\nw\r\n$3\r\nhit\r\n$-1\r\n".to_vec(),
         b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_vec(),
+        b"*3\r\n$-1\r\n$4\r\nmiss\r\n$6\r\nutil=1\r\n".to_vec(),
         b"-BUSY\r\n".to_vec(),
         b"-ERR failed\r\n".to_vec(),
         large("v"),
         large("w"),
     ];
-    let mut digests: Vec<_> = replies.iter().map(|reply| digest(reply, 0)).collect();
-    for (reply, expected) in replies.iter().zip(&digests) {
-        assert!(expected.is_some());
+    let mut digests: Vec<_> = replies.iter().map(|reply| fingerprint(reply, 0).unwrap().digest).collect();
+    for reply in &replies {
+        let whole = fingerprint(reply, 0);
+        assert!(whole.is_some_and(|whole| whole.reply_in_value.is_none() && !whole.reply_elsewhere));
         for at in [1, 4, reply.len() / 2, reply.len() - 1] {
-            assert_eq!(digest(reply, at), *expected, "split at {at}");
+            assert_eq!(fingerprint(reply, at), whole, "split at {at}");
         }
     }
     digests.sort_unstable();
@@ -129,5 +131,41 @@
     assert_eq!(digests.len(), replies.len(), "different replies have equal digests");
     let mut garbled = Decoder::default();
     garbled.feed(b"+OK\r\n");
-    assert_eq!(garbled.digest(), None);
+    assert_eq!(garbled.fingerprint(), None);
+    // A copy may be sent with another load report than the first time.
+    let with_report = b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$6\r\nutil=1\r\n";
+    assert_eq!(fingerprint(with_report, 0), fingerprint(&replies[0], 0), "the value alone is compared");
+}
+
+/// Every reply that the beginning of a copy and the reply behind it can be read as, together, is recognized.
+#[test]
+fn part_of_a_copy_and_the_reply_behind_it_are_recognized_as_one() {
+    let value = |length: usize, byte: &str| {
+        let report = "$20\r\nrate=12.5,busy=0.420\r\n";
+        format!("*3\r\n${length}\r\n{}\r\n$3\r\nhit\r\n{report}", byte.repeat(length)).into_bytes()
+    };
+    let others = [
+        b"*3\r\n$-1\r\n$4\r\nmiss\r\n$20\r\nrate=12.5,busy=0.420\r\n".to_vec(),
+        b"-BUSY 5\r\n".to_vec(),
+        b"-ERR failed\r\n".to_vec(),
+    ];
+    let lengths = [1, 7, 16, 64, 90, 120, 200, MAX_VALUE + 100];
+    let replies: Vec<Vec<u8>> = lengths.iter().map(|&n| value(n, "v")).chain(others).collect();
+    let mut read_as_one = 0;
+    for first in &replies {
+        for second in &replies {
+            let near_the_end = first.len().saturating_sub(300);
+            for cut in (1..300.min(first.len())).chain(near_the_end.max(1)..first.len()) {
+                let mut decoder = Decoder::default();
+                decoder.feed(&first[..cut]);
+                decoder.feed(second);
+                let Some(fingerprint) = decoder.fingerprint() else { continue };
+                read_as_one += 1;
+                let recognized = fingerprint.reply_elsewhere || fingerprint.reply_in_value.is_some();
+                let start = String::from_utf8_lossy(&first[..first.len().min(30)]);
+                assert!(recognized, "{start:?} cut at {cut}, before {second:.30?}");
+            }
+        }
+    }
+    assert!(read_as_one > 100, "{read_as_one}");
 }
--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -9,6 +9,7 @@
 use crate::state::pool::{ReplyOrder, Requirement};
 use crate::wire::backend::{self, Reply, ReplyPart};
 use crate::wire::command::BackendCommand;
+use crate::wire::fingerprint::Fingerprint;
 use crate::wire::streamed_value::{NextChunk, StreamedValue};
 use crate::wire::{origin, MAX_VALUE};
 use async_io::Timer;
@@ -69,11 +70,11 @@
         }
     }
 
-    /// Digest of a complete reply.
-    fn digest(&self) -> Option<u64> {
+    /// Fingerprint of a complete reply.
+    fn fingerprint(&self) -> Option<Fingerprint> {
         match self {
-            Decoder::Backend(decoder) => decoder.digest(),
-            Decoder::Origin(decoder) => decoder.digest(),
+            Decoder::Backend(decoder) => decoder.fingerprint(),
+            Decoder::Origin(decoder) => decoder.fingerprint(),
         }
     }
 
@@ -299,14 +300,14 @@
     drop(bytes);
     timings.written = runtime.clock.now();
     let reply = read(runtime, &connection, &mut decoder, attempt.id, progress, timings).await;
-    if decoder.digest().is_some() {
+    if decoder.fingerprint().is_some() {
         progress.replied.set(Some(reply.outcome));
     }
     if timings.first > 0 {
         runtime.reachability.borrow_mut().reached(endpoint);
     }
     let asked = Asked { server, process, is_origin, idempotent: attempt.idempotent };
-    let proof = runtime.prove_reply(&mut connection, &reply, decoder.digest(), asked).await;
+    let proof = runtime.prove_reply(&mut connection, &reply, decoder.fingerprint(), asked).await;
     progress.proof.set(proof);
     if proof.is_none() {
         return Reply::without_value(AttemptOutcome::Garbled);
--- a/proxy/src/wire/driver/reply_history.rs
+++ b/proxy/src/wire/driver/reply_history.rs
@@ -2,12 +2,14 @@
 //!
 //! A RESP2 reply does not name its request, and a backend may send a reply twice, the second copy any time later. A copy
 //! that crosses the next command would be taken for the reply to it, and the real reply for that to the command after.
-//! The first reply after a command is either the real one or a copy of an earlier reply on the connection. So a reply that
-//! differs from all earlier ones is the real one, however late copies are. For one that does not, a fence decides: replies
-//! come in the order of the commands, so a reply that is followed by the reply to a fence is the only one so far, and
-//! thus the real one.
+//! The first reply after a command is the real one, or it begins with a copy of an earlier reply on the connection, which
+//! is whole or cut off. So a reply that neither equals an earlier one nor may begin with a part of one is the real one,
+//! however late copies are. For one that equals an earlier one, a fence decides: replies come in the order of the commands,
+//! so a reply that is followed by the reply to a fence is the only one so far, and thus the real one. A fence decides
+//! nothing about a reply in which another one may begin: the two were read as one.
 
 use super::connection::Connection;
+use crate::wire::fingerprint::{Fingerprint, ValuePrefix};
 use crate::wire::resp::{write_command, Reader, Value};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use std::collections::HashSet;
@@ -17,10 +19,12 @@
 /// Bytes that can be read while the reply to a fence is awaited; a reply that begins is enough to refute it.
 const FENCE_BUFFER: usize = 64;
 
-/// Digests of the replies received on a connection.
+/// What is remembered of the replies received on a connection.
 #[derive(Debug, Default)]
 pub struct ReplyHistory {
     digests: HashSet<u64>,
+    /// The starts of their values.
+    prefixes: HashSet<ValuePrefix>,
 }
 
 /// How a reply compares with the earlier ones on its connection.
@@ -32,16 +36,33 @@
     Different,
     /// It equals one of them.
     Equal,
+    /// It may begin with a part of one of them, into which another reply ran.
+    MayContainCopy,
 }
 
 impl ReplyHistory {
     /// Records a reply and compares it with the earlier ones.
-    pub fn record(&mut self, digest: u64) -> Comparison {
-        let first = self.digests.is_empty();
-        match self.digests.insert(digest) {
-            true if first => Comparison::First,
-            true => Comparison::Different,
-            false => Comparison::Equal,
+    pub fn record(&mut self, fingerprint: &Fingerprint) -> Comparison {
+        let comparison = self.compare(fingerprint);
+        self.digests.insert(fingerprint.digest);
+        self.prefixes.extend(fingerprint.prefix);
+        comparison
+    }
+
+    fn compare(&self, fingerprint: &Fingerprint) -> Comparison {
+        if self.digests.is_empty() {
+            return Comparison::First;
+        }
+        let starts_like_earlier = |at: usize| {
+            let prefix = fingerprint.prefix.unwrap_or_default();
+            self.prefixes.iter().any(|earlier| prefix.may_share(earlier, at))
+        };
+        if fingerprint.reply_elsewhere || fingerprint.reply_in_value.is_some_and(starts_like_earlier) {
+            return Comparison::MayContainCopy;
+        }
+        match self.digests.contains(&fingerprint.digest) {
+            true => Comparison::Equal,
+            false => Comparison::Different,
         }
     }
 
--- a/proxy/src/wire/driver/reply_proof.rs
+++ b/proxy/src/wire/driver/reply_proof.rs
@@ -9,6 +9,7 @@
 use crate::outcome::AttemptOutcome;
 use crate::state::pool::ReplyOrder;
 use crate::wire::backend::Reply;
+use crate::wire::fingerprint::Fingerprint;
 use notchdoor::ServerId;
 
 /// Why a reply is taken for the one to the last command.
@@ -16,7 +17,7 @@
 pub(super) enum ReplyProof {
     /// The connection carried no command before, so there is no reply that could be copied.
     FirstReply,
-    /// It differs from all earlier replies, each of which was proven, so it is no copy of one.
+    /// It differs from all earlier replies, so it is no copy of one, and it does not begin like one that was cut off.
     DiffersFromEarlier,
     /// The reply to a fence followed it, so no other reply is outstanding.
     Fence,
@@ -75,12 +76,13 @@
         &self,
         connection: &mut Connection,
         reply: &Reply,
-        digest: Option<u64>,
+        fingerprint: Option<Fingerprint>,
         asked: Asked,
     ) -> Option<ReplyProof> {
-        let comparison = digest.map(|digest| connection.history.record(digest));
+        let comparison = fingerprint.map(|fingerprint| connection.history.record(&fingerprint));
         match comparison {
             Some(Comparison::First) => return Some(ReplyProof::FirstReply),
+            Some(Comparison::MayContainCopy) => return None,
             // It may be a copy, and then the real reply is outstanding.
             Some(Comparison::Equal) => connection.order = ReplyOrder::Doubtful,
             Some(Comparison::Different) | None => {}
--- /dev/null
+++ b/proxy/src/wire/fingerprint.rs
@@ -0,0 +1,148 @@
+//! Fingerprints of replies, by which a reply is told from a copy of an earlier one or from the beginning of such a copy.
+//!
+//! The beginning of a copy that was cut off runs into the reply behind it, and both can be read as one reply: a value that
+//! is too long by the copy's length, or a word that ends in the other reply's first bytes. So besides its digest a
+//! fingerprint says where another reply may begin inside of it, and how its value starts.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// Length in bytes of the start of a value that is compared.
+const PREFIX_BYTES: usize = 8;
+/// Length in bytes of the longest text that begins a reply, less one: so much of a value is kept between its parts.
+const MAX_OVERLAP: usize = 6;
+
+/// The texts that replies of a protocol begin with.
+#[derive(Clone, Copy, Debug)]
+pub struct ReplyStarts(&'static [&'static [u8]]);
+
+/// The starts of replies in RESP2: a value or a miss, a rejection and an error.
+pub const RESP_REPLY_STARTS: ReplyStarts = ReplyStarts(&[b"*3\r\n", b"-BUSY", b"-ERR"]);
+/// The start of a response in HTTP/1.x.
+pub const HTTP_REPLY_STARTS: ReplyStarts = ReplyStarts(&[b"HTTP/1."]);
+
+impl ReplyStarts {
+    /// The first position at which a reply may begin in `bytes`. At the end of the text, part of a start is enough if
+    /// `is_end`.
+    fn find(self, bytes: &[u8], is_end: bool) -> Option<usize> {
+        let begins_at = |at: usize| {
+            let rest = bytes.get(at..).unwrap_or_default();
+            let matches = |start: &&[u8]| rest.starts_with(start) || is_end && start.starts_with(rest);
+            self.0.iter().any(|start| matches(start))
+        };
+        (0..bytes.len()).find(|&at| begins_at(at))
+    }
+
+    /// Whether a reply may begin anywhere in this text.
+    pub fn may_begin_in(self, text: &[u8]) -> bool {
+        self.find(text, true).is_some()
+    }
+}
+
+/// The first bytes of a value, [`PREFIX_BYTES`] at most.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct ValuePrefix {
+    bytes: [u8; PREFIX_BYTES],
+    length: usize,
+}
+
+impl ValuePrefix {
+    fn push(&mut self, data: &[u8]) {
+        let free = self.bytes.iter_mut().skip(self.length);
+        let added = free.zip(data).map(|(to, from)| *to = *from).count();
+        self.length += added;
+    }
+
+    /// Whether the values may share their first `length` bytes.
+    pub fn may_share(&self, other: &ValuePrefix, length: usize) -> bool {
+        let length = length.min(PREFIX_BYTES);
+        let first =
+            |prefix: &ValuePrefix| prefix.bytes.iter().take(prefix.length).take(length).copied().collect();
+        let (own, others): (Vec<u8>, Vec<u8>) = (first(self), first(other));
+        own.len() == length && own == others
+    }
+}
+
+/// The fingerprint of a complete reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fingerprint {
+    /// Digest of the value, or of the whole reply if it has none. Equal ones have equal digests.
+    pub digest: u64,
+    /// The start of the value; `None` for a reply without one.
+    pub prefix: Option<ValuePrefix>,
+    /// The first position in the value at which another reply may begin.
+    pub reply_in_value: Option<usize>,
+    /// Whether another reply may begin outside of the value.
+    pub reply_elsewhere: bool,
+}
+
+/// Computes the fingerprint of a reply while it is received.
+pub struct Fingerprinter {
+    starts: ReplyStarts,
+    hasher: DefaultHasher,
+    prefix: Option<ValuePrefix>,
+    /// The last bytes of the value, which may be part of a start.
+    tail: Vec<u8>,
+    value_bytes: usize,
+    reply_in_value: Option<usize>,
+    reply_elsewhere: bool,
+}
+
+impl Fingerprinter {
+    /// Starts with no reply received.
+    pub fn new(starts: ReplyStarts) -> Self {
+        Fingerprinter {
+            starts,
+            hasher: DefaultHasher::new(),
+            prefix: None,
+            tail: Vec::new(),
+            value_bytes: 0,
+            reply_in_value: None,
+            reply_elsewhere: false,
+        }
+    }
+
+    /// Adds the next bytes of the value.
+    pub fn push_value(&mut self, data: &[u8]) {
+        self.hasher.write(data);
+        self.prefix.get_or_insert_default().push(data);
+        if self.reply_in_value.is_none() {
+            let before = self.value_bytes - self.tail.len();
+            self.tail.extend_from_slice(data);
+            self.reply_in_value = self.starts.find(&self.tail, false).map(|at| before + at);
+            self.tail.drain(..self.tail.len().saturating_sub(MAX_OVERLAP));
+        }
+        self.value_bytes += data.len();
+    }
+
+    /// Adds to the digest what tells replies apart besides their values, such as their kind.
+    pub fn push_kind(&mut self, kind: impl Hash) {
+        kind.hash(&mut self.hasher);
+    }
+
+    /// Records a text beside the value, in which no other reply should begin.
+    pub fn check(&mut self, text: &[u8]) {
+        self.reply_elsewhere |= self.starts.may_begin_in(text);
+    }
+
+    /// Records that something beside the value is what another reply begins with.
+    pub fn mark_reply_elsewhere(&mut self) {
+        self.reply_elsewhere = true;
+    }
+
+    /// The fingerprint of the reply, which is complete.
+    pub fn finish(&self) -> Fingerprint {
+        let at_end = || {
+            let before = self.value_bytes - self.tail.len();
+            self.starts.find(&self.tail, true).map(|at| before + at)
+        };
+        Fingerprint {
+            digest: self.hasher.finish(),
+            prefix: self.prefix,
+            reply_in_value: self.reply_in_value.or_else(at_end),
+            reply_elsewhere: self.reply_elsewhere,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/proxy/src/wire/http.rs
+++ b/proxy/src/wire/http.rs
@@ -1,6 +1,6 @@
 //! Incremental decoder of HTTP/1.1 responses.
 
-use std::hash::{DefaultHasher, Hasher};
+use super::fingerprint::{Fingerprint, Fingerprinter, HTTP_REPLY_STARTS};
 
 /// Maximum size of the head, and of a chunk size or trailer line.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -46,8 +46,7 @@
     /// Number of consumed bytes in the buffer. Removed once per feed, not per chunk, to avoid quadratic copying.
     consumed: usize,
     keep_alive: bool,
-    /// Hashes the head and the body.
-    hasher: DefaultHasher,
+    fingerprinter: Fingerprinter,
 }
 
 /// The bytes are not a valid HTTP response, or exceed a limit.
@@ -61,7 +60,7 @@
             buffer: Vec::new(),
             consumed: 0,
             keep_alive: true,
-            hasher: DefaultHasher::new(),
+            fingerprinter: Fingerprinter::new(HTTP_REPLY_STARTS),
         }
     }
 }
@@ -86,9 +85,9 @@
         Ok(parts)
     }
 
-    /// Digest of the response; `None` before its end. Equal responses have equal digests.
-    pub fn digest(&self) -> Option<u64> {
-        matches!(self.state, State::Done).then(|| self.hasher.finish())
+    /// Fingerprint of the response; `None` before its end.
+    pub fn fingerprint(&self) -> Option<Fingerprint> {
+        matches!(self.state, State::Done).then(|| self.fingerprinter.finish())
     }
 
     /// Whether received bytes are not yet part of a decoded part.
@@ -122,7 +121,7 @@
 
     fn consume_data(&mut self, n: usize) -> Part {
         let data = self.consume(n).to_vec();
-        self.hasher.write(&data);
+        self.fingerprinter.push_value(&data);
         Part::Data(data)
     }
 
@@ -172,10 +171,15 @@
                     None => return Ok(None),
                 },
                 State::Trailer => match self.line_length()? {
-                    Some(n) if matches!(self.consume(n), b"\r\n" | b"\n") => {
-                        return Ok(Some(self.finish()));
+                    Some(n) => {
+                        let line = self.consume(n).to_vec();
+                        if matches!(line.as_slice(), b"\r\n" | b"\n") {
+                            return Ok(Some(self.finish()));
+                        }
+                        if contains_status_line(&line) {
+                            self.fingerprinter.mark_reply_elsewhere();
+                        }
                     }
-                    Some(_) => {}
                     None => return Ok(None),
                 },
                 State::UntilClose if self.unread().is_empty() => return Ok(None),
@@ -215,9 +219,12 @@
             return Ok(None);
         }
         let (mut length, mut chunked, mut rejected) = (None, false, false);
+        let mut status_line_within =
+            head.reason.is_some_and(|reason| contains_status_line(reason.as_bytes()));
         self.keep_alive = head.version == Some(1);
         for header in head.headers.iter() {
             let value = std::str::from_utf8(header.value).map_err(|_| Malformed)?.trim();
+            status_line_within |= contains_status_line(header.value);
             let is_header = |name: &str| header.name.eq_ignore_ascii_case(name);
             if is_header("content-length") {
                 let n: u64 = value.parse().map_err(|_| Malformed)?;
@@ -239,11 +246,25 @@
             Some(n) => State::Length(n),
             None => State::UntilClose,
         };
-        let head = self.consume(n).to_vec();
-        self.hasher.write(&head);
+        self.consume(n);
+        self.fingerprinter.push_kind(status);
+        if status_line_within {
+            self.fingerprinter.mark_reply_elsewhere();
+        }
         Ok(Some(Part::Head { status, rejected, length }))
     }
 }
 
+/// Whether a status line begins in a line, as where a response was cut off within a header and another one follows.
+fn contains_status_line(line: &[u8]) -> bool {
+    const VERSION: &[u8] = b"HTTP/1.";
+    let after_version = |at: usize| line.get(at + VERSION.len()..).unwrap_or_default();
+    let is_status =
+        |rest: &[u8]| matches!(rest, [b'0'..=b'9', b' ', b'1'..=b'5', b'0'..=b'9', b'0'..=b'9', ..]);
+    line.windows(VERSION.len())
+        .enumerate()
+        .any(|(at, window)| window == VERSION && is_status(after_version(at)))
+}
+
 #[cfg(test)]
 mod tests;
--- a/proxy/src/wire/mod.rs
+++ b/proxy/src/wire/mod.rs
@@ -6,6 +6,7 @@
 pub mod command;
 pub mod discovery;
 pub mod driver;
+pub mod fingerprint;
 pub mod http;
 pub mod origin;
 pub mod resp;
--- a/proxy/src/wire/origin.rs
+++ b/proxy/src/wire/origin.rs
@@ -2,6 +2,7 @@
 
 use super::backend::{Reply, ReplyPart};
 use super::command::BackendCommand;
+use super::fingerprint::Fingerprint;
 use super::http::{self, Part};
 use super::{MAX_STREAMED_VALUE, MAX_UNDELIMITED_BODY, MAX_VALUE};
 use crate::outcome::AttemptOutcome;
@@ -51,9 +52,9 @@
         self.status != 0 || self.http.has_unread()
     }
 
-    /// Digest of the response, with its headers; `None` before its end. Equal responses have equal digests.
-    pub fn digest(&self) -> Option<u64> {
-        self.http.digest()
+    /// Fingerprint of the response; `None` before its end.
+    pub fn fingerprint(&self) -> Option<Fingerprint> {
+        self.http.fingerprint()
     }
 
     /// Feeds received bytes and returns the parts of the reply that they complete.
--- a/proxy/src/wire/origin/tests.rs
+++ b/proxy/src/wire/origin/tests.rs
@@ -52,3 +52,46 @@
         assert_eq!(reply.value.is_some(), *outcome == AttemptOutcome::Served && data == 0, "{text:.60}");
     }
 }
+
+/// Every response that the beginning of a copy and the response behind it can be read as, together, is recognized.
+#[test]
+fn part_of_a_copy_and_the_response_behind_it_are_recognized_as_one() {
+    let report = "X-Load-Report: rate=12.5,busy=0.42\r\n";
+    let with_length = |status: &str, length: usize| {
+        let head = format!("HTTP/1.1 {status}\r\n{report}Content-Length: {length}\r\n\r\n");
+        [head.into_bytes(), vec![b'v'; length]].concat()
+    };
+    let chunked = |length: usize| {
+        let head = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n{report}\r\n{length:x}\r\n");
+        [head.as_bytes(), &vec![b'v'; length], b"\r\n0\r\nX-Trailer: 1\r\n\r\n"].concat()
+    };
+    let responses = [
+        with_length("200 OK", 0),
+        with_length("200 OK", 7),
+        with_length("200 OK", 90),
+        with_length("200 OK", 400),
+        with_length("200 OK", MAX_VALUE + 50),
+        with_length("404 Not Found", 9),
+        with_length("500 Internal Server Error", 200),
+        with_length("503 Service Unavailable\r\nX-Rejected: 1", 0),
+        chunked(5),
+        chunked(300),
+    ];
+    let mut read_as_one = 0;
+    for first in &responses {
+        for second in &responses {
+            let near_the_end = first.len().saturating_sub(600);
+            for cut in (1..600.min(first.len())).chain(near_the_end.max(1)..first.len()) {
+                let mut decoder = Decoder::default();
+                decoder.feed(&first[..cut]);
+                decoder.feed(second);
+                let Some(fingerprint) = decoder.fingerprint() else { continue };
+                read_as_one += 1;
+                let recognized = fingerprint.reply_elsewhere || fingerprint.reply_in_value.is_some();
+                let context = String::from_utf8_lossy(&first[..first.len().min(120)]);
+                assert!(recognized, "{context:?} cut at {cut}, before {:?}", &second[..second.len().min(40)]);
+            }
+        }
+    }
+    assert!(read_as_one > 1000, "{read_as_one}");
+}
