--- /dev/null
+++ b/cli/tests/common/recording_servers.rs
@@ -0,0 +1,110 @@
+//! Caches and an origin that make a value of its own for each request and record how often each one ran.
+
+use crate::common::{http_response, FakeServer};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+/// How often each request ran, by its id.
+pub type Runs = Arc<Mutex<HashMap<String, usize>>>;
+
+/// What a server replies to requests for a key, by the prefix of the key.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    /// The value, or a write's receipt.
+    Value,
+    /// The same, many times as long.
+    LongValue,
+    /// The cache does not have the key until the origin has returned the value.
+    Miss,
+    /// The cache rejects the read, or the origin the request.
+    Busy,
+    /// The server fails; the request has run.
+    Error,
+}
+
+impl Kind {
+    pub const ALL: [Kind; 5] = [Kind::Value, Kind::LongValue, Kind::Miss, Kind::Busy, Kind::Error];
+
+    /// The kind of a key.
+    pub fn of(key: &str) -> Kind {
+        Kind::ALL.into_iter().find(|kind| key.starts_with(kind.prefix())).expect("a key of a kind")
+    }
+
+    /// The start of keys of this kind.
+    pub fn prefix(self) -> &'static str {
+        match self {
+            Kind::Value => "value-",
+            Kind::LongValue => "long-",
+            Kind::Miss => "miss-",
+            Kind::Busy => "busy-",
+            Kind::Error => "error-",
+        }
+    }
+}
+
+/// The value or receipt that a server makes for a request.
+pub fn value_for(id: &str, kind: Kind) -> String {
+    if kind == Kind::LongValue {
+        id.repeat(40)
+    } else {
+        format!("made-for-{id}")
+    }
+}
+
+const LOAD_REPORT: &str = "rate=12.5,fail_rate=0.1,busy=0.42";
+
+/// A cache's reply to a read.
+pub fn cache_reply(kind: Kind, id: &str) -> Vec<u8> {
+    let report = format!("${}\r\n{LOAD_REPORT}\r\n", LOAD_REPORT.len());
+    match kind {
+        Kind::Value | Kind::LongValue => {
+            let value = value_for(id, kind);
+            format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n{report}", value.len())
+        }
+        Kind::Miss => format!("*3\r\n$-1\r\n$4\r\nmiss\r\n{report}"),
+        Kind::Busy => "-BUSY 5\r\n".to_owned(),
+        Kind::Error => "-ERR failed\r\n".to_owned(),
+    }
+    .into_bytes()
+}
+
+/// The origin's response.
+pub fn origin_reply(kind: Kind, id: &str) -> Vec<u8> {
+    let report = format!("\r\nX-Load-Report: {LOAD_REPORT}");
+    match kind {
+        Kind::Busy => http_response(&format!("503 Service Unavailable\r\nX-Rejected: 1{report}"), ""),
+        Kind::Error => http_response(&format!("500 Internal Server Error{report}"), ""),
+        _ => http_response(&format!("200 OK{report}"), &value_for(id, kind)),
+    }
+    .unwrap()
+}
+
+/// Counts a run of the request unless the reply says that it did not run.
+fn record(runs: &Runs, id: &str, ran: bool) {
+    if ran {
+        *runs.lock().unwrap().entry(id.to_owned()).or_default() += 1;
+    }
+}
+
+/// Starts a cache.
+pub fn start_cache(runs: &Runs) -> FakeServer {
+    let runs = Arc::clone(runs);
+    FakeServer::backend(Box::new(move |words| {
+        let mut kind = Kind::of(&words[1]);
+        if kind == Kind::Miss && runs.lock().unwrap().contains_key(&words[2]) {
+            kind = Kind::Value;
+        }
+        record(&runs, &words[2], matches!(kind, Kind::Value | Kind::LongValue | Kind::Error));
+        Some(cache_reply(kind, &words[2]))
+    }))
+}
+
+/// Starts an origin.
+pub fn start_origin(runs: &Runs) -> FakeServer {
+    let runs = Arc::clone(runs);
+    FakeServer::origin(Box::new(move |request| {
+        let kind = Kind::of(request[1].trim_start_matches('/'));
+        record(&runs, &request[2], kind != Kind::Busy);
+        Some(origin_reply(kind, &request[2]))
+    }))
+}
--- a/cli/tests/unproven_replies.rs
+++ b/cli/tests/unproven_replies.rs
@@ -4,92 +4,17 @@
 mod common;
 #[path = "common/fault_proxy.rs"]
 mod fault_proxy;
+#[path = "common/recording_servers.rs"]
+mod recording_servers;
 
 use common::*;
 use fault_proxy::{Carried, FaultProxy, Insertion};
 use notchdoor_proxy::wire::resp::Value;
 use notchdoor_testbed::wire::frames::Protocol;
+use recording_servers::{cache_reply, start_cache, start_origin, value_for, Kind, Runs};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
-
-/// How often each request ran, by its id.
-type Runs = Arc<Mutex<HashMap<String, usize>>>;
-
-/// What a server replies to requests for a key, by the prefix of the key.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Kind {
-    /// The value, or a write's receipt.
-    Value,
-    /// The same, many times as long.
-    LongValue,
-    /// The cache does not have the key until the origin has returned the value.
-    Miss,
-    /// The cache rejects the read, or the origin the request.
-    Busy,
-    /// The server fails; the request has run.
-    Error,
-}
-
-impl Kind {
-    const ALL: [Kind; 5] = [Kind::Value, Kind::LongValue, Kind::Miss, Kind::Busy, Kind::Error];
-
-    fn of(key: &str) -> Kind {
-        Kind::ALL.into_iter().find(|kind| key.starts_with(kind.prefix())).expect("a key of a kind")
-    }
-
-    fn prefix(self) -> &'static str {
-        match self {
-            Kind::Value => "value-",
-            Kind::LongValue => "long-",
-            Kind::Miss => "miss-",
-            Kind::Busy => "busy-",
-            Kind::Error => "error-",
-        }
-    }
-}
-
-/// The value or receipt that a server makes for a request.
-fn value_for(id: &str, kind: Kind) -> String {
-    if kind == Kind::LongValue {
-        id.repeat(40)
-    } else {
-        format!("made-for-{id}")
-    }
-}
-
-const LOAD_REPORT: &str = "rate=12.5,fail_rate=0.1,busy=0.42";
-
-fn cache_reply(kind: Kind, id: &str) -> Vec<u8> {
-    let report = format!("${}\r\n{LOAD_REPORT}\r\n", LOAD_REPORT.len());
-    match kind {
-        Kind::Value | Kind::LongValue => {
-            let value = value_for(id, kind);
-            format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n{report}", value.len())
-        }
-        Kind::Miss => format!("*3\r\n$-1\r\n$4\r\nmiss\r\n{report}"),
-        Kind::Busy => "-BUSY 5\r\n".to_owned(),
-        Kind::Error => "-ERR failed\r\n".to_owned(),
-    }
-    .into_bytes()
-}
-
-fn origin_reply(kind: Kind, id: &str) -> Vec<u8> {
-    let report = format!("\r\nX-Load-Report: {LOAD_REPORT}");
-    match kind {
-        Kind::Busy => http_response(&format!("503 Service Unavailable\r\nX-Rejected: 1{report}"), ""),
-        Kind::Error => http_response(&format!("500 Internal Server Error{report}"), ""),
-        _ => http_response(&format!("200 OK{report}"), &value_for(id, kind)),
-    }
-    .unwrap()
-}
-
-/// Counts a run of the request unless the reply says that it did not run.
-fn record(runs: &Runs, id: &str, ran: bool) {
-    if ran {
-        *runs.lock().unwrap().entry(id.to_owned()).or_default() += 1;
-    }
-}
+use std::sync::Arc;
 
 /// Two caches and an origin, each behind a fault proxy, with a proxy in front of them.
 struct Fleet {
@@ -104,24 +29,7 @@
 impl Fleet {
     fn start(at_caches: &Insertion, at_origin: &Insertion) -> Fleet {
         let runs = Runs::default();
-        let cache = || {
-            let runs = Arc::clone(&runs);
-            FakeServer::backend(Box::new(move |words| {
-                let mut kind = Kind::of(&words[1]);
-                if kind == Kind::Miss && runs.lock().unwrap().contains_key(&words[2]) {
-                    kind = Kind::Value;
-                }
-                record(&runs, &words[2], matches!(kind, Kind::Value | Kind::LongValue | Kind::Error));
-                Some(cache_reply(kind, &words[2]))
-            }))
-        };
-        let caches = vec![cache(), cache()];
-        let origin_runs = Arc::clone(&runs);
-        let origin = FakeServer::origin(Box::new(move |request| {
-            let kind = Kind::of(request[1].trim_start_matches('/'));
-            record(&origin_runs, &request[2], kind != Kind::Busy);
-            Some(origin_reply(kind, &request[2]))
-        }));
+        let (caches, origin) = (vec![start_cache(&runs), start_cache(&runs)], start_origin(&runs));
         let mut fault_proxies: Vec<FaultProxy> =
             caches.iter().map(|cache| FaultProxy::start(cache.endpoint, Protocol::Resp, at_caches)).collect();
         fault_proxies.push(FaultProxy::start(origin.endpoint, Protocol::Http, at_origin));
--- a/proxy/src/wire/fingerprint.rs
+++ b/proxy/src/wire/fingerprint.rs
@@ -26,8 +26,7 @@
     fn find(self, bytes: &[u8], is_end: bool) -> Option<usize> {
         let begins_at = |at: usize| {
             let rest = bytes.get(at..).unwrap_or_default();
-            let matches = |start: &&[u8]| rest.starts_with(start) || is_end && start.starts_with(rest);
-            self.0.iter().any(|start| matches(start))
+            self.0.iter().any(|start| rest.starts_with(start) || is_end && start.starts_with(rest))
         };
         (0..bytes.len()).find(|&at| begins_at(at))
     }
