A late copy of the origin's 404 no longer records another key as missing

With replicas and the negative cache, readers of a key that exists got null, and so did readers at other proxies. Cause: a 404 that equals an earlier one on its connection closed the connection, but was believed and stored. Evidence: copy_of_a_404_never_records_another_key_as_missing fails without this and the proof of absence (there-0 was null at the proxy that read it), and passes now; honest 404s are still answered with null. Fix: absence needs the same proof as a value, and a 404 is the last response on its connection: the next one could not be told from a copy of it. Cost: one handshake for each 404, with the negative cache only; without it a 404 is a failure.

--- a/cli/tests/common/fault_proxy.rs
+++ b/cli/tests/common/fault_proxy.rs
@@ -1,6 +1,9 @@
 //! A proxy between the program and one of its servers that forwards one command at a time and inserts surplus bytes. The
 //! order is forced: what is inserted is sent once the next command is on its way and before the server has it.
 
+// Not every test file waits for the servers.
+#![allow(dead_code)]
+
 use notchdoor_testbed::wire::frames::{Frames, Protocol};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -312,7 +312,10 @@
     if proof.is_none() {
         return Reply::without_value(AttemptOutcome::Garbled);
     }
-    if reply.reusable && !(is_origin && connection.order == ReplyOrder::Doubtful) {
+    // The next 404 on it could not be told from a copy of this one, and a doubtful order cannot be cleared up without a fence.
+    let closes =
+        is_origin && (connection.order == ReplyOrder::Doubtful || reply.outcome == AttemptOutcome::Absent);
+    if reply.reusable && !closes {
         runtime.return_connection(server, generation, connection, requirement);
     }
     match (negative_cache, lookup, reply.outcome) {
