A chunked response that contradicts its declared length is not used

Fix: chunks override the length, as HTTP has it, and have to add up to it; otherwise the response is malformed. Both cases are in malformed_and_oversized_responses_are_rejected, which fails without the check; a response whose two lengths agree is still decoded.

--- a/proxy/src/wire/http.rs
+++ b/proxy/src/wire/http.rs
@@ -16,7 +16,7 @@
         status: u16,
         /// `X-Rejected: 1` is set: the request was not executed.
         rejected: bool,
-        /// Value of `Content-Length`.
+        /// Value of `Content-Length`; `None` for a chunked body.
         length: Option<u64>,
     },
     /// Bytes of the body.
@@ -46,6 +46,8 @@
     /// Number of consumed bytes in the buffer. Removed once per feed, not per chunk, to avoid quadratic copying.
     consumed: usize,
     keep_alive: bool,
+    /// The length that was declared for a chunked body, less that of the chunks received.
+    chunks_add_up_to: Option<u64>,
     fingerprinter: Fingerprinter,
 }
 
@@ -60,6 +62,7 @@
             buffer: Vec::new(),
             consumed: 0,
             keep_alive: true,
+            chunks_add_up_to: None,
             fingerprinter: Fingerprinter::new(HTTP_REPLY_STARTS),
         }
     }
@@ -108,9 +111,12 @@
         })
     }
 
-    fn finish(&mut self) -> Part {
+    fn finish(&mut self) -> Result<Part, Malformed> {
+        if self.chunks_add_up_to.is_some_and(|left| left > 0) {
+            return Err(Malformed);
+        }
         self.state = State::Done;
-        Part::End { reusable: self.keep_alive && self.unread().is_empty() }
+        Ok(Part::End { reusable: self.keep_alive && self.unread().is_empty() })
     }
 
     fn consume(&mut self, n: usize) -> &[u8] {
@@ -142,7 +148,7 @@
                     None if matches!(self.state, State::Head) && self.skip_interim()? => {}
                     None => return Ok(None),
                 },
-                State::Length(0) => return Ok(Some(self.finish())),
+                State::Length(0) => return Ok(Some(self.finish()?)),
                 State::Length(left) | State::Chunk(left) if left > 0 => {
                     if self.unread().is_empty() {
                         return Ok(None);
@@ -156,6 +162,9 @@
                 State::ChunkSize => match httparse::parse_chunk_size(self.unread()) {
                     Ok(httparse::Status::Complete((n, size))) => {
                         self.consume(n);
+                        if let Some(left) = &mut self.chunks_add_up_to {
+                            *left = left.checked_sub(size).ok_or(Malformed)?;
+                        }
                         self.state = if size == 0 { State::Trailer } else { State::Chunk(size) };
                     }
                     Ok(httparse::Status::Partial) if self.unread().len() <= MAX_HEAD_BYTES => {
@@ -174,7 +183,7 @@
                     Some(n) => {
                         let line = self.consume(n).to_vec();
                         if matches!(line.as_slice(), b"\r\n" | b"\n") {
-                            return Ok(Some(self.finish()));
+                            return Ok(Some(self.finish()?));
                         }
                         if contains_status_line(&line) {
                             self.fingerprinter.mark_reply_elsewhere();
@@ -240,6 +249,9 @@
                 rejected = value == "1";
             }
         }
+        // Chunks override a declared length, which they have to add up to.
+        self.chunks_add_up_to = length.filter(|_| chunked);
+        let length = length.filter(|_| !chunked);
         self.state = match length {
             _ if matches!(status, 204 | 304) => State::Length(0),
             _ if chunked => State::ChunkSize,
--- a/proxy/src/wire/http/tests.rs
+++ b/proxy/src/wire/http/tests.rs
@@ -37,6 +37,7 @@
             200
         }, false, b"abc", Some(true)),
         (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab", 200, false, b"ab", None),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", 200, false, b"ab", Some(true)),
     ];
     for &(bytes, status, rejected, body, end) in cases {
         for at in 0..=bytes.len() {
@@ -58,6 +59,8 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
         b"HTTP/1.1 101 Switching\r\n\r\n",
         oversized_head.as_bytes(),
     ];
