A restarted replica node no longer reuses the request numbers of its earlier start

Cause: nodes know a request by the node's number, which stays the same, and a counter that began at 1 with each process. Fix: the counter begins at the start number of the store, which grows with each start, times 2^32.

--- a/proxy/src/replication/mod.rs
+++ b/proxy/src/replication/mod.rs
@@ -29,6 +29,8 @@
 use std::time::{Duration, Instant};
 use store::{OpenedStore, Store};
 
+/// Bits of a request's number that count the requests of one start of a node.
+const REQUEST_NUMBER_BITS: u32 = 32;
 /// Interval of the node's clock ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Writes queued for the store. While the queue is full the node accepts no operations, neither from its own process nor
@@ -72,6 +74,7 @@
     unanswered_changes: RefCell<BTreeSet<ChangeKey>>,
     /// Where the response to each request is sent.
     waiting: RefCell<HashMap<u64, Sender<Response<C>>>>,
+    /// Number of the next request, not used by any earlier start of this node.
     next_request: Cell<u64>,
     /// Result of the last request to the group; `None` before the first.
     group_reached: Cell<Option<bool>>,
@@ -84,6 +87,12 @@
     restart: RefCell<Restart<C>>,
 }
 
+/// The number of the first request of a start of a node. Other nodes know requests by the number of the node, which
+/// stays the same, so a response to an earlier start must not have the number of a request of this one.
+fn first_request(start: u64) -> u64 {
+    (start << REQUEST_NUMBER_BITS) + 1
+}
+
 impl<C: ReplicatedState> ReplicationRuntime<C> {
     /// Opens the store and starts the node's tasks on `executor`. The error is a single line that names the setting.
     pub fn start(
@@ -117,7 +126,7 @@
             change_queue,
             unanswered_changes: RefCell::default(),
             waiting: RefCell::default(),
-            next_request: Cell::new(1),
+            next_request: Cell::new(first_request(start)),
             group_reached: Cell::new(None),
             writing: Cell::new(false),
             store_failed: Cell::new(false),
--- a/proxy/src/replication/tests.rs
+++ b/proxy/src/replication/tests.rs
@@ -110,3 +110,18 @@
         wait_until_committed(&runtime).await;
     }));
 }
+
+/// Guards against the response to a request of an earlier start of a node being taken for one of this start, and against its
+/// requests being dropped as duplicates.
+#[test]
+fn requests_of_successive_starts_of_a_node_have_different_numbers() {
+    for start in 0..4 {
+        let last = first_request(start) + u64::from(u32::MAX) - 1;
+        assert!(last < first_request(start + 1), "start {start}");
+    }
+    let executor = Rc::new(LocalExecutor::new());
+    let runtime = start_node("numbers", &executor);
+    let (first, _response) = runtime.register_request();
+    let (second, _response) = runtime.register_request();
+    assert_eq!((first, second), (first_request(1), first_request(1) + 1));
+}
