--- a/proxy/src/wire/fingerprint.rs
+++ b/proxy/src/wire/fingerprint.rs
@@ -41,23 +41,27 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct ValuePrefix {
     bytes: [u8; PREFIX_BYTES],
-    length: usize,
+    length: u8,
 }
 
 impl ValuePrefix {
     fn push(&mut self, data: &[u8]) {
-        let free = self.bytes.iter_mut().skip(self.length);
-        let added = free.zip(data).map(|(to, from)| *to = *from).count();
-        self.length += added;
+        for &byte in data {
+            let Some(free) = self.bytes.get_mut(usize::from(self.length)) else { return };
+            *free = byte;
+            self.length += 1;
+        }
+    }
+
+    /// The first bytes, `length` of them at most.
+    fn first(&self, length: usize) -> &[u8] {
+        self.bytes.get(..length.min(usize::from(self.length))).unwrap_or_default()
     }
 
     /// Whether the values may share their first `length` bytes.
     pub fn may_share(&self, other: &ValuePrefix, length: usize) -> bool {
         let length = length.min(PREFIX_BYTES);
-        let first =
-            |prefix: &ValuePrefix| prefix.bytes.iter().take(prefix.length).take(length).copied().collect();
-        let (own, others): (Vec<u8>, Vec<u8>) = (first(self), first(other));
-        own.len() == length && own == others
+        self.first(length).len() == length && self.first(length) == other.first(length)
     }
 }
 
