--- a/cli/tests/unproven_replies.rs
+++ b/cli/tests/unproven_replies.rs
@@ -28,15 +28,29 @@
 
 impl Fleet {
     fn start(at_caches: &Insertion, at_origin: &Insertion) -> Fleet {
+        Fleet::with_settings(at_caches, at_origin, settings())
+    }
+
+    /// A fleet whose caches fetch what they lack and forward writes; the origin is not listed.
+    fn with_caches_alone(at_caches: &Insertion) -> Fleet {
+        let text =
+            settings().replace(r#""mode":"aside","originKind":2"#, r#""mode":"through","originKind":-1"#);
+        Fleet::with_settings(at_caches, &nothing(), &text)
+    }
+
+    fn with_settings(at_caches: &Insertion, at_origin: &Insertion, settings: &str) -> Fleet {
         let runs = Runs::default();
         let (caches, origin) = (vec![start_cache(&runs), start_cache(&runs)], start_origin(&runs));
         let mut fault_proxies: Vec<FaultProxy> =
             caches.iter().map(|cache| FaultProxy::start(cache.endpoint, Protocol::Resp, at_caches)).collect();
         fault_proxies.push(FaultProxy::start(origin.endpoint, Protocol::Http, at_origin));
         let entry = |(uid, at): (&str, &FaultProxy)| endpoint_entry_at(uid, at.endpoint, "in_service", 0);
-        let list: Vec<String> = ["w0", "w1", "o"].into_iter().zip(&fault_proxies).map(entry).collect();
+        let mut list: Vec<String> = ["w0", "w1", "o"].into_iter().zip(&fault_proxies).map(entry).collect();
+        if settings.contains("through") {
+            list.pop();
+        }
         let discovery = FakeDiscovery::start();
-        let proxy = Proxy::start(&discovery, &list);
+        let proxy = Proxy::with_files(&discovery, &list, (1024, 192), &[("settings.json", settings)]);
         Fleet { proxy, runs, caches, origin, fault_proxies, _discovery: discovery }
     }
 
@@ -170,6 +184,17 @@
     }
 }
 
+/// The same where writes go to the caches.
+#[test]
+fn copy_of_a_reply_of_a_cache_never_decides_a_write() {
+    for (text, first) in [("made-for", Kind::Value), ("-BUSY", Kind::Busy)] {
+        let fleet = Fleet::with_caches_alone(&copy_of_replies_with(text));
+        let asks = [read("read", first), write("close", Kind::Value), write("fix", Kind::Value)];
+        let served = check(&fleet, text, &asks, 24);
+        assert!(served >= 48, "{text}: only {served} of 72 were served");
+    }
+}
+
 /// Guards against a late copy of a read's response being given for a write, and of a receipt for a read.
 #[test]
 fn copies_of_origin_responses_are_never_given_across_reads_and_writes() {
