--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -1,108 +1,33 @@
 //! Runs attempts: sends one command on a pooled connection and reads its reply.
 
-use super::connection::{checkout, Connection, Process};
-use super::reply_proof::{Asked, ReplyProof};
+mod decoder;
+mod progress;
+mod reading;
+mod writing;
+
+use super::connection::{checkout, Process};
+use super::reply_proof::Asked;
 use super::Runtime;
 use crate::negative_cache::KeyLookup;
 use crate::outcome::AttemptOutcome;
-use crate::proxy::{AttemptId, AttemptReply, ReplySlot};
+use crate::proxy::{AttemptId, AttemptReply};
 use crate::state::pool::{ReplyOrder, Requirement};
-use crate::wire::backend::{self, Reply, ReplyPart};
+use crate::wire::backend::{self, Reply};
 use crate::wire::command::BackendCommand;
-use crate::wire::fingerprint::Fingerprint;
-use crate::wire::streamed_value::{NextChunk, StreamedValue};
-use crate::wire::{origin, MAX_VALUE};
+use crate::wire::origin;
 use async_io::Timer;
+use decoder::Decoder;
 use futures_lite::future;
 use notchdoor::{Micros, ServerId};
-use std::cell::Cell;
-use std::io::{ErrorKind, Read, Write};
+use progress::{AttemptEnd, AttemptTimings, Progress};
+use reading::read;
 use std::rc::Rc;
 use std::time::Duration;
+use writing::{write, write_streamed};
 
-/// Maximum pause within a buffered reply. A stalled attempt ends early enough for a retry before the client's
-/// deadline.
-const STALL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum pause while a value is relayed in either direction. A relayed transfer cannot be retried.
 const RELAY_STALL_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// The share of the memory limit for large replies that one attempt uses.
-struct LargeReplyShare<'a> {
-    runtime: &'a Runtime,
-    bytes: usize,
-}
-
-impl LargeReplyShare<'_> {
-    /// Accounts for the bytes received so far, less the [`MAX_VALUE`] that every request is accounted for. Returns
-    /// false if the limit is exceeded.
-    fn try_grow(&mut self, received: usize) -> bool {
-        let bytes = received.saturating_sub(MAX_VALUE);
-        let all = self.runtime.large_reply_bytes.get() - self.bytes + bytes;
-        self.bytes = bytes;
-        self.runtime.large_reply_bytes.set(all);
-        all <= self.runtime.room.get().large_value_bytes || bytes == 0
-    }
-}
-
-impl Drop for LargeReplyShare<'_> {
-    fn drop(&mut self) {
-        self.runtime.large_reply_bytes.set(self.runtime.large_reply_bytes.get() - self.bytes);
-    }
-}
-
-enum Decoder {
-    Backend(backend::Decoder),
-    Origin(origin::Decoder),
-}
-
-impl Decoder {
-    fn feed(&mut self, bytes: &[u8]) -> Vec<ReplyPart> {
-        match self {
-            Decoder::Backend(decoder) => decoder.feed(bytes),
-            Decoder::Origin(decoder) => decoder.feed(bytes),
-        }
-    }
-
-    fn has_partial_reply(&self) -> bool {
-        match self {
-            Decoder::Backend(decoder) => decoder.has_partial_reply(),
-            Decoder::Origin(decoder) => decoder.has_partial_reply(),
-        }
-    }
-
-    /// Fingerprint of a complete reply.
-    fn fingerprint(&self) -> Option<Fingerprint> {
-        match self {
-            Decoder::Backend(decoder) => decoder.fingerprint(),
-            Decoder::Origin(decoder) => decoder.fingerprint(),
-        }
-    }
-
-    fn closed(&mut self) -> Reply {
-        let whole = match self {
-            Decoder::Backend(_) => None,
-            Decoder::Origin(decoder) => decoder.closed(),
-        };
-        whole.unwrap_or(Reply::without_value(AttemptOutcome::BrokenSent))
-    }
-}
-
-/// Timestamps of an attempt; 0 until the step is reached.
-#[derive(Default)]
-struct AttemptTimings {
-    connected: Micros,
-    new: bool,
-    written: Micros,
-    first: Micros,
-}
-
-impl AttemptTimings {
-    /// Time from the written command to the first byte of the reply; `None` on a new connection.
-    fn response_time(&self) -> Option<Micros> {
-        self.first.checked_sub(self.written).filter(|_| !self.new)
-    }
-}
-
 /// Deadlines of an attempt.
 #[derive(Clone, Copy)]
 pub struct AttemptDeadlines {
@@ -126,59 +51,6 @@
     pub deadlines: AttemptDeadlines,
 }
 
-/// Progress of an attempt.
-#[derive(Default)]
-struct Progress {
-    /// Set once the last byte of the command was written; the server may have executed it from then on.
-    sent: Cell<bool>,
-    /// Set once the reply is being relayed; the attempt no longer times out.
-    relaying: Cell<bool>,
-    /// The number of the connection, 0 until there is one.
-    connection: Cell<u64>,
-    /// The outcome that the reply stated, once it was received completely. The outcome of the attempt differs if the
-    /// reply was not used.
-    replied: Cell<Option<AttemptOutcome>>,
-    /// Why that reply is taken for the one to the command.
-    proof: Cell<Option<ReplyProof>>,
-}
-
-/// The end of an attempt, for the log.
-struct AttemptEnd<'a> {
-    attempt: &'a Attempt,
-    progress: &'a Progress,
-    outcome: AttemptOutcome,
-    started_at: Micros,
-}
-
-impl AttemptEnd<'_> {
-    fn log(&self, timings: &AttemptTimings, now: Micros) {
-        let (attempt_id, server) = (self.attempt.id, self.attempt.server);
-        let request = String::from_utf8_lossy(&self.attempt.command.id);
-        let connection = self.progress.connection.get();
-        let replied = self.progress.replied.get().map_or("none", AttemptOutcome::name);
-        let proof = self.progress.proof.get().map_or("none", ReplyProof::name);
-        let sent = self.progress.sent.get();
-        log::debug!(
-            attempt_id, server, ending = self.outcome.name(), request:% = request, connection, replied, proof, sent;
-            "attempt {attempt_id} to {server}: {}, {} us in total, {} us to connect, {} us to the first byte, new={}, \
-             request={request}, connection={connection}, reply={replied}, proof={proof}, sent={sent}",
-            self.outcome.name(),
-            now - self.started_at,
-            timings.connected.saturating_sub(self.started_at),
-            timings.first.saturating_sub(timings.written),
-            timings.new
-        );
-    }
-}
-
-/// Waits until the client can receive more of a relayed reply; `None` if it has left.
-async fn await_relay(runtime: &Runtime, client: Option<ReplySlot>) -> Option<ReplySlot> {
-    match client {
-        Some(slot) if runtime.relay_ready(slot).await => Some(slot),
-        _ => None,
-    }
-}
-
 /// Runs one attempt and reports its outcome to the proxy.
 pub async fn run(runtime: Rc<Runtime>, attempt: Attempt) {
     let (attempt_id, command) = (attempt.id, &attempt.command);
@@ -361,130 +233,3 @@
         }
     }
 }
-
-/// Writes a command with a streamed value, followed by `tail`. The last byte is written, and `sent` set, only after the
-/// client's command was received to its end: a client that stops before has sent no request.
-async fn write_streamed(
-    connection: &Connection,
-    head: &[u8],
-    streamed: &StreamedValue,
-    tail: &[u8],
-    sent: &Cell<bool>,
-) -> Result<(), AttemptOutcome> {
-    let unfinished = Cell::new(false);
-    write_or_stall(connection, head, &unfinished).await?;
-    loop {
-        let changed = streamed.changed();
-        match streamed.next() {
-            NextChunk::Bytes(bytes) => write_or_stall(connection, &bytes, &unfinished).await?,
-            NextChunk::Last(mut bytes) => {
-                bytes.extend_from_slice(tail);
-                return write_or_stall(connection, &bytes, sent).await;
-            }
-            NextChunk::Wait => changed.await,
-            NextChunk::Aborted => return Err(AttemptOutcome::NotSent),
-        }
-    }
-}
-
-/// Like [`write`], but fails if the server does not accept all bytes within `RELAY_STALL_TIMEOUT`.
-async fn write_or_stall(
-    connection: &Connection,
-    bytes: &[u8],
-    sent: &Cell<bool>,
-) -> Result<(), AttemptOutcome> {
-    let stalled = async {
-        Timer::after(RELAY_STALL_TIMEOUT).await;
-        Err(AttemptOutcome::BrokenUnsent)
-    };
-    future::or(write(connection, bytes, sent), stalled).await
-}
-
-/// Writes `bytes` and sets `sent` once the last byte is written.
-async fn write(connection: &Connection, mut bytes: &[u8], sent: &Cell<bool>) -> Result<(), AttemptOutcome> {
-    while !bytes.is_empty() {
-        match connection.io.get_ref().write(bytes) {
-            Ok(0) => return Err(AttemptOutcome::BrokenUnsent),
-            Ok(n) => bytes = bytes.get(n..).unwrap_or_default(),
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                connection.io.writable().await.map_err(|_| AttemptOutcome::BrokenUnsent)?;
-            }
-            Err(_) => return Err(AttemptOutcome::BrokenUnsent),
-        }
-    }
-    sent.set(true);
-    Ok(())
-}
-
-async fn read(
-    runtime: &Rc<Runtime>,
-    connection: &Connection,
-    decoder: &mut Decoder,
-    attempt_id: AttemptId,
-    progress: &Progress,
-    timings: &mut AttemptTimings,
-) -> Reply {
-    let mut buffer = vec![0; MAX_VALUE / 4];
-    let (mut received, mut large_share) = (0, LargeReplyShare { runtime, bytes: 0 });
-    // The client's reply slot, while a reply is relayed to it.
-    let mut client = None;
-    loop {
-        match connection.io.get_ref().read(&mut buffer) {
-            Ok(0) => return decoder.closed(),
-            Ok(n) => {
-                if received == 0 {
-                    timings.first = runtime.clock.now();
-                }
-                received += n;
-                if !progress.relaying.get() && !large_share.try_grow(received) {
-                    return Reply::without_value(AttemptOutcome::NoCapacity);
-                }
-                for part in decoder.feed(buffer.get(..n).unwrap_or_default()) {
-                    match part {
-                        // What is relayed cannot be taken back, so the order must be certain before it.
-                        ReplyPart::ValueStart(_) if connection.order == ReplyOrder::Doubtful => {
-                            return Reply::without_value(AttemptOutcome::Garbled);
-                        }
-                        ReplyPart::ValueStart(length) => {
-                            progress.relaying.set(true);
-                            let response_time = timings.response_time();
-                            client = runtime
-                                .drive(|proxy, now| proxy.start_streaming(now, attempt_id, response_time));
-                            client = await_relay(runtime, client).await;
-                            if let Some(slot) = client {
-                                runtime
-                                    .with_session(slot, |session| session.replies_mut().begin_relay(length));
-                            }
-                        }
-                        ReplyPart::ValueData(data) => {
-                            if let Some(slot) = client {
-                                runtime.with_session(slot, |session| session.replies_mut().relay(&data));
-                            }
-                        }
-                        ReplyPart::Complete(reply) => return reply,
-                    }
-                }
-                // Waits for the client to accept more; if it has left, the rest is read without waiting.
-                client = await_relay(runtime, client).await;
-            }
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                let stalled = async {
-                    match decoder.has_partial_reply() {
-                        _ if progress.relaying.get() => Timer::after(RELAY_STALL_TIMEOUT).await,
-                        true => Timer::after(STALL_TIMEOUT).await,
-                        false => future::pending().await,
-                    };
-                    Some(AttemptOutcome::Garbled)
-                };
-                let readable =
-                    async { connection.io.readable().await.err().map(|_| AttemptOutcome::BrokenSent) };
-                if let Some(outcome) = future::or(readable, stalled).await {
-                    return Reply::without_value(outcome);
-                }
-            }
-            Err(_) => return Reply::without_value(AttemptOutcome::BrokenSent),
-        }
-    }
-}
--- /dev/null
+++ b/proxy/src/wire/driver/attempt/progress.rs
@@ -0,0 +1,69 @@
+//! What is known of an attempt while it runs, and the log line at its end.
+
+use super::Attempt;
+use crate::outcome::AttemptOutcome;
+use crate::wire::driver::reply_proof::ReplyProof;
+use notchdoor::Micros;
+use std::cell::Cell;
+
+/// Timestamps of an attempt; 0 until the step is reached.
+#[derive(Default)]
+pub(super) struct AttemptTimings {
+    pub(super) connected: Micros,
+    pub(super) new: bool,
+    pub(super) written: Micros,
+    pub(super) first: Micros,
+}
+
+impl AttemptTimings {
+    /// Time from the written command to the first byte of the reply; `None` on a new connection.
+    pub(super) fn response_time(&self) -> Option<Micros> {
+        self.first.checked_sub(self.written).filter(|_| !self.new)
+    }
+}
+
+/// Progress of an attempt.
+#[derive(Default)]
+pub(super) struct Progress {
+    /// Set once the last byte of the command was written; the server may have executed it from then on.
+    pub(super) sent: Cell<bool>,
+    /// Set once the reply is being relayed; the attempt no longer times out.
+    pub(super) relaying: Cell<bool>,
+    /// The number of the connection, 0 until there is one.
+    pub(super) connection: Cell<u64>,
+    /// The outcome that the reply stated, once it was received completely. The outcome of the attempt differs if the
+    /// reply was not used.
+    pub(super) replied: Cell<Option<AttemptOutcome>>,
+    /// Why that reply is taken for the one to the command.
+    pub(super) proof: Cell<Option<ReplyProof>>,
+}
+
+/// The end of an attempt, for the log.
+pub(super) struct AttemptEnd<'a> {
+    pub(super) attempt: &'a Attempt,
+    pub(super) progress: &'a Progress,
+    pub(super) outcome: AttemptOutcome,
+    pub(super) started_at: Micros,
+}
+
+impl AttemptEnd<'_> {
+    /// Writes the line of the attempt at debug level.
+    pub(super) fn log(&self, timings: &AttemptTimings, now: Micros) {
+        let (attempt_id, server) = (self.attempt.id, self.attempt.server);
+        let request = String::from_utf8_lossy(&self.attempt.command.id);
+        let connection = self.progress.connection.get();
+        let replied = self.progress.replied.get().map_or("none", AttemptOutcome::name);
+        let proof = self.progress.proof.get().map_or("none", ReplyProof::name);
+        let sent = self.progress.sent.get();
+        log::debug!(
+            attempt_id, server, ending = self.outcome.name(), request:% = request, connection, replied, proof, sent;
+            "attempt {attempt_id} to {server}: {}, {} us in total, {} us to connect, {} us to the first byte, new={}, \
+             request={request}, connection={connection}, reply={replied}, proof={proof}, sent={sent}",
+            self.outcome.name(),
+            now - self.started_at,
+            timings.connected.saturating_sub(self.started_at),
+            timings.first.saturating_sub(timings.written),
+            timings.new
+        );
+    }
+}
--- a/proxy/src/wire/driver/reply_proof.rs
+++ b/proxy/src/wire/driver/reply_proof.rs
@@ -89,7 +89,9 @@
         }
         match Conclusion::of(reply.outcome, asked.idempotent) {
             Conclusion::Nothing => return Some(ReplyProof::NotNeeded),
-            Conclusion::Value if connection.order == ReplyOrder::Certain => {
+            Conclusion::Value
+                if comparison == Some(Comparison::Different) && connection.order == ReplyOrder::Certain =>
+            {
                 return Some(ReplyProof::DiffersFromEarlier);
             }
             Conclusion::Value | Conclusion::NeverRan => {}
--- a/proxy/src/wire/fingerprint.rs
+++ b/proxy/src/wire/fingerprint.rs
@@ -13,12 +13,17 @@
 
 /// The texts that replies of a protocol begin with.
 #[derive(Clone, Copy, Debug)]
-pub struct ReplyStarts(&'static [&'static [u8]]);
+pub struct ReplyStarts {
+    texts: &'static [&'static [u8]],
+    /// The first bytes of all texts.
+    first_bytes: [u8; 2],
+}
 
 /// The starts of replies in RESP2: a value or a miss, a rejection and an error.
-pub const RESP_REPLY_STARTS: ReplyStarts = ReplyStarts(&[b"*3\r\n", b"-BUSY", b"-ERR"]);
+pub const RESP_REPLY_STARTS: ReplyStarts =
+    ReplyStarts { texts: &[b"*3\r\n", b"-BUSY", b"-ERR"], first_bytes: *b"*-" };
 /// The start of a response in HTTP/1.x.
-pub const HTTP_REPLY_STARTS: ReplyStarts = ReplyStarts(&[b"HTTP/1."]);
+pub const HTTP_REPLY_STARTS: ReplyStarts = ReplyStarts { texts: &[b"HTTP/1."], first_bytes: *b"HH" };
 
 impl ReplyStarts {
     /// The first position at which a reply may begin in `bytes`. At the end of the text, part of a start is enough if
@@ -26,9 +31,10 @@
     fn find(self, bytes: &[u8], is_end: bool) -> Option<usize> {
         let begins_at = |at: usize| {
             let rest = bytes.get(at..).unwrap_or_default();
-            self.0.iter().any(|start| rest.starts_with(start) || is_end && start.starts_with(rest))
+            self.texts.iter().any(|start| rest.starts_with(start) || is_end && start.starts_with(rest))
         };
-        (0..bytes.len()).find(|&at| begins_at(at))
+        let [a, b] = self.first_bytes;
+        memchr::memchr2_iter(a, b, bytes).find(|&at| begins_at(at))
     }
 
     /// Whether a reply may begin anywhere in this text.
@@ -109,14 +115,26 @@
         self.hasher.write(data);
         self.prefix.get_or_insert_default().push(data);
         if self.reply_in_value.is_none() {
-            let before = self.value_bytes - self.tail.len();
-            self.tail.extend_from_slice(data);
-            self.reply_in_value = self.starts.find(&self.tail, false).map(|at| before + at);
-            self.tail.drain(..self.tail.len().saturating_sub(MAX_OVERLAP));
+            self.reply_in_value = self.find_reply(data);
         }
         self.value_bytes += data.len();
     }
 
+    /// The first position in the value at which a reply begins that ends in `data`, the next bytes of the value.
+    fn find_reply(&mut self, data: &[u8]) -> Option<usize> {
+        let before = self.value_bytes - self.tail.len();
+        // A start that is split between the last bytes and these.
+        self.tail.extend(data.iter().take(MAX_OVERLAP));
+        let split = self.starts.find(&self.tail, false).map(|at| before + at);
+        if data.len() < MAX_OVERLAP {
+            self.tail.drain(..self.tail.len().saturating_sub(MAX_OVERLAP));
+            return split;
+        }
+        self.tail.clear();
+        self.tail.extend_from_slice(data.get(data.len() - MAX_OVERLAP..).unwrap_or_default());
+        split.or_else(|| self.starts.find(data, false).map(|at| self.value_bytes + at))
+    }
+
     /// Adds to the digest what tells replies apart besides their values, such as their kind.
     pub fn push_kind(&mut self, kind: impl Hash) {
         kind.hash(&mut self.hasher);
