--- a/cli/tests/common/fault_proxy.rs
+++ b/cli/tests/common/fault_proxy.rs
@@ -4,8 +4,9 @@
 // Not every test file waits for the servers.
 #![allow(dead_code)]
 
+use crate::common::read_message;
 use notchdoor_testbed::wire::frames::{Frames, Protocol};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -30,18 +31,6 @@
 /// Returns the bytes to insert before the reply to the next command. Called when the first byte of that command has come.
 pub type Insertion = Arc<dyn Fn(&Carried) -> Vec<u8> + Send + Sync>;
 
-/// Reads one message; `None` if the connection ends before.
-fn read_message(stream: &mut TcpStream, frames: &mut Frames) -> Option<Vec<u8>> {
-    let (mut message, mut byte) = (Vec::new(), [0]);
-    loop {
-        stream.read_exact(&mut byte).ok()?;
-        message.push(byte[0]);
-        if frames.push(byte[0]) {
-            return Some(message);
-        }
-    }
-}
-
 /// A running fault proxy.
 pub struct FaultProxy {
     /// Where it listens.
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use notchdoor_proxy::wire::resp::{write_command, Reader, Value};
+use notchdoor_testbed::wire::frames::Frames;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -107,6 +108,18 @@
     }
 }
 
+/// Reads one message; `None` if the connection ends before.
+pub fn read_message(stream: &mut TcpStream, frames: &mut Frames) -> Option<Vec<u8>> {
+    let (mut message, mut byte) = (Vec::new(), [0]);
+    loop {
+        stream.read_exact(&mut byte).ok()?;
+        message.push(byte[0]);
+        if frames.push(byte[0]) {
+            return Some(message);
+        }
+    }
+}
+
 /// A backend's response for a cached value.
 pub fn hit_response(text: &str) -> Option<Vec<u8>> {
     Some(format!("*3\r\n${}\r\n{text}\r\n$3\r\nhit\r\n$-1\r\n", text.len()).into_bytes())
--- a/cli/tests/common/random_faults.rs
+++ b/cli/tests/common/random_faults.rs
@@ -1,10 +1,10 @@
 //! A proxy between the program and one of its servers that does random things to the replies: copies that come late, whole
 //! or in part, delays, and connections that are reset or end within a reply.
 
-use crate::common::Random;
+use crate::common::{read_message, Random};
 use notchdoor_testbed::wire::frames::{Frames, Protocol};
 use socket2::SockRef;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -84,17 +84,6 @@
     silent: Arc<AtomicBool>,
 }
 
-fn read_message(stream: &mut TcpStream, frames: &mut Frames) -> Option<Vec<u8>> {
-    let (mut message, mut byte) = (Vec::new(), [0]);
-    loop {
-        stream.read_exact(&mut byte).ok()?;
-        message.push(byte[0]);
-        if frames.push(byte[0]) {
-            return Some(message);
-        }
-    }
-}
-
 impl Connection {
     fn new(
         client: TcpStream,
