Connections for writes are opened ahead only after a reply

A server that does not accept connections got two for one write. The next connection is opened once a reply to an attempt has come. The three tests pass again, unchanged.

--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -181,6 +181,9 @@
     let asked = Asked { server, process, is_origin, idempotent: attempt.idempotent };
     let proof = runtime.prove_reply(&mut connection, &reply, decoder.fingerprint(), asked).await;
     progress.proof.set(proof);
+    if requirement == Requirement::Unused && progress.replied.get().is_some() {
+        runtime.prepare_unused(server, process);
+    }
     if proof.is_none() {
         return Reply::without_value(AttemptOutcome::Garbled);
     }
--- a/proxy/src/wire/driver/connection.rs
+++ b/proxy/src/wire/driver/connection.rs
@@ -53,9 +53,6 @@
     requirement: Requirement,
     is_new: &mut bool,
 ) -> Result<Connection, AttemptOutcome> {
-    if requirement == Requirement::Unused {
-        runtime.prepare_unused(server, process);
-    }
     loop {
         let now = runtime.clock.now();
         let taken = runtime.pools.borrow_mut().take(now, server, requirement);
@@ -129,8 +126,9 @@
         proxy.endpoints.backend(server).is_some_and(|backend| backend.serving && backend.process() == process)
     }
 
-    /// Opens a connection to a server in the background, for the next attempt that requires an unused one.
-    fn prepare_unused(self: &Rc<Self>, server: ServerId, process: Process) {
+    /// Opens a connection to a server in the background, for the next attempt that requires an unused one. Called after
+    /// a reply, so that a server that cannot be reached gets no further connection.
+    pub(super) fn prepare_unused(self: &Rc<Self>, server: ServerId, process: Process) {
         if self.stopping.get() || !self.pools.borrow_mut().begin_unused(server) {
             return;
         }
