--- a/proxy/src/wire/fingerprint.rs
+++ b/proxy/src/wire/fingerprint.rs
@@ -43,7 +43,7 @@
     }
 }
 
-/// The first bytes of a value, [`PREFIX_BYTES`] at most.
+/// The first bytes of a value, eight at most.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct ValuePrefix {
     bytes: [u8; PREFIX_BYTES],
