--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -29,8 +29,7 @@
 struct Attempt {
     attempt_id: AttemptId,
     sent: Micros,
-    outstanding: bool,
-    /// How it ended; `None` before.
+    /// How it ended; `None` while it is outstanding.
     outcome: Option<AttemptOutcome>,
 }
 
@@ -247,7 +246,6 @@
         let (mut waited, mut request_done) = (0, true);
         if let Some(request) = self.in_flight.get_mut(&id) {
             if let Some(attempt) = request.attempts.get_mut(n as usize) {
-                attempt.outstanding = false;
                 attempt.outcome = Some(outcome);
                 waited = reply.waited.unwrap_or(now.saturating_sub(attempt.sent));
             }
@@ -388,7 +386,7 @@
                 request.name(), last.attempt_id, last.outcome_name()
             );
         }
-        request.attempts.push(Attempt { attempt_id, sent: now, outstanding: true, outcome: None });
+        request.attempts.push(Attempt { attempt_id, sent: now, outcome: None });
         let call = Rc::clone(&request.call);
         let idempotent = self.idempotent_classes.get(request.class as usize).copied().unwrap_or(false);
         self.commands.push(Command::StartAttempt {
@@ -403,8 +401,9 @@
 
     fn cancel(&mut self, now: Micros, id: RequestId, n: u32) {
         let Some(request) = self.in_flight.get_mut(&id) else { return };
-        let Some(attempt) = request.attempts.get_mut(n as usize).filter(|a| a.outstanding) else { return };
-        attempt.outstanding = false;
+        let Some(attempt) = request.attempts.get_mut(n as usize).filter(|a| a.outcome.is_none()) else {
+            return;
+        };
         attempt.outcome = Some(AttemptOutcome::Cancelled);
         self.outstanding.remove(&attempt.attempt_id);
         self.commands.push(Command::Cancel(attempt.attempt_id));
@@ -462,7 +461,7 @@
         if self
             .in_flight
             .get(&id)
-            .is_some_and(|request| request.finished && request.attempts.iter().all(|a| !a.outstanding))
+            .is_some_and(|request| request.finished && request.attempts.iter().all(|a| a.outcome.is_some()))
         {
             let Some(request) = self.in_flight.remove(&id) else { return };
             self.open_client_ids.remove(&request.client_id);
