Only responses of the origin are fingerprinted, not the lists of discovery

The decoder of HTTP responses, which also reads the watch on discovery and calls of the lease group, hashed and searched each body; lists of a large fleet were hashed for nothing. The origin's decoder does it now, as the backend's does for RESP2; the HTTP decoder only tells whether its head or trailers hold a status line. A trailer line is no longer copied. Behaviour is unchanged; the proxy's tests pass, those that cut every response before every other one among them.

--- a/proxy/src/wire/http.rs
+++ b/proxy/src/wire/http.rs
@@ -1,7 +1,5 @@
 //! Incremental decoder of HTTP/1.1 responses.
 
-use super::fingerprint::{Fingerprint, Fingerprinter, HTTP_REPLY_STARTS};
-
 /// Maximum size of the head, and of a chunk size or trailer line.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum number of headers.
@@ -48,7 +46,8 @@
     keep_alive: bool,
     /// The length that was declared for a chunked body, less that of the chunks received.
     chunks_add_up_to: Option<u64>,
-    fingerprinter: Fingerprinter,
+    /// Another response may begin within the head or the trailers.
+    holds_status_line: bool,
 }
 
 /// The bytes are not a valid HTTP response, or exceed a limit.
@@ -63,7 +62,7 @@
             consumed: 0,
             keep_alive: true,
             chunks_add_up_to: None,
-            fingerprinter: Fingerprinter::new(HTTP_REPLY_STARTS),
+            holds_status_line: false,
         }
     }
 }
@@ -88,9 +87,9 @@
         Ok(parts)
     }
 
-    /// Fingerprint of the response; `None` before its end.
-    pub fn fingerprint(&self) -> Option<Fingerprint> {
-        matches!(self.state, State::Done).then(|| self.fingerprinter.finish())
+    /// Whether another response may begin within the head or the trailers received so far.
+    pub fn holds_status_line(&self) -> bool {
+        self.holds_status_line
     }
 
     /// Whether received bytes are not yet part of a decoded part.
@@ -125,12 +124,6 @@
         self.buffer.get(from..self.consumed).unwrap_or_default()
     }
 
-    fn consume_data(&mut self, n: usize) -> Part {
-        let data = self.consume(n).to_vec();
-        self.fingerprinter.push_value(&data);
-        Part::Data(data)
-    }
-
     /// Length of the next line, line feed included; `None` if it is incomplete.
     fn line_length(&self) -> Result<Option<usize>, Malformed> {
         match self.unread().iter().position(|&b| b == b'\n') {
@@ -156,7 +149,7 @@
                     let n = left.min(self.unread().len() as u64);
                     let chunked = matches!(self.state, State::Chunk(_));
                     self.state = if chunked { State::Chunk(left - n) } else { State::Length(left - n) };
-                    return Ok(Some(self.consume_data(n as usize)));
+                    return Ok(Some(Part::Data(self.consume(n as usize).to_vec())));
                 }
                 State::Length(_) | State::Chunk(_) => self.state = State::ChunkEnd,
                 State::ChunkSize => match httparse::parse_chunk_size(self.unread()) {
@@ -181,20 +174,19 @@
                 },
                 State::Trailer => match self.line_length()? {
                     Some(n) => {
-                        let line = self.consume(n).to_vec();
-                        if matches!(line.as_slice(), b"\r\n" | b"\n") {
+                        let line = self.consume(n);
+                        if matches!(line, b"\r\n" | b"\n") {
                             return Ok(Some(self.finish()?));
                         }
-                        if contains_status_line(&line) {
-                            self.fingerprinter.mark_reply_elsewhere();
-                        }
+                        let holds_status_line = contains_status_line(line);
+                        self.holds_status_line |= holds_status_line;
                     }
                     None => return Ok(None),
                 },
                 State::UntilClose if self.unread().is_empty() => return Ok(None),
                 State::UntilClose => {
                     let n = self.unread().len();
-                    return Ok(Some(self.consume_data(n)));
+                    return Ok(Some(Part::Data(self.consume(n).to_vec())));
                 }
                 State::Done => return Ok(None),
             }
@@ -228,12 +220,11 @@
             return Ok(None);
         }
         let (mut length, mut chunked, mut rejected) = (None, false, false);
-        let mut status_line_within =
-            head.reason.is_some_and(|reason| contains_status_line(reason.as_bytes()));
+        let mut holds_status_line = head.reason.is_some_and(|reason| contains_status_line(reason.as_bytes()));
         self.keep_alive = head.version == Some(1);
         for header in head.headers.iter() {
             let value = std::str::from_utf8(header.value).map_err(|_| Malformed)?.trim();
-            status_line_within |= contains_status_line(header.value);
+            holds_status_line |= contains_status_line(header.value);
             let is_header = |name: &str| header.name.eq_ignore_ascii_case(name);
             if is_header("content-length") {
                 let n: u64 = value.parse().map_err(|_| Malformed)?;
@@ -259,10 +250,7 @@
             None => State::UntilClose,
         };
         self.consume(n);
-        self.fingerprinter.push_kind(status);
-        if status_line_within {
-            self.fingerprinter.mark_reply_elsewhere();
-        }
+        self.holds_status_line |= holds_status_line;
         Ok(Some(Part::Head { status, rejected, length }))
     }
 }
--- a/proxy/src/wire/origin.rs
+++ b/proxy/src/wire/origin.rs
@@ -2,7 +2,7 @@
 
 use super::backend::{Reply, ReplyPart};
 use super::command::BackendCommand;
-use super::fingerprint::Fingerprint;
+use super::fingerprint::{Fingerprint, Fingerprinter, HTTP_REPLY_STARTS};
 use super::http::{self, Part};
 use super::{MAX_STREAMED_VALUE, MAX_UNDELIMITED_BODY, MAX_VALUE};
 use crate::outcome::AttemptOutcome;
@@ -36,7 +36,6 @@
 }
 
 /// Decoder of one response.
-#[derive(Default)]
 pub struct Decoder {
     http: http::Decoder,
     status: u16,
@@ -44,6 +43,23 @@
     body: Vec<u8>,
     /// The body is streamed.
     streaming: bool,
+    fingerprinter: Fingerprinter,
+    /// Fingerprint of the response, once it is complete.
+    fingerprint: Option<Fingerprint>,
+}
+
+impl Default for Decoder {
+    fn default() -> Self {
+        Decoder {
+            http: http::Decoder::default(),
+            status: 0,
+            rejected: false,
+            body: Vec::new(),
+            streaming: false,
+            fingerprinter: Fingerprinter::new(HTTP_REPLY_STARTS),
+            fingerprint: None,
+        }
+    }
 }
 
 impl Decoder {
@@ -54,7 +70,7 @@
 
     /// Fingerprint of the response; `None` before its end.
     pub fn fingerprint(&self) -> Option<Fingerprint> {
-        self.http.fingerprint()
+        self.fingerprint
     }
 
     /// Feeds received bytes and returns the parts of the reply that they complete.
@@ -89,6 +105,7 @@
         match part {
             Part::Head { status, rejected, length } => {
                 (self.status, self.rejected) = (status, rejected);
+                self.fingerprinter.push_kind(status);
                 match length {
                     // A length above the maximum is rejected before the body arrives.
                     Some(length) if length > MAX_STREAMED_VALUE as u64 => garbled(),
@@ -99,8 +116,11 @@
                     _ => None,
                 }
             }
-            Part::Data(data) if self.streaming => Some(ReplyPart::ValueData(data)),
             Part::Data(data) => {
+                self.fingerprinter.push_value(&data);
+                if self.streaming {
+                    return Some(ReplyPart::ValueData(data));
+                }
                 // Bodies of error responses are discarded.
                 if self.status == 200 {
                     self.body.extend_from_slice(&data);
@@ -112,6 +132,10 @@
                 }
             }
             Part::End { reusable } => {
+                if self.http.holds_status_line() {
+                    self.fingerprinter.mark_reply_elsewhere();
+                }
+                self.fingerprint = Some(self.fingerprinter.finish());
                 let outcome = match self.status {
                     200 => AttemptOutcome::Served,
                     404 => AttemptOutcome::Absent,
