One place says why a connection is not used again, and the fence stands with the proofs

Whether a connection goes back to its pool was decided in the attempt (order in doubt, 404) and again on the return (fence, history), with two flags. What retires a connection is now recorded where it is found, with the reason for the log line. The fence was spread over three modules; it is in reply_proof.rs. Dead since a fenced connection is never used again: the guard against a second fence and the order that became certain after one.

--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -11,7 +11,7 @@
 use crate::negative_cache::KeyLookup;
 use crate::outcome::AttemptOutcome;
 use crate::proxy::{AttemptId, AttemptReply};
-use crate::state::pool::{ReplyOrder, Requirement};
+use crate::state::pool::Requirement;
 use crate::wire::backend::{self, Reply};
 use crate::wire::command::BackendCommand;
 use crate::wire::origin;
@@ -172,14 +172,13 @@
     drop(bytes);
     timings.written = runtime.clock.now();
     let reply = read(runtime, &connection, &mut decoder, attempt.id, progress, timings).await;
-    if decoder.fingerprint().is_some() {
-        progress.replied.set(Some(reply.outcome));
-    }
+    let fingerprint = decoder.fingerprint();
+    progress.replied.set(fingerprint.map(|_| reply.outcome));
     if timings.first > 0 {
         runtime.reachability.borrow_mut().reached(endpoint);
     }
     let asked = Asked { server, process, is_origin, idempotent: attempt.idempotent };
-    let proof = runtime.prove_reply(&mut connection, &reply, decoder.fingerprint(), asked).await;
+    let proof = runtime.prove_reply(&mut connection, &reply, fingerprint, asked).await;
     progress.proof.set(proof);
     if requirement == Requirement::Unused && progress.replied.get().is_some() {
         runtime.prepare_unused(server, process);
@@ -187,10 +186,7 @@
     if proof.is_none() {
         return Reply::without_value(AttemptOutcome::Garbled);
     }
-    // The next 404 on it could not be told from a copy of this one, and a doubtful order cannot be cleared up without a fence.
-    let closes =
-        is_origin && (connection.order == ReplyOrder::Doubtful || reply.outcome == AttemptOutcome::Absent);
-    if reply.reusable && !closes {
+    if reply.reusable {
         runtime.return_connection(server, generation, connection, requirement);
     }
     match (negative_cache, lookup, reply.outcome) {
--- a/proxy/src/wire/driver/connection.rs
+++ b/proxy/src/wire/driver/connection.rs
@@ -17,8 +17,6 @@
 /// the server has not seen the attempt.
 pub(super) const MAX_CONNECT_RETRIES: u32 = 3;
 const CONNECT_RETRY_PAUSE: Duration = Duration::from_millis(5);
-/// Maximum time to wait for the reply to a fence, unless the attempt times out before.
-const FENCE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A process of a server: its address and start time.
 pub(super) type Process = (SocketAddr, Micros);
@@ -32,8 +30,8 @@
     pub(super) history: ReplyHistory,
     /// Whether a reply may be outstanding on it while it is idle.
     pub(super) order: ReplyOrder,
-    /// Whether a fence was sent on it. The reply to another fence could not be told from a copy of the first one's.
-    fenced: bool,
+    /// Why it must not be used for another command, if so.
+    pub(super) retired: Option<&'static str>,
     _ticket: Ticket,
 }
 
@@ -93,7 +91,7 @@
                     io,
                     history: ReplyHistory::default(),
                     order: ReplyOrder::Certain,
-                    fenced: false,
+                    retired: None,
                     _ticket: ticket,
                 });
             }
@@ -152,11 +150,10 @@
         requirement: Requirement,
     ) {
         let surplus = requirement == Requirement::Unused && self.pools.borrow().idle(server) > 0;
-        let obstacle = match () {
-            () if connection.fenced => Some("a fence was sent on it"),
-            () if connection.history.is_full() => Some("its history of replies is full"),
-            () if surplus => Some("another one is idle"),
-            () => None,
+        let obstacle = match connection.retired {
+            None if connection.history.is_full() => Some("its history of replies is full"),
+            None if surplus => Some("another one is idle"),
+            retired => retired,
         };
         if let Some(reason) = obstacle {
             log::debug!(
@@ -169,35 +166,6 @@
         self.pools.borrow_mut().put(self.clock.now(), server, generation, (connection, order));
     }
 
-    /// Whether a fence confirms that the last reply on a connection was the one to the last command. If so, its reply
-    /// order is certain again.
-    pub(super) async fn confirm_last_reply(
-        &self,
-        connection: &mut Connection,
-        (server, process): (ServerId, Process),
-    ) -> bool {
-        self.proxy.borrow_mut().counters.replies_checked += 1;
-        let first_fence = !std::mem::replace(&mut connection.fenced, true);
-        let timed_out = async {
-            Timer::after(FENCE_TIMEOUT).await;
-            false
-        };
-        let confirmed = first_fence
-            && self.is_serving(server, process)
-            && future::or(connection.has_no_reply_outstanding(), timed_out).await;
-        if confirmed {
-            connection.order = ReplyOrder::Certain;
-        } else {
-            self.proxy.borrow_mut().counters.replies_unconfirmed += 1;
-            log::debug!(
-                connection = connection.id, server;
-                "a reply of {server} on connection {} may belong to an earlier command and was not confirmed",
-                connection.id
-            );
-        }
-        confirmed
-    }
-
     /// Takes a descriptor for an upstream connection from the budget, after closing an idle connection if needed.
     fn upstream_ticket(&self) -> Option<Ticket> {
         let ticket = self.upstream_budget.take();
--- a/proxy/src/wire/driver/reply_history.rs
+++ b/proxy/src/wire/driver/reply_history.rs
@@ -8,16 +8,11 @@
 //! so a reply that is followed by the reply to a fence is the only one so far, and thus the real one. A fence decides
 //! nothing about a reply in which another one may begin: the two were read as one.
 
-use super::connection::Connection;
 use crate::wire::fingerprint::{Fingerprint, ValuePrefix};
-use crate::wire::resp::{write_command, Reader, Value};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use std::collections::HashSet;
 
 /// Replies that are remembered for each connection. A connection with as many is not used again.
 const MAX_REPLIES: usize = 256;
-/// Bytes that can be read while the reply to a fence is awaited; a reply that begins is enough to refute it.
-const FENCE_BUFFER: usize = 64;
 
 /// What is remembered of the replies received on a connection.
 #[derive(Debug, Default)]
@@ -72,28 +67,5 @@
     }
 }
 
-impl Connection {
-    /// Sends a fence and returns whether its reply is the next one, so that no reply to an earlier command is missing.
-    pub(super) async fn has_no_reply_outstanding(&mut self) -> bool {
-        let mut fence = Vec::new();
-        write_command(&mut fence, &[b"PING"]);
-        if self.io.write_all(&fence).await.is_err() {
-            return false;
-        }
-        let (mut reader, mut buffer) = (Reader::default(), [0; FENCE_BUFFER]);
-        loop {
-            match self.io.read(&mut buffer).await {
-                Ok(n) if n > 0 => reader.feed(buffer.get(..n).unwrap_or_default()),
-                _ => return false,
-            }
-            match reader.next_value() {
-                Ok(None) => {}
-                Ok(Some(Value::Simple(text))) => return text == b"PONG" && reader.pending() == 0,
-                _ => return false,
-            }
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/proxy/src/wire/driver/reply_proof.rs
+++ b/proxy/src/wire/driver/reply_proof.rs
@@ -10,7 +10,16 @@
 use crate::state::pool::ReplyOrder;
 use crate::wire::backend::Reply;
 use crate::wire::fingerprint::Fingerprint;
+use crate::wire::resp::{write_command, Reader, Value};
+use async_io::Timer;
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use notchdoor::ServerId;
+use std::time::Duration;
+
+/// Maximum time to wait for the reply to a fence, unless the attempt times out before.
+const FENCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes that can be read while the reply to a fence is awaited; a reply that begins is enough to refute it.
+const FENCE_BUFFER: usize = 64;
 
 /// Why a reply is taken for the one to the last command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,10 +89,17 @@
         asked: Asked,
     ) -> Option<ReplyProof> {
         let comparison = fingerprint.map(|fingerprint| connection.history.record(&fingerprint));
+        if asked.is_origin && reply.outcome == AttemptOutcome::Absent {
+            connection.retired = Some("another 404 could not be told from a copy of this one");
+        }
         match comparison {
             Some(Comparison::First) => return Some(ReplyProof::FirstReply),
             Some(Comparison::MayContainCopy) => return None,
             // It may be a copy, and then the real reply is outstanding.
+            Some(Comparison::Equal) if asked.is_origin => {
+                connection.order = ReplyOrder::Doubtful;
+                connection.retired = Some("its order is in doubt, and HTTP has no fence");
+            }
             Some(Comparison::Equal) => connection.order = ReplyOrder::Doubtful,
             Some(Comparison::Different) | None => {}
         }
@@ -97,8 +113,53 @@
             Conclusion::Value | Conclusion::NeverRan => {}
         }
         let fence_is_possible = !asked.is_origin && reply.reusable;
-        let confirmed =
-            fence_is_possible && self.confirm_last_reply(connection, (asked.server, asked.process)).await;
+        let confirmed = fence_is_possible && self.confirm_last_reply(connection, asked).await;
         confirmed.then_some(ReplyProof::Fence)
     }
+
+    /// Whether a fence confirms that the last reply on a connection was the one to the last command. The connection is not
+    /// used again: the reply to another fence could not be told from a copy of this one's.
+    async fn confirm_last_reply(&self, connection: &mut Connection, asked: Asked) -> bool {
+        let server = asked.server;
+        self.proxy.borrow_mut().counters.replies_checked += 1;
+        connection.retired = Some("a fence was sent on it");
+        let timed_out = async {
+            Timer::after(FENCE_TIMEOUT).await;
+            false
+        };
+        let confirmed = self.is_serving(server, asked.process)
+            && future::or(connection.has_no_reply_outstanding(), timed_out).await;
+        if !confirmed {
+            self.proxy.borrow_mut().counters.replies_unconfirmed += 1;
+            log::debug!(
+                connection = connection.id, server;
+                "a reply of {server} on connection {} may belong to an earlier command and was not confirmed",
+                connection.id
+            );
+        }
+        confirmed
+    }
+}
+
+impl Connection {
+    /// Sends a fence and returns whether its reply is the next one, so that no reply to an earlier command is missing.
+    pub(super) async fn has_no_reply_outstanding(&mut self) -> bool {
+        let mut fence = Vec::new();
+        write_command(&mut fence, &[b"PING"]);
+        if self.io.write_all(&fence).await.is_err() {
+            return false;
+        }
+        let (mut reader, mut buffer) = (Reader::default(), [0; FENCE_BUFFER]);
+        loop {
+            match self.io.read(&mut buffer).await {
+                Ok(n) if n > 0 => reader.feed(buffer.get(..n).unwrap_or_default()),
+                _ => return false,
+            }
+            match reader.next_value() {
+                Ok(None) => {}
+                Ok(Some(Value::Simple(text))) => return text == b"PONG" && reader.pending() == 0,
+                _ => return false,
+            }
+        }
+    }
 }
