Tests share their checks of answers, commands in progress and cut copies

The soak's wait for its servers has a bound. Cuts are made within 600 bytes of either end for both protocols (300 before for RESP2); all other assertions and bounds are as they were. A test names the servers that its fleet lists instead of looking for a word in its settings.

--- a/cli/tests/common/fault_proxy.rs
+++ b/cli/tests/common/fault_proxy.rs
@@ -1,19 +1,11 @@
 //! A proxy between the program and one of its servers that forwards one command at a time and inserts surplus bytes. The
 //! order is forced: what is inserted is sent once the next command is on its way and before the server has it.
 
-// Not every test file waits for the servers.
-#![allow(dead_code)]
-
-use crate::common::read_message;
+use super::in_progress::{read_message, InProgress};
 use notchdoor_testbed::wire::frames::{Frames, Protocol};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
-
-/// Upper bound of the wait for commands that are still being forwarded.
-const TIMEOUT: Duration = Duration::from_secs(10);
 
 /// What a connection has carried so far.
 pub struct Carried {
@@ -36,23 +28,24 @@
     /// Where it listens.
     pub endpoint: SocketAddr,
     /// Commands that have begun to come and are not answered.
-    in_progress: Arc<AtomicUsize>,
+    pub in_progress: InProgress,
 }
 
-/// Counts a command while it is in progress.
-struct InProgress<'a>(&'a AtomicUsize);
-
-impl<'a> InProgress<'a> {
-    fn begin(count: &'a AtomicUsize) -> Self {
-        count.fetch_add(1, Ordering::SeqCst);
-        InProgress(count)
-    }
+/// Inserts nothing.
+pub fn nothing() -> Insertion {
+    Arc::new(|_: &Carried| Vec::new())
 }
 
-impl Drop for InProgress<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
-    }
+/// Inserts a whole copy of the last reply on the connection, if it contains this text.
+pub fn copy_of_replies_with(text: &'static str) -> Insertion {
+    Arc::new(move |carried: &Carried| {
+        let holds = carried.last().windows(text.len()).any(|window| window == text.as_bytes());
+        if holds {
+            carried.last().to_vec()
+        } else {
+            Vec::new()
+        }
+    })
 }
 
 impl FaultProxy {
@@ -60,33 +53,24 @@
     pub fn start(target: SocketAddr, protocol: Protocol, insert: &Insertion) -> FaultProxy {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let endpoint = listener.local_addr().unwrap();
-        let in_progress = Arc::new(AtomicUsize::new(0));
-        let (count, insert) = (Arc::clone(&in_progress), Arc::clone(insert));
+        let in_progress = InProgress::default();
+        let (count, insert) = (in_progress.clone(), Arc::clone(insert));
         std::thread::spawn(move || {
             for client in listener.incoming().flatten() {
-                let (count, insert) = (Arc::clone(&count), Arc::clone(&insert));
+                let (count, insert) = (count.clone(), Arc::clone(&insert));
                 let carried = Carried { replies: Vec::new() };
                 std::thread::spawn(move || forward(client, (target, protocol), carried, (&insert, &count)));
             }
         });
         FaultProxy { endpoint, in_progress }
     }
-
-    /// Waits until every command that has begun to come was handled by the server.
-    pub fn wait_until_idle(&self) {
-        let deadline = Instant::now() + TIMEOUT;
-        while self.in_progress.load(Ordering::SeqCst) > 0 {
-            assert!(Instant::now() < deadline, "a command was not handled");
-            std::thread::sleep(Duration::from_millis(1));
-        }
-    }
 }
 
 fn forward(
     mut client: TcpStream,
     (target, protocol): (SocketAddr, Protocol),
     mut carried: Carried,
-    (insert, in_progress): (&Insertion, &AtomicUsize),
+    (insert, in_progress): (&Insertion, &InProgress),
 ) -> Option<()> {
     let mut server = TcpStream::connect(target).ok()?;
     for stream in [&client, &server] {
@@ -95,7 +79,7 @@
     let (mut commands, mut replies) = (Frames::new(protocol), Frames::new(protocol));
     loop {
         client.peek(&mut [0]).ok().filter(|n| *n > 0)?;
-        let _in_progress = InProgress::begin(in_progress);
+        let _in_progress = in_progress.begin();
         let surplus = insert(&carried);
         client.write_all(&surplus).ok()?;
         let command = read_message(&mut client, &mut commands)?;
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -2,8 +2,13 @@
 // Each test file uses some of them.
 #![allow(dead_code)]
 
+pub mod fault_proxy;
+pub mod in_progress;
+pub mod random;
+pub mod random_faults;
+pub mod recording_servers;
+
 use notchdoor_proxy::wire::resp::{write_command, Reader, Value};
-use notchdoor_testbed::wire::frames::Frames;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -108,18 +113,6 @@
     }
 }
 
-/// Reads one message; `None` if the connection ends before.
-pub fn read_message(stream: &mut TcpStream, frames: &mut Frames) -> Option<Vec<u8>> {
-    let (mut message, mut byte) = (Vec::new(), [0]);
-    loop {
-        stream.read_exact(&mut byte).ok()?;
-        message.push(byte[0]);
-        if frames.push(byte[0]) {
-            return Some(message);
-        }
-    }
-}
-
 /// A backend's response for a cached value.
 pub fn hit_response(text: &str) -> Option<Vec<u8>> {
     Some(format!("*3\r\n${}\r\n{text}\r\n$3\r\nhit\r\n$-1\r\n", text.len()).into_bytes())
@@ -545,43 +538,10 @@
     matches!(value, Value::Error(line) if line.starts_with(b"BUSY "))
 }
 
-/// A generator of pseudo-random numbers (xorshift), the same for each seed.
-pub struct Random(u64);
-
-impl Random {
-    pub fn new(seed: u64) -> Random {
-        let mut random = Random(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
-        for _ in 0..8 {
-            random.next();
-        }
-        random
-    }
-
-    fn next(&mut self) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0
-    }
-
-    /// A generator of its own, for another thread.
-    pub fn fork(&mut self) -> Random {
-        Random::new(self.next())
-    }
-
-    /// A number from 0 to `bound`, which is excluded.
-    pub fn below(&mut self, bound: usize) -> usize {
-        (self.next() % bound.max(1) as u64) as usize
-    }
-
-    /// Returns true with this probability.
-    pub fn chance(&mut self, probability: f64) -> bool {
-        (self.next() >> 11) as f64 / (1u64 << 53) as f64 <= probability && probability > 0.0
-    }
-
-    /// Sleeps for up to so many milliseconds.
-    pub fn sleep(&mut self, max_ms: f64) {
-        let share = self.below(1000) as f64 / 1000.0;
-        std::thread::sleep(Duration::from_secs_f64(max_ms * share / 1000.0));
-    }
+/// Returns a counter's value from the counters logged at exit.
+pub fn counter(log: &str, name: &str) -> usize {
+    let line = log.lines().rfind(|line| line.contains("counters at exit")).expect("no counters in the log");
+    let word =
+        line.split(' ').find_map(|word| word.strip_prefix(&format!("{name}="))).expect("no such counter");
+    word.parse().unwrap()
 }
--- a/cli/tests/common/random_faults.rs
+++ b/cli/tests/common/random_faults.rs
@@ -1,7 +1,8 @@
 //! A proxy between the program and one of its servers that does random things to the replies: copies that come late, whole
 //! or in part, delays, and connections that are reset or end within a reply.
 
-use crate::common::{read_message, Random};
+use super::in_progress::{read_message, InProgress};
+use super::random::Random;
 use notchdoor_testbed::wire::frames::{Frames, Protocol};
 use socket2::SockRef;
 use std::io::Write;
@@ -42,7 +43,7 @@
     /// The copies sent.
     pub copies: Arc<AtomicUsize>,
     /// Commands that are being forwarded or handled by the server.
-    pub in_progress: Arc<AtomicUsize>,
+    pub in_progress: InProgress,
     /// Once set, all connections fall silent with their next reply.
     pub silent: Arc<AtomicBool>,
 }
@@ -52,17 +53,17 @@
     pub fn start(target: SocketAddr, protocol: Protocol, faults: Faults, seed: u64) -> FaultyLink {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let endpoint = listener.local_addr().unwrap();
-        let (copies, in_progress) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+        let (copies, in_progress) = (Arc::new(AtomicUsize::new(0)), InProgress::default());
         let silent = Arc::new(AtomicBool::new(false));
-        let counts = (Arc::clone(&copies), Arc::clone(&in_progress), Arc::clone(&silent));
+        let counts = (Arc::clone(&copies), in_progress.clone(), Arc::clone(&silent));
         std::thread::spawn(move || {
             for (number, client) in listener.incoming().flatten().enumerate() {
                 let random = Random::new(seed ^ (number as u64 + 1).wrapping_mul(0x9e37_79b9));
                 let (copies, in_progress, silent) = counts.clone();
                 std::thread::spawn(move || {
                     let Ok(server) = TcpStream::connect(target) else { return };
-                    let mut connection = Connection::new(client, server, protocol, (faults, random));
-                    connection.silent = silent;
+                    let mut connection =
+                        Connection::new((client, server), protocol, (faults, random), silent);
                     while connection.forward_one(&copies, &in_progress).is_some() {}
                 });
             }
@@ -86,39 +87,26 @@
 
 impl Connection {
     fn new(
-        client: TcpStream,
-        server: TcpStream,
+        (client, server): (TcpStream, TcpStream),
         protocol: Protocol,
         (faults, random): (Faults, Random),
+        silent: Arc<AtomicBool>,
     ) -> Self {
         for stream in [&client, &server] {
             let _ = stream.set_nodelay(true);
         }
         let writer = Arc::new(Mutex::new(client.try_clone().expect("a second handle")));
         let (commands, replies) = (Frames::new(protocol), Frames::new(protocol));
-        Connection {
-            client,
-            writer,
-            server,
-            commands,
-            replies,
-            earlier: Vec::new(),
-            faults,
-            random,
-            silent: Arc::default(),
-        }
+        Connection { client, writer, server, commands, replies, earlier: Vec::new(), faults, random, silent }
     }
 
-    fn forward_one(&mut self, copies: &Arc<AtomicUsize>, in_progress: &AtomicUsize) -> Option<()> {
+    fn forward_one(&mut self, copies: &Arc<AtomicUsize>, in_progress: &InProgress) -> Option<()> {
         let command = read_message(&mut self.client, &mut self.commands)?;
-        in_progress.fetch_add(1, Ordering::SeqCst);
-        let handled = self
-            .server
-            .write_all(&command)
-            .ok()
-            .and_then(|()| read_message(&mut self.server, &mut self.replies));
-        in_progress.fetch_sub(1, Ordering::SeqCst);
-        let reply = handled?;
+        let reply = {
+            let _in_progress = in_progress.begin();
+            self.server.write_all(&command).ok()?;
+            read_message(&mut self.server, &mut self.replies)?
+        };
         if self.silent.load(Ordering::SeqCst) || self.random.chance(self.faults.silence) {
             std::thread::sleep(SILENCE);
             return None;
--- a/cli/tests/common/recording_servers.rs
+++ b/cli/tests/common/recording_servers.rs
@@ -1,6 +1,7 @@
 //! Caches and an origin that make a value of its own for each request and record how often each one ran.
 
-use crate::common::{http_response, FakeServer};
+use super::{http_response, FakeServer};
+use notchdoor_proxy::wire::resp::Value;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 
@@ -51,6 +52,20 @@
     }
 }
 
+/// What is wrong with the answer to a request that ran so often, if anything.
+pub fn wrong_answer(id: &str, kind: Kind, at_most_once: bool, answer: &Value, runs: usize) -> Option<String> {
+    match answer {
+        _ if at_most_once && runs > 1 => Some(format!("ran {runs} times")),
+        Value::Bulk(Some(value)) if *value == value_for(id, kind).into_bytes() => None,
+        Value::Error(line) if line.starts_with(b"BUSY") && at_most_once && runs > 0 => {
+            Some("refused after it ran".to_owned())
+        }
+        Value::Error(_) => None,
+        Value::Bulk(Some(value)) => Some(format!("got {}", String::from_utf8_lossy(value))),
+        other => Some(format!("got {other:?}")),
+    }
+}
+
 const LOAD_REPORT: &str = "rate=12.5,fail_rate=0.1,busy=0.42";
 
 /// A cache's reply to a read.
--- a/cli/tests/copies.rs
+++ b/cli/tests/copies.rs
@@ -2,11 +2,9 @@
 //! that always misses and an origin, under process, network and disk faults.
 
 mod common;
-#[path = "common/fault_proxy.rs"]
-mod fault_proxy;
 
+use common::fault_proxy::{copy_of_replies_with, nothing, FaultProxy, Insertion};
 use common::{bulk, endpoint_entry, endpoint_entry_at, Client, FakeDiscovery, FakeServer, Proxy};
-use fault_proxy::{Carried, FaultProxy, Insertion};
 use notchdoor_coordination::protocol::{Answer, Request};
 use notchdoor_coordination::session::Endpoint;
 use notchdoor_coordination::shard_map::ShardMap;
@@ -62,7 +60,7 @@
 
 impl ReplicatedFleet {
     fn start(name: &str) -> ReplicatedFleet {
-        ReplicatedFleet::with_faults_at_origin(name, &(Arc::new(|_: &Carried| Vec::new()) as Insertion))
+        ReplicatedFleet::with_faults_at_origin(name, &nothing())
     }
 
     /// Like [`ReplicatedFleet::start`], with surplus bytes before the origin's responses.
@@ -573,15 +571,7 @@
 /// Guards against a late copy of the origin's 404 recording another key, which exists, as missing.
 #[test]
 fn copy_of_a_404_never_records_another_key_as_missing() {
-    let copies: Insertion = Arc::new(|carried: &Carried| {
-        let is_404 = carried.last().starts_with(b"HTTP/1.1 404");
-        if is_404 {
-            carried.last().to_vec()
-        } else {
-            Vec::new()
-        }
-    });
-    let mut fleet = ReplicatedFleet::with_faults_at_origin("copied", &copies);
+    let mut fleet = ReplicatedFleet::with_faults_at_origin("copied", &copy_of_replies_with("HTTP/1.1 404"));
     for n in 0..8 {
         assert!(fleet.set(0, &format!("there-{n}")), "the write was not acknowledged");
     }
--- a/cli/tests/shutdown.rs
+++ b/cli/tests/shutdown.rs
@@ -141,14 +141,6 @@
     })
 }
 
-/// Returns a counter's value from the counters logged at exit.
-fn counter(log: &str, name: &str) -> usize {
-    let line = log.lines().rfind(|line| line.contains("counters at exit")).expect("no counters in the log");
-    let word =
-        line.split(' ').find_map(|word| word.strip_prefix(&format!("{name}="))).expect("no such counter");
-    word.parse().unwrap()
-}
-
 /// Stops a proxy while its servers hang and clients send with these patterns, and checks that it exits in time with every
 /// read request answered.
 fn check_shutdown(deadline_ms: u32, patterns: &[SendPattern], connecting: usize) {
--- a/cli/tests/soak.rs
+++ b/cli/tests/soak.rs
@@ -5,16 +5,13 @@
 //! `NOTCHDOOR_SOAK_SEEDS=1-60 cargo test -p notchdoor-cli --test soak -- --nocapture`.
 
 mod common;
-#[path = "common/random_faults.rs"]
-mod random_faults;
-#[path = "common/recording_servers.rs"]
-mod recording_servers;
 
+use common::random::Random;
+use common::random_faults::{Faults, FaultyLink};
+use common::recording_servers::{start_cache, start_origin, wrong_answer, Kind, Runs};
 use common::*;
 use notchdoor_proxy::wire::resp::{write_command, Reader, Value};
 use notchdoor_testbed::wire::frames::Protocol;
-use random_faults::{Faults, FaultyLink};
-use recording_servers::{start_cache, start_origin, value_for, Kind, Runs};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -136,17 +133,9 @@
         let deadline = self.turn.max(self.sent + Duration::from_millis(self.class.deadline_ms));
         let wrong = match &self.answer {
             _ if at_most_once && runs > 1 => format!("ran {runs} times"),
-            Some((_, at)) if *at > deadline + MAX_LATENESS => format!("answered {:?} late", *at - deadline),
             None => return None,
-            Some((Value::Bulk(Some(value)), _)) if *value == value_for(&self.id, self.kind).into_bytes() => {
-                return None
-            }
-            Some((Value::Error(line), _)) if line.starts_with(b"BUSY") && at_most_once && runs > 0 => {
-                "refused after it ran".to_owned()
-            }
-            Some((Value::Error(_), _)) => return None,
-            Some((Value::Bulk(Some(value)), _)) => format!("got {}", String::from_utf8_lossy(value)),
-            Some((other, _)) => format!("got {other:?}"),
+            Some((_, at)) if *at > deadline + MAX_LATENESS => format!("answered {:?} late", *at - deadline),
+            Some((answer, _)) => wrong_answer(&self.id, self.kind, at_most_once, answer, runs)?,
         };
         Some(format!("{} {:?} {:?}: {wrong}", self.id, self.class, self.kind))
     }
@@ -219,13 +208,6 @@
         .collect()
 }
 
-/// The value of a counter in the line that the proxy logs at its exit.
-fn counter(log: &str, name: &str) -> usize {
-    let line = log.lines().rfind(|line| line.contains("counters at exit")).expect("no counters in the log");
-    let value = line.split(' ').find_map(|word| word.strip_prefix(&format!("{name}=")));
-    value.expect("no such counter").parse().unwrap()
-}
-
 /// Plays one seed and returns what was wrong, and a line about it.
 fn play(seed: u64) -> (Vec<String>, String) {
     let (plan, runs) = (Arc::new(Plan::new(seed)), Runs::default());
@@ -270,9 +252,7 @@
     let (_, log) = proxy.wait_for_exit();
     let asked: Vec<Asked> = clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
     drop(crowd);
-    while links.iter().any(|link| link.in_progress.load(Ordering::SeqCst) > 0) {
-        std::thread::sleep(Duration::from_millis(1));
-    }
+    links.iter().for_each(|link| link.in_progress.wait_until_idle());
     let runs = runs.lock().unwrap().clone();
     let runs_of = |request: &Asked| runs.get(&request.id).copied().unwrap_or(0);
     let mut wrong: Vec<String> =
--- a/cli/tests/unproven_replies.rs
+++ b/cli/tests/unproven_replies.rs
@@ -2,16 +2,12 @@
 //! that it never ran, from bytes that were made for another one. The order is forced, so no time is part of a test.
 
 mod common;
-#[path = "common/fault_proxy.rs"]
-mod fault_proxy;
-#[path = "common/recording_servers.rs"]
-mod recording_servers;
 
+use common::fault_proxy::{copy_of_replies_with, nothing, Carried, FaultProxy, Insertion};
+use common::recording_servers::{cache_reply, start_cache, start_origin, wrong_answer, Kind, Runs};
 use common::*;
-use fault_proxy::{Carried, FaultProxy, Insertion};
 use notchdoor_proxy::wire::resp::Value;
 use notchdoor_testbed::wire::frames::Protocol;
-use recording_servers::{cache_reply, start_cache, start_origin, value_for, Kind, Runs};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -28,27 +24,29 @@
 
 impl Fleet {
     fn start(at_caches: &Insertion, at_origin: &Insertion) -> Fleet {
-        Fleet::with_settings(at_caches, at_origin, settings())
+        Fleet::with_settings((at_caches, at_origin), settings(), &["w0", "w1", "o"])
     }
 
     /// A fleet whose caches fetch what they lack and forward writes; the origin is not listed.
     fn with_caches_alone(at_caches: &Insertion) -> Fleet {
         let text =
             settings().replace(r#""mode":"aside","originKind":2"#, r#""mode":"through","originKind":-1"#);
-        Fleet::with_settings(at_caches, &nothing(), &text)
+        Fleet::with_settings((at_caches, &nothing()), &text, &["w0", "w1"])
     }
 
-    fn with_settings(at_caches: &Insertion, at_origin: &Insertion, settings: &str) -> Fleet {
+    /// A fleet of two caches and an origin that lists these of them.
+    fn with_settings(
+        (at_caches, at_origin): (&Insertion, &Insertion),
+        settings: &str,
+        listed: &[&str],
+    ) -> Fleet {
         let runs = Runs::default();
         let (caches, origin) = (vec![start_cache(&runs), start_cache(&runs)], start_origin(&runs));
         let mut fault_proxies: Vec<FaultProxy> =
             caches.iter().map(|cache| FaultProxy::start(cache.endpoint, Protocol::Resp, at_caches)).collect();
         fault_proxies.push(FaultProxy::start(origin.endpoint, Protocol::Http, at_origin));
-        let entry = |(uid, at): (&str, &FaultProxy)| endpoint_entry_at(uid, at.endpoint, "in_service", 0);
-        let mut list: Vec<String> = ["w0", "w1", "o"].into_iter().zip(&fault_proxies).map(entry).collect();
-        if settings.contains("through") {
-            list.pop();
-        }
+        let entry = |(uid, at): (&&str, &FaultProxy)| endpoint_entry_at(uid, at.endpoint, "in_service", 0);
+        let list: Vec<String> = listed.iter().zip(&fault_proxies).map(entry).collect();
         let discovery = FakeDiscovery::start();
         let proxy = Proxy::with_files(&discovery, &list, (1024, 192), &[("settings.json", settings)]);
         Fleet { proxy, runs, caches, origin, fault_proxies, _discovery: discovery }
@@ -56,7 +54,7 @@
 
     /// How often each request ran, once every command that was sent has been handled.
     fn runs(&self) -> HashMap<String, usize> {
-        self.fault_proxies.iter().for_each(FaultProxy::wait_until_idle);
+        self.fault_proxies.iter().for_each(|proxy| proxy.in_progress.wait_until_idle());
         self.runs.lock().unwrap().clone()
     }
 }
@@ -91,21 +89,6 @@
             false => proxy.client().request(&["OBJ.GET", &key, id, &info]),
         }
     }
-
-    /// What is wrong with the answer to a request that ran so often, if anything.
-    fn violation(&self, id: &str, answer: &Value, runs: usize) -> Option<String> {
-        let wrong = match answer {
-            _ if self.at_most_once() && runs > 1 => format!("ran {runs} times"),
-            Value::Bulk(Some(value)) if *value == value_for(id, self.kind).into_bytes() => return None,
-            Value::Error(line) if line.starts_with(b"BUSY") && self.at_most_once() && runs > 0 => {
-                "refused after it ran".to_owned()
-            }
-            Value::Error(_) => return None,
-            Value::Bulk(Some(value)) => format!("got {}", String::from_utf8_lossy(value)),
-            other => format!("got {other:?}"),
-        };
-        Some(format!("{self:?} {id}: {wrong}"))
-    }
 }
 
 /// Sends the requests `rounds` times, one after another, and checks each answer against what ran. Returns how many were
@@ -121,29 +104,18 @@
     }
     let runs = fleet.runs();
     let runs_of = |id: &str| runs.get(id).copied().unwrap_or(0);
-    let violations: Vec<String> =
-        answers.iter().filter_map(|(ask, id, answer)| ask.violation(id, answer, runs_of(id))).collect();
+    let violations: Vec<String> = answers
+        .iter()
+        .filter_map(|(ask, id, answer)| {
+            let wrong = wrong_answer(id, ask.kind, ask.at_most_once(), answer, runs_of(id))?;
+            Some(format!("{ask:?} {id}: {wrong}"))
+        })
+        .collect();
     let some = violations.get(..4).unwrap_or(&violations);
     assert!(violations.is_empty(), "{context}: {} of {} wrong: {some:#?}", violations.len(), answers.len());
     answers.iter().filter(|(_, _, answer)| matches!(answer, Value::Bulk(_))).count()
 }
 
-fn nothing() -> Insertion {
-    Arc::new(|_: &Carried| Vec::new())
-}
-
-/// A whole copy of the last reply on the connection, if it contains this text.
-fn copy_of_replies_with(text: &'static str) -> Insertion {
-    Arc::new(move |carried: &Carried| {
-        let holds = carried.last().windows(text.len()).any(|window| window == text.as_bytes());
-        if holds {
-            carried.last().to_vec()
-        } else {
-            Vec::new()
-        }
-    })
-}
-
 /// The beginning of a copy of the last reply on the connection, one byte longer each time.
 fn growing_part_of_a_copy() -> Insertion {
     let length = AtomicUsize::new(0);
--- a/proxy/src/wire/backend/tests.rs
+++ b/proxy/src/wire/backend/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::wire::fingerprint::tests::check_cut_copies;
 
 #[test]
 fn classifies_replies_split_at_any_byte() {
@@ -151,21 +152,11 @@
     ];
     let lengths = [1, 7, 16, 64, 90, 120, 200, MAX_VALUE + 100];
     let replies: Vec<Vec<u8>> = lengths.iter().map(|&n| value(n, "v")).chain(others).collect();
-    let mut read_as_one = 0;
-    for first in &replies {
-        for second in &replies {
-            let near_the_end = first.len().saturating_sub(300);
-            for cut in (1..300.min(first.len())).chain(near_the_end.max(1)..first.len()) {
-                let mut decoder = Decoder::default();
-                decoder.feed(&first[..cut]);
-                decoder.feed(second);
-                let Some(fingerprint) = decoder.fingerprint() else { continue };
-                read_as_one += 1;
-                let recognized = fingerprint.reply_elsewhere || fingerprint.reply_in_value.is_some();
-                let start = String::from_utf8_lossy(&first[..first.len().min(30)]);
-                assert!(recognized, "{start:?} cut at {cut}, before {second:.30?}");
-            }
-        }
-    }
+    let read_as_one = check_cut_copies(&replies, |first, second| {
+        let mut decoder = Decoder::default();
+        decoder.feed(first);
+        decoder.feed(second);
+        decoder.fingerprint()
+    });
     assert!(read_as_one > 100, "{read_as_one}");
 }
--- a/proxy/src/wire/fingerprint.rs
+++ b/proxy/src/wire/fingerprint.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ReplyStarts {
     texts: &'static [&'static [u8]],
-    /// The first bytes of all texts.
+    /// The first bytes of all texts, the same one twice if they share it.
     first_bytes: [u8; 2],
 }
 
@@ -166,4 +166,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(super) mod tests;
--- a/proxy/src/wire/fingerprint/tests.rs
+++ b/proxy/src/wire/fingerprint/tests.rs
@@ -1,5 +1,31 @@
 use super::*;
 
+/// Bytes at the beginning and at the end of a reply within which it is cut at every byte.
+const CUT_RANGE: usize = 600;
+
+/// Cuts a copy of each reply before each other one, and checks that whatever both are read as, together, is recognized by its
+/// fingerprint. Returns how often they were read as one.
+pub(in crate::wire) fn check_cut_copies(
+    replies: &[Vec<u8>],
+    decode: impl Fn(&[u8], &[u8]) -> Option<Fingerprint>,
+) -> usize {
+    let mut read_as_one = 0;
+    for first in replies {
+        for second in replies {
+            let near_the_end = first.len().saturating_sub(CUT_RANGE);
+            for cut in (1..CUT_RANGE.min(first.len())).chain(near_the_end.max(1)..first.len()) {
+                let Some(fingerprint) = decode(&first[..cut], second) else { continue };
+                read_as_one += 1;
+                let recognized = fingerprint.reply_elsewhere || fingerprint.reply_in_value.is_some();
+                let start =
+                    |bytes: &[u8]| String::from_utf8_lossy(&bytes[..bytes.len().min(120)]).into_owned();
+                assert!(recognized, "{:?} cut at {cut}, before {:?}", start(first), start(second));
+            }
+        }
+    }
+    read_as_one
+}
+
 fn fingerprint(parts: &[&[u8]]) -> Fingerprint {
     let mut fingerprinter = Fingerprinter::new(HTTP_REPLY_STARTS);
     for part in parts {
--- a/proxy/src/wire/origin/tests.rs
+++ b/proxy/src/wire/origin/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::wire::command::{parse, ClientCommand};
+use crate::wire::fingerprint::tests::check_cut_copies;
 use crate::wire::resp::Value;
 
 fn parse_command(words: &[&str]) -> Box<BackendCommand> {
@@ -77,21 +78,11 @@
         chunked(5),
         chunked(300),
     ];
-    let mut read_as_one = 0;
-    for first in &responses {
-        for second in &responses {
-            let near_the_end = first.len().saturating_sub(600);
-            for cut in (1..600.min(first.len())).chain(near_the_end.max(1)..first.len()) {
-                let mut decoder = Decoder::default();
-                decoder.feed(&first[..cut]);
-                decoder.feed(second);
-                let Some(fingerprint) = decoder.fingerprint() else { continue };
-                read_as_one += 1;
-                let recognized = fingerprint.reply_elsewhere || fingerprint.reply_in_value.is_some();
-                let context = String::from_utf8_lossy(&first[..first.len().min(120)]);
-                assert!(recognized, "{context:?} cut at {cut}, before {:?}", &second[..second.len().min(40)]);
-            }
-        }
-    }
+    let read_as_one = check_cut_copies(&responses, |first, second| {
+        let mut decoder = Decoder::default();
+        decoder.feed(first);
+        decoder.feed(second);
+        decoder.fingerprint()
+    });
     assert!(read_as_one > 1000, "{read_as_one}");
 }
