Commands behind a long value are answered when its cache connection breaks

Cause: a value above 64 KiB was relayed from its first piece. After its announced length nothing else can follow on the connection, so a break takes the queued replies with it.

Change: a value begins to be relayed only while nothing of its client stands behind it. Else it is kept in a bounded ValueStore until it is complete and proven. After a break the router is told (ReplyInterrupted) and retries as the class allows; a value that has begun is continued only by a reply of the same length that begins with the same bytes. One that cannot be finished still ends with the connection, before its end.

--- a/lab/src/baselines.rs
+++ b/lab/src/baselines.rs
@@ -321,7 +321,7 @@
                     self.finish(id, actions);
                 }
             }
-            Event::ReplyStarted { .. } | Event::HedgeGranted(_) => {}
+            Event::ReplyStarted { .. } | Event::ReplyInterrupted { .. } | Event::HedgeGranted(_) => {}
         }
     }
 }
--- a/lab/src/day/proxies.rs
+++ b/lab/src/day/proxies.rs
@@ -42,6 +42,7 @@
         Event::Timer(token) => (17, *token, 0),
         Event::HedgeGranted(id) => (18, *id, 0),
         Event::AnswerNow(id) => (19, *id, 0),
+        Event::ReplyInterrupted { id, attempt } => (20, *id, u64::from(*attempt)),
     }
 }
 
@@ -79,9 +80,11 @@
             ),
             Event::ClientLeft(id) => (Some(*id), "its client left".to_owned()),
             // Timers say little, and there are many.
-            Event::ReplyStarted { .. } | Event::Timer(_) | Event::HedgeGranted(_) | Event::AnswerNow(_) => {
-                return
-            }
+            Event::ReplyStarted { .. }
+            | Event::ReplyInterrupted { .. }
+            | Event::Timer(_)
+            | Event::HedgeGranted(_)
+            | Event::AnswerNow(_) => return,
         };
         self.note(Some(proxy), request, None, || what);
     }
--- a/limits/src/layer/mod.rs
+++ b/limits/src/layer/mod.rs
@@ -226,6 +226,11 @@
                 let attempt = index.map_or(attempt, |index| index as u32);
                 self.forward_to_router(now, Event::ReplyStarted { id, attempt, took }, actions);
             }
+            Event::ReplyInterrupted { id, attempt } => {
+                let index = self.requests.get(&id).and_then(|request| request.index_of(attempt));
+                let attempt = index.map_or(attempt, |index| index as u32);
+                self.forward_to_router(now, Event::ReplyInterrupted { id, attempt }, actions);
+            }
             Event::EndpointList(endpoints) => {
                 self.on_endpoints(endpoints, true);
                 self.forward_to_router(now, event, actions);
--- a/proxy/src/lifecycle/config.rs
+++ b/proxy/src/lifecycle/config.rs
@@ -181,7 +181,7 @@
     pub upstream_connections: usize,
     /// Maximum number of requests without a complete answer.
     pub requests: usize,
-    /// Maximum total bytes of replies being read beyond the size of one value each.
+    /// Maximum total bytes of large values that are kept, beyond the size of one buffered value each.
     pub large_value_bytes: usize,
     /// Maximum total bytes of partially read commands on all client connections.
     pub partial_command_bytes: usize,
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -44,6 +44,8 @@
     finished: bool,
     /// The attempt whose reply is being streamed to the client, or is about to be.
     streaming: Option<u32>,
+    /// The client has part of a value, which only a reply with the same value can complete.
+    value_begun: bool,
 }
 
 impl Attempt {
@@ -181,6 +183,7 @@
             timers: Vec::new(),
             finished: false,
             streaming: None,
+            value_begun: false,
         };
         self.in_flight.insert(id, in_flight);
         if forbidden {
@@ -231,6 +234,14 @@
         Some(reply_slot)
     }
 
+    /// Records that the client has been sent the first bytes of the value that this attempt streams.
+    pub fn value_begun(&mut self, attempt_id: AttemptId) {
+        let request = self.outstanding.get(&attempt_id).and_then(|(id, _)| self.in_flight.get_mut(id));
+        if let Some(request) = request {
+            request.value_begun = true;
+        }
+    }
+
     /// Records the end of an attempt and answers its request if this decides it.
     pub fn attempt_ended(
         &mut self,
@@ -243,7 +254,7 @@
         let Some((id, n)) = self.outstanding.remove(&attempt_id) else { return };
         self.counters.attempt_ended(outcome);
         let router_outcome = outcome.outcome();
-        let (mut waited, mut request_done) = (0, true);
+        let (mut waited, mut request_done, mut interrupted) = (0, true, false);
         if let Some(request) = self.in_flight.get_mut(&id) {
             if let Some(attempt) = request.attempts.get_mut(n as usize) {
                 attempt.outcome = Some(outcome);
@@ -258,10 +269,13 @@
                 Outcome::Ok if request.streaming.is_none() => {
                     Some(Answer::Served(reply.value.unwrap_or_default()))
                 }
-                // The client has part of this reply, which no other attempt can continue.
-                _ if streamed => Some(Answer::Truncated),
                 _ => None,
             };
+            // Another attempt may continue the value.
+            interrupted = streamed && answer.is_none() && !request.finished;
+            if interrupted {
+                request.streaming = None;
+            }
             if let Some(answer) = answer {
                 self.answer(id, answer);
             }
@@ -275,6 +289,9 @@
                 | AttemptOutcome::NoCapacity
         );
         let took = if answered { reply.took } else { Some(waited) };
+        if interrupted {
+            self.process_event(now, Event::ReplyInterrupted { id, attempt: n });
+        }
         self.process_event(
             now,
             Event::AttemptEnded { id, attempt: n, outcome: router_outcome, took, request_done },
@@ -423,6 +440,12 @@
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(request) = self.in_flight.get_mut(&id).filter(|request| !request.finished) else { return };
         request.finished = true;
+        // An answer of another form cannot follow the first bytes of a value.
+        let answer = match answer {
+            Answer::Streamed => Answer::Streamed,
+            _ if request.value_begun => Answer::Truncated,
+            answer => answer,
+        };
         let (attempts, last) = (request.attempts.len(), request.attempts.last());
         let last = last.map_or("none", Attempt::outcome_name);
         log::debug!(
--- a/proxy/src/state/metrics/counters.rs
+++ b/proxy/src/state/metrics/counters.rs
@@ -46,6 +46,12 @@
     pub replies_checked: u64,
     /// Those of them that the fence did not confirm as the reply to the last command.
     pub replies_unconfirmed: u64,
+    /// Large values that were kept until they were complete, since commands stood behind them.
+    pub values_held: u64,
+    /// Large values that a further attempt continued after a break.
+    pub values_resumed: u64,
+    /// Further attempts whose value differed from the part that the client had.
+    pub values_changed: u64,
     attempt_outcomes: HashMap<AttemptOutcome, u64>,
     connection_ends: HashMap<ConnectionEnd, u64>,
     watch_ends: HashMap<DiscoveryEnd, u64>,
@@ -110,6 +116,9 @@
         let replies = [
             ("replies_checked".to_owned(), self.replies_checked),
             ("replies_unconfirmed".to_owned(), self.replies_unconfirmed),
+            ("values_held".to_owned(), self.values_held),
+            ("values_resumed".to_owned(), self.values_resumed),
+            ("values_changed".to_owned(), self.values_changed),
         ];
         let attempts =
             AttemptOutcome::ALL.map(|outcome| (outcome.name(), count(&self.attempt_outcomes, outcome)));
--- a/proxy/src/wire/client_session.rs
+++ b/proxy/src/wire/client_session.rs
@@ -6,6 +6,7 @@
 use super::{MAX_STREAMED_VALUE, MAX_VALUE};
 use crate::proxy::Answer;
 use notchdoor::Micros;
+pub use reply_queue::RelayedPrefix;
 use reply_queue::ReplyQueue;
 use std::rc::Rc;
 
--- a/proxy/src/wire/client_session/reply_queue.rs
+++ b/proxy/src/wire/client_session/reply_queue.rs
@@ -1,6 +1,25 @@
 //! Queue of the replies of one client connection. Replies are written in command order.
 
 use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hasher};
+
+/// What was passed on of a value, without the value itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RelayedPrefix {
+    /// Length of the whole value in bytes.
+    pub length: usize,
+    /// Number of bytes passed on.
+    pub bytes: usize,
+    /// Their digest by `DefaultHasher`.
+    pub digest: u64,
+}
+
+/// The value that is being relayed.
+struct Relay {
+    length: usize,
+    bytes: usize,
+    hasher: DefaultHasher,
+}
 
 /// Replies, addressed by the sequence number of their command on the connection.
 #[derive(Default)]
@@ -14,8 +33,8 @@
     out: Vec<u8>,
     /// Bytes of `out` already written.
     written: usize,
-    /// The oldest reply is being relayed while it is received.
-    relaying: bool,
+    /// The value of the oldest reply, while it is relayed.
+    relay: Option<Relay>,
     /// The relayed reply was cut off; no bytes are added to the output any more.
     cut: bool,
 }
@@ -58,23 +77,29 @@
         sequence == self.first && matches!(self.slots.front(), Some(None))
     }
 
+    /// Whether another command follows the one at `sequence`.
+    pub fn is_followed(&self, sequence: u64) -> bool {
+        sequence.saturating_add(1) < self.first + self.slots.len() as u64
+    }
+
     /// Starts to relay the next reply, a value of `length` bytes.
     pub fn begin_relay(&mut self, length: usize) {
-        self.relaying = true;
+        self.relay = Some(Relay { length, bytes: 0, hasher: DefaultHasher::new() });
         self.append(format!("${length}\r\n").as_bytes());
     }
 
     /// Appends bytes of the relayed value. Ignored after [`ReplyQueue::cut_relay`].
     pub fn relay(&mut self, bytes: &[u8]) {
-        if self.relaying && !self.cut {
-            self.append(bytes);
-        }
+        let Some(relay) = self.relay.as_mut().filter(|_| !self.cut) else { return };
+        relay.bytes += bytes.len();
+        relay.hasher.write(bytes);
+        self.append(bytes);
     }
 
     /// Completes the relayed reply at `sequence`.
     pub fn end_relay(&mut self, sequence: u64) {
         if self.is_relaying(sequence) {
-            self.relaying = false;
+            self.relay = None;
             self.append(b"\r\n");
             self.slots.pop_front();
             self.first += 1;
@@ -89,12 +114,18 @@
 
     /// Whether the reply at `sequence` is being relayed.
     pub fn is_relaying(&self, sequence: u64) -> bool {
-        self.relaying && sequence == self.first
+        self.relay.is_some() && sequence == self.first
+    }
+
+    /// What was passed on of the reply at `sequence`; `None` if it is not being relayed.
+    pub fn relayed_prefix(&self, sequence: u64) -> Option<RelayedPrefix> {
+        let relay = self.relay.as_ref().filter(|_| sequence == self.first && !self.cut)?;
+        Some(RelayedPrefix { length: relay.length, bytes: relay.bytes, digest: relay.hasher.finish() })
     }
 
     /// Whether a reply is being relayed. No further command is accepted meanwhile.
     pub fn has_relay(&self) -> bool {
-        self.relaying
+        self.relay.is_some()
     }
 
     /// Whether a relayed reply was cut off.
--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -3,6 +3,7 @@
 mod decoder;
 mod progress;
 mod reading;
+mod relaying;
 mod writing;
 
 use super::connection::{checkout, Process};
@@ -21,6 +22,7 @@
 use notchdoor::{Micros, ServerId};
 use progress::{AttemptEnd, AttemptTimings, Progress};
 use reading::read;
+use relaying::RelayedValue;
 use std::rc::Rc;
 use std::time::Duration;
 use writing::{write, write_streamed};
@@ -95,7 +97,7 @@
             Timer::at(runtime.clock.instant(give_up_at)).await;
         }
     }
-    if progress.relaying.get() {
+    if progress.deadline_suspended.get() {
         future::pending::<()>().await;
     }
     Reply::without_value(if progress.sent.get() {
@@ -171,7 +173,8 @@
     runtime.proxy.borrow_mut().counters.attempts += 1;
     drop(bytes);
     timings.written = runtime.clock.now();
-    let reply = read(runtime, &connection, &mut decoder, attempt.id, progress, timings).await;
+    let mut value = RelayedValue::new(runtime, attempt, progress);
+    let reply = read(runtime, &connection, &mut decoder, &mut value, timings).await;
     let fingerprint = decoder.fingerprint();
     progress.replied.set(fingerprint.map(|_| reply.outcome));
     if timings.first > 0 {
@@ -189,6 +192,9 @@
     if reply.reusable {
         runtime.return_connection(server, generation, connection, requirement);
     }
+    if reply.outcome == AttemptOutcome::Served {
+        value.pass_on_held().await;
+    }
     match (negative_cache, lookup, reply.outcome) {
         (Some(negative_cache), Some(lookup), AttemptOutcome::Absent) => {
             negative_cache.insert(&command.key, lookup);
--- a/proxy/src/wire/driver/attempt/reading.rs
+++ b/proxy/src/wire/driver/attempt/reading.rs
@@ -1,13 +1,14 @@
-//! Reads the reply of an attempt and relays a large value to its client.
+//! Reads the reply of an attempt.
 
 use super::decoder::Decoder;
-use super::progress::{AttemptTimings, Progress};
+use super::progress::AttemptTimings;
+use super::relaying::RelayedValue;
 use super::RELAY_STALL_TIMEOUT;
 use crate::outcome::AttemptOutcome;
-use crate::proxy::{AttemptId, ReplySlot};
 use crate::state::pool::ReplyOrder;
 use crate::wire::backend::{Reply, ReplyPart};
 use crate::wire::driver::connection::Connection;
+use crate::wire::driver::value_store::Reservation;
 use crate::wire::driver::Runtime;
 use crate::wire::MAX_VALUE;
 use async_io::Timer;
@@ -20,51 +21,16 @@
 /// deadline.
 const STALL_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// The share of the memory limit for large replies that one attempt uses.
-struct LargeReplyShare<'a> {
-    runtime: &'a Runtime,
-    bytes: usize,
-}
-
-impl LargeReplyShare<'_> {
-    /// Accounts for the bytes received so far, less the [`MAX_VALUE`] that every request is accounted for. Returns
-    /// false if the limit is exceeded.
-    fn try_grow(&mut self, received: usize) -> bool {
-        let bytes = received.saturating_sub(MAX_VALUE);
-        let all = self.runtime.large_reply_bytes.get() - self.bytes + bytes;
-        self.bytes = bytes;
-        self.runtime.large_reply_bytes.set(all);
-        all <= self.runtime.room.get().large_value_bytes || bytes == 0
-    }
-}
-
-impl Drop for LargeReplyShare<'_> {
-    fn drop(&mut self) {
-        self.runtime.large_reply_bytes.set(self.runtime.large_reply_bytes.get() - self.bytes);
-    }
-}
-
-/// Waits until the client can receive more of a relayed reply; `None` if it has left.
-async fn await_relay(runtime: &Runtime, client: Option<ReplySlot>) -> Option<ReplySlot> {
-    match client {
-        Some(slot) if runtime.relay_ready(slot).await => Some(slot),
-        _ => None,
-    }
-}
-
 /// Reads a reply to its end. Returns why it could not be read otherwise.
 pub(super) async fn read(
     runtime: &Rc<Runtime>,
     connection: &Connection,
     decoder: &mut Decoder,
-    attempt_id: AttemptId,
-    progress: &Progress,
+    value: &mut RelayedValue<'_>,
     timings: &mut AttemptTimings,
 ) -> Reply {
     let mut buffer = vec![0; MAX_VALUE / 4];
-    let (mut received, mut large_share) = (0, LargeReplyShare { runtime, bytes: 0 });
-    // The client's reply slot, while a reply is relayed to it.
-    let mut client = None;
+    let (mut received, mut reservation) = (0, Reservation::new(&runtime.value_store));
     loop {
         match connection.io.get_ref().read(&mut buffer) {
             Ok(0) => return decoder.closed(),
@@ -73,42 +39,31 @@
                     timings.first = runtime.clock.now();
                 }
                 received += n;
-                if !progress.relaying.get() && !large_share.try_grow(received) {
+                // The first `MAX_VALUE` bytes are accounted for with the request.
+                if !value.has_started() && !reservation.resize(received.saturating_sub(MAX_VALUE)) {
                     return Reply::without_value(AttemptOutcome::NoCapacity);
                 }
                 for part in decoder.feed(buffer.get(..n).unwrap_or_default()) {
-                    match part {
+                    let taken = match part {
                         // What is relayed cannot be taken back, so the order must be certain before it.
                         ReplyPart::ValueStart(_) if connection.order == ReplyOrder::Doubtful => {
-                            return Reply::without_value(AttemptOutcome::Garbled);
-                        }
-                        ReplyPart::ValueStart(length) => {
-                            progress.relaying.set(true);
-                            let response_time = timings.response_time();
-                            client = runtime
-                                .drive(|proxy, now| proxy.start_streaming(now, attempt_id, response_time));
-                            client = await_relay(runtime, client).await;
-                            if let Some(slot) = client {
-                                runtime
-                                    .with_session(slot, |session| session.replies_mut().begin_relay(length));
-                            }
-                        }
-                        ReplyPart::ValueData(data) => {
-                            if let Some(slot) = client {
-                                runtime.with_session(slot, |session| session.replies_mut().relay(&data));
-                            }
+                            Err(AttemptOutcome::Garbled)
                         }
+                        ReplyPart::ValueStart(length) => value.start(length, timings.response_time()).await,
+                        ReplyPart::ValueData(data) => value.push(data),
                         ReplyPart::Complete(reply) => return reply,
+                    };
+                    if let Err(outcome) = taken {
+                        return Reply::without_value(outcome);
                     }
                 }
-                // Waits for the client to accept more; if it has left, the rest is read without waiting.
-                client = await_relay(runtime, client).await;
+                value.ready().await;
             }
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
                 let stalled = async {
                     match decoder.has_partial_reply() {
-                        _ if progress.relaying.get() => Timer::after(RELAY_STALL_TIMEOUT).await,
+                        _ if value.has_started() => Timer::after(RELAY_STALL_TIMEOUT).await,
                         true => Timer::after(STALL_TIMEOUT).await,
                         false => future::pending().await,
                     };
--- /dev/null
+++ b/proxy/src/wire/driver/attempt/relaying.rs
@@ -0,0 +1,196 @@
+//! The large value of a reply: passed on while it is received, kept until it is complete, or continued where an earlier
+//! attempt broke off.
+//!
+//! A value that was begun and broke off ends its client's connection, and with it every command behind it. So it begins only
+//! while nothing stands behind it; else it is kept in the [`ValueStore`] first. Commands can also arrive once it is under
+//! way: after a break, a further attempt of a class that allows one continues the value, if its own begins with the same
+//! bytes.
+
+use super::progress::Progress;
+use super::Attempt;
+use crate::outcome::AttemptOutcome;
+use crate::proxy::ReplySlot;
+use crate::wire::client_session::RelayedPrefix;
+use crate::wire::driver::client::RelayStart;
+use crate::wire::driver::value_store::Reservation;
+use crate::wire::driver::Runtime;
+use crate::wire::MAX_VALUE;
+use notchdoor::Micros;
+use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hasher};
+use std::rc::Rc;
+
+/// What happens to the bytes of the value.
+enum Stage {
+    /// No value has begun.
+    NotStarted,
+    /// Nobody waits for it; the bytes are discarded.
+    Discarding,
+    /// The bytes are compared with those that an earlier attempt has passed on.
+    Resuming { slot: ReplySlot, prefix: RelayedPrefix, compared: usize, hasher: DefaultHasher },
+    /// The bytes are passed on as they come.
+    PassingOn(ReplySlot),
+    /// The bytes are kept until the value is complete.
+    Holding { slot: ReplySlot, length: usize, held: HeldBytes },
+}
+
+/// The bytes of a value that are kept, and the memory reserved for them.
+struct HeldBytes {
+    parts: VecDeque<Vec<u8>>,
+    reservation: Reservation,
+}
+
+/// The large value in the reply to an attempt.
+pub(super) struct RelayedValue<'a> {
+    runtime: &'a Rc<Runtime>,
+    attempt: &'a Attempt,
+    progress: &'a Progress,
+    stage: Stage,
+}
+
+/// Memory to reserve for a value: that of one request is accounted for in any case.
+fn bytes_to_reserve(length: usize) -> usize {
+    length.saturating_sub(MAX_VALUE)
+}
+
+impl<'a> RelayedValue<'a> {
+    pub(super) fn new(runtime: &'a Rc<Runtime>, attempt: &'a Attempt, progress: &'a Progress) -> Self {
+        RelayedValue { runtime, attempt, progress, stage: Stage::NotStarted }
+    }
+
+    /// Whether a value has begun, so that its length is known and its memory accounted for.
+    pub(super) fn has_started(&self) -> bool {
+        !matches!(self.stage, Stage::NotStarted)
+    }
+
+    /// Begins the value. `response_time` is the time until the first byte of the reply. Returns the outcome of the attempt
+    /// if the value cannot be used.
+    pub(super) async fn start(
+        &mut self,
+        length: usize,
+        response_time: Option<Micros>,
+    ) -> Result<(), AttemptOutcome> {
+        let attempt_id = self.attempt.id;
+        self.progress.value_started.set(true);
+        // From here on the time depends on the client and on the replies before this one.
+        self.progress.deadline_suspended.set(true);
+        let slot = self.runtime.drive(|proxy, now| proxy.start_streaming(now, attempt_id, response_time));
+        self.stage = match slot {
+            None => Stage::Discarding,
+            Some(slot) => match self.runtime.relayed_prefix(slot) {
+                Some(prefix) => self.resume(slot, prefix, length)?,
+                None => self.begin(slot, length).await?,
+            },
+        };
+        Ok(())
+    }
+
+    fn resume(&self, slot: ReplySlot, prefix: RelayedPrefix, length: usize) -> Result<Stage, AttemptOutcome> {
+        if prefix.length != length {
+            return Err(self.value_changed());
+        }
+        Ok(Stage::Resuming { slot, prefix, compared: 0, hasher: DefaultHasher::new() })
+    }
+
+    async fn begin(&self, slot: ReplySlot, length: usize) -> Result<Stage, AttemptOutcome> {
+        loop {
+            match self.runtime.relay_start(slot) {
+                RelayStart::ClientGone => return Ok(Stage::Discarding),
+                RelayStart::CommandsBehind => return self.hold(slot, length).await,
+                RelayStart::Ready => {
+                    self.runtime.begin_relay(self.attempt.id, slot, length);
+                    return Ok(Stage::PassingOn(slot));
+                }
+                RelayStart::Waiting(changed) => changed.listen().await,
+            }
+        }
+    }
+
+    /// Waits for memory to keep the value in. The attempt has until its deadline for this and to receive the value.
+    async fn hold(&self, slot: ReplySlot, length: usize) -> Result<Stage, AttemptOutcome> {
+        if self.runtime.clock.now() >= self.attempt.deadlines.give_up_at {
+            return Err(AttemptOutcome::TimedOutSent);
+        }
+        self.progress.deadline_suspended.set(false);
+        let bytes = bytes_to_reserve(length);
+        if !self.runtime.value_store.can_hold(bytes) {
+            return Err(AttemptOutcome::NoCapacity);
+        }
+        let mut reservation = Reservation::new(&self.runtime.value_store);
+        reservation.wait_for(bytes).await;
+        self.runtime.proxy.borrow_mut().counters.values_held += 1;
+        Ok(Stage::Holding { slot, length, held: HeldBytes { parts: VecDeque::new(), reservation } })
+    }
+
+    /// Takes the next bytes of the value. Returns the outcome of the attempt if they show that it cannot be used.
+    pub(super) fn push(&mut self, data: Vec<u8>) -> Result<(), AttemptOutcome> {
+        match &mut self.stage {
+            Stage::NotStarted | Stage::Discarding => {}
+            Stage::PassingOn(slot) => self.runtime.relay(*slot, &data),
+            Stage::Holding { held, .. } => held.parts.push_back(data),
+            Stage::Resuming { slot, prefix, compared, hasher } => {
+                let missing = prefix.bytes.saturating_sub(*compared);
+                let (known, new) = data.split_at(missing.min(data.len()));
+                hasher.write(known);
+                *compared += known.len();
+                if *compared == prefix.bytes {
+                    if hasher.finish() != prefix.digest {
+                        return Err(self.value_changed());
+                    }
+                    let slot = *slot;
+                    self.runtime.proxy.borrow_mut().counters.values_resumed += 1;
+                    self.runtime.relay(slot, new);
+                    self.stage = Stage::PassingOn(slot);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until more of the value can be taken.
+    pub(super) async fn ready(&mut self) {
+        if let Stage::PassingOn(slot) = self.stage {
+            if !self.runtime.relay_ready(slot).await {
+                // The rest is read without waiting.
+                self.stage = Stage::Discarding;
+            }
+        }
+    }
+
+    /// Passes on a value that was kept, after its reply was received completely and proven.
+    pub(super) async fn pass_on_held(&mut self) {
+        let Stage::Holding { slot, length, held } = &mut self.stage else { return };
+        let slot = *slot;
+        self.progress.deadline_suspended.set(true);
+        if !self.runtime.relay_ready(slot).await {
+            return;
+        }
+        self.runtime.begin_relay(self.attempt.id, slot, *length);
+        while let Some(part) = held.parts.pop_front() {
+            self.runtime.relay(slot, &part);
+            drop(part);
+            let remaining: usize = held.parts.iter().map(Vec::len).sum();
+            held.reservation.resize(bytes_to_reserve(remaining));
+            if !self.runtime.relay_ready(slot).await {
+                return;
+            }
+        }
+    }
+
+    /// The outcome of an attempt whose value differs from what an earlier one has passed on.
+    fn value_changed(&self) -> AttemptOutcome {
+        self.runtime.proxy.borrow_mut().counters.values_changed += 1;
+        AttemptOutcome::Garbled
+    }
+}
+
+impl Runtime {
+    fn begin_relay(&self, attempt_id: u64, slot: ReplySlot, length: usize) {
+        self.proxy.borrow_mut().value_begun(attempt_id);
+        self.with_session(slot, |session| session.replies_mut().begin_relay(length));
+    }
+
+    fn relay(&self, slot: ReplySlot, data: &[u8]) {
+        self.with_session(slot, |session| session.replies_mut().relay(data));
+    }
+}
--- a/proxy/src/wire/driver/client/mod.rs
+++ b/proxy/src/wire/driver/client/mod.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod eviction;
 mod reader;
+mod relay;
 mod writer;
 
 use super::Runtime;
@@ -10,13 +11,14 @@
 use crate::proxy::ReplySlot;
 use crate::state::pool::Ticket;
 use crate::wire::client_session::ClientSession;
-use crate::wire::MAX_VALUE;
 pub use accept::{accept, admit};
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future;
 use notchdoor::Micros;
+pub(super) use relay::RelayStart;
+use relay::MAX_UNSENT_RELAYED;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -25,8 +27,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Limit on unsent bytes of a relayed reply; above it, no more is read from the server.
-const MAX_UNSENT_RELAYED: usize = MAX_VALUE / 2;
 /// How often the connection is polled for a disconnect while it is not read. No attempt may start for a client that
 /// left 100 ms ago.
 const PRESENCE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -67,12 +67,6 @@
 }
 
 impl Client {
-    /// Whether a reply can be relayed now: it is the next one, and the unsent output is below `MAX_UNSENT_RELAYED`.
-    fn can_relay(&self, sequence: u64) -> bool {
-        let session = self.session.borrow();
-        session.replies().is_next(sequence) && session.replies().output().len() < MAX_UNSENT_RELAYED
-    }
-
     /// Whether the client has closed its side or the connection is broken, even if input is still unread.
     fn has_left(&self) -> bool {
         let mut fds = [PollFd::new(&self.io, PollFlags::RDHUP)];
@@ -184,26 +178,6 @@
 }
 
 impl Runtime {
-    /// Waits until a reply can be relayed to its client. Returns false if the client has disconnected or the reply
-    /// was cut off.
-    pub(super) async fn relay_ready(&self, slot: ReplySlot) -> bool {
-        loop {
-            let Some(client) = self.clients.borrow().get(&slot.connection).map(Rc::clone) else {
-                return false;
-            };
-            if client.session.borrow().replies().was_cut() {
-                return false;
-            }
-            if client.can_relay(slot.sequence) {
-                return true;
-            }
-            // Keeps only the event, so that the connection can end meanwhile.
-            let relay_ready = Rc::clone(&client.relay_ready);
-            drop(client);
-            relay_ready.listen().await;
-        }
-    }
-
     /// Whether a client has disconnected. If so, cancels its requests, even if its task has not noticed yet.
     pub(super) fn client_has_left(self: &Rc<Self>, id: u64) -> bool {
         let Some(client) = self.clients.borrow().get(&id).map(Rc::clone) else { return true };
--- a/proxy/src/wire/driver/client/reader.rs
+++ b/proxy/src/wire/driver/client/reader.rs
@@ -67,6 +67,8 @@
         read_at = runtime.clock.now();
         client.last_active.set(read_at);
         client.session.borrow_mut().feed(buffer.get(..n).unwrap_or_default());
+        // A large value that waits for its turn has commands behind it now.
+        client.relay_ready.notify(usize::MAX);
         // Yields even if the socket never blocks, so that a busy client does not starve other tasks.
         future::yield_now().await;
     }
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -8,6 +8,7 @@
 pub mod hot_restart;
 mod reply_history;
 mod reply_proof;
+mod value_store;
 mod watch;
 
 use super::command::BackendCommand;
@@ -38,6 +39,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use value_store::ValueStore;
 
 /// Interval between checks for idle, expired and stalled connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -109,8 +111,8 @@
     partial_command_bytes: Rc<Cell<usize>>,
     /// Bytes of unsent replies on all client connections.
     unsent_reply_bytes: Rc<Cell<usize>>,
-    /// Bytes of replies being read, beyond [`MAX_VALUE`](super::MAX_VALUE) each.
-    large_reply_bytes: Cell<usize>,
+    /// Memory for large values, beyond [`MAX_VALUE`](super::MAX_VALUE) each.
+    value_store: Rc<ValueStore>,
     /// Next wake-up of the timer task; [`Micros::MAX`] if none is set.
     next_wakeup: Cell<Micros>,
     rearm: (Sender<()>, Receiver<()>),
@@ -166,7 +168,7 @@
             room: Cell::new(room),
             partial_command_bytes: Rc::default(),
             unsent_reply_bytes: Rc::default(),
-            large_reply_bytes: Cell::new(0),
+            value_store: Rc::default(),
             next_wakeup: Cell::new(Micros::MAX),
             rearm: async_channel::bounded(1),
             discovery_ready: Cell::new(false),
@@ -180,6 +182,7 @@
             all: true,
             targets: Vec::new(),
         });
+        runtime.value_store.set_limit(room.large_value_bytes);
         runtime.apply_state();
         runtime.drive(|proxy, now| proxy.update(now, crate::state::endpoints::Update { all: true, ..known }));
         if let Some(guard) = runtime.tasks.as_ref().and_then(|t| t.guard()).cloned() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -228,6 +228,14 @@
         /// How long the server took to start the reply; `None` if unknown, as in [`Event::AttemptEnded`].
         took: Option<Micros>,
     },
+    /// The reply that was being streamed ended before it was complete, and another attempt may continue it. Sent before
+    /// the end of its attempt.
+    ReplyInterrupted {
+        /// The request that the reply belongs to.
+        id: RequestId,
+        /// The attempt whose reply it was.
+        attempt: u32,
+    },
     /// An attempt ended. The host reports exactly one end for each [`Action::Send`].
     AttemptEnded {
         /// The request that the attempt belongs to.
--- a/src/router.rs
+++ b/src/router.rs
@@ -113,6 +113,7 @@
             Event::DiscoveryError => self.handle_discovery_error(actions),
             Event::Arrived(request) => self.handle_arrival(now, request, actions),
             Event::ReplyStarted { id, attempt, took } => self.reply_started(now, id, attempt, took, actions),
+            Event::ReplyInterrupted { id, attempt } => self.reply_interrupted(id, attempt),
             Event::AttemptEnded { id, attempt, outcome, took, request_done } => {
                 let end = AttemptEnd { id, attempt: attempt as usize, outcome, took, request_done };
                 self.attempt_ended(now, end, actions);
--- a/src/router/attempt_results.rs
+++ b/src/router/attempt_results.rs
@@ -61,6 +61,15 @@
         }
     }
 
+    /// Handles the break of a streamed reply: the request waits for an answer again, so that another attempt
+    /// can continue the value.
+    pub(super) fn reply_interrupted(&mut self, id: RequestId, attempt: u32) {
+        let Some(request) = self.in_flight.get_mut(&id) else { return };
+        if request.attempts.get(attempt as usize).is_some_and(|attempt| attempt.streaming) {
+            request.streaming = false;
+        }
+    }
+
     /// Handles a read that its cache has not answered for a while, so that a server that accepts requests
     /// without answering is detected before its requests time out. Sends a hedged request only if a layer
     /// granted it: hedging every such read costs more than it saves.
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -177,3 +177,26 @@
         "a request is answered only once"
     );
 }
+
+/// Guards against values that are never continued after a break, and against attempts that the class forbids.
+#[test]
+fn interrupted_reply_is_retried_as_the_class_allows() {
+    let interrupt = |class: u32| {
+        let mut router = new_router(settings(), &endpoints(6));
+        let request = Request { class: Some(class), ..read_request(1, 1, START) };
+        assert_eq!(send_targets(&arrive(&mut router, START, request)).len(), 1);
+        handle(&mut router, START + MS, Event::ReplyStarted { id: 1, attempt: 0, took: Some(MS) });
+        assert!(handle(&mut router, START + 2 * MS, Event::ReplyInterrupted { id: 1, attempt: 0 }).is_empty());
+        let end = Event::AttemptEnded {
+            id: 1,
+            attempt: 0,
+            outcome: Outcome::Reset,
+            took: None,
+            request_done: false,
+        };
+        handle(&mut router, START + 2 * MS, end)
+    };
+    // Idempotent: another attempt. At most once: the final answer.
+    assert_eq!(send_targets(&interrupt(0)).len(), 1);
+    assert!(interrupt(3).contains(&Action::Fail { id: 1 }));
+}
