A request without room is rejected at once, and relayed values leave room to others

Cause: admit_commands waits for room in a loop without a deadline; a relayed value counts once with its request and once more with its unsent output; and nothing keeps relayed values from taking all the room. Cache nodes and origin were idle, `attempts` stood still meanwhile.

Change: the commands of one read wait 20 ms at most, then they are rejected with a Retry-After and counted (rejected_no_room). The output of a relayed value counts with its request. At most three quarters of the room go to relayed values; without a place a value is rejected and not tried elsewhere.

--- a/proxy/src/lifecycle/config.rs
+++ b/proxy/src/lifecycle/config.rs
@@ -181,6 +181,8 @@
     pub upstream_connections: usize,
     /// Maximum number of requests without a complete answer.
     pub requests: usize,
+    /// Maximum number of large values that are relayed at the same time.
+    pub relayed_values: usize,
     /// Maximum total bytes of large values that are kept, beyond the size of one buffered value each.
     pub large_value_bytes: usize,
     /// Maximum total bytes of partially read commands on all client connections.
@@ -196,10 +198,13 @@
         let memory = self.memory / processes as f64;
         // Each request may buffer a value of the maximum size; one third of the memory is available for values.
         let values = memory / (3 * MAX_VALUE) as f64;
+        let requests = (values as usize).min(self.max_in_flight).max(1);
         ProcessLimits {
             client_connections: clients,
             upstream_connections: sockets - clients,
-            requests: (values as usize).min(self.max_in_flight).max(1),
+            requests,
+            // Clients read them at their own pace; the rest is left to other requests.
+            relayed_values: (requests * 3 / 4).max(1),
             large_value_bytes: (memory / 8.0) as usize,
             partial_command_bytes: (memory / 8.0) as usize,
         }
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -70,6 +70,8 @@
     names: DeploymentNames,
     /// Whether requests of a class are idempotent, by class.
     idempotent_classes: Vec<bool>,
+    /// Retry-After of requests for which there is no memory.
+    no_room_retry_after: Micros,
     /// The endpoint list from discovery.
     pub endpoints: EndpointList,
     in_flight: HashMap<RequestId, InFlightRequest<C>>,
@@ -93,6 +95,8 @@
     drains: AdministrativeDrains,
 }
 
+/// Retry-After, in microseconds, of requests for which there is no memory.
+const NO_ROOM_RETRY_AFTER: Micros = 100_000;
 /// Retry-After, in microseconds, of requests rejected by the configuration version in force.
 const FORBIDDEN_RETRY_AFTER: Micros = 1_000_000;
 
@@ -110,6 +114,7 @@
         let idempotent_classes = settings.classes.iter().map(is_idempotent).collect();
         Proxy {
             idempotent_classes,
+            no_room_retry_after: NO_ROOM_RETRY_AFTER.min(settings.max_retry_after),
             stack: Stack::new(settings, policy, seed, start.monotonic),
             start,
             endpoints,
@@ -195,6 +200,19 @@
         Ok(())
     }
 
+    /// Rejects a request that was read completely, for lack of memory.
+    pub fn reject_for_room(&mut self, request: &ClientRequest<C>) -> Result<(), RequestError> {
+        let class = index_of(&self.names.classes, &request.class).ok_or(RequestError::UnknownClass)?;
+        self.counters.taken += 1;
+        self.counters.rejected_no_room += 1;
+        if let Some(class) = self.counters.classes.get_mut(class as usize) {
+            class.refused += 1;
+        }
+        let answer = Answer::Rejected { retry_after: self.no_room_retry_after };
+        self.commands.push(Command::Answer(request.reply_slot, answer));
+        Ok(())
+    }
+
     /// Records that the client disconnected before it was answered.
     pub fn client_left(&mut self, now: Micros, reply_slot: ReplySlot) {
         if let Some(id) = self.reply_slots.remove(&reply_slot) {
@@ -292,6 +310,11 @@
         if interrupted {
             self.process_event(now, Event::ReplyInterrupted { id, attempt: n });
         }
+        if outcome == AttemptOutcome::NoCapacity && !request_done {
+            // Another attempt would find no room either.
+            self.process_event(now, Event::AnswerNow(id));
+            request_done = true;
+        }
         self.process_event(
             now,
             Event::AttemptEnded { id, attempt: n, outcome: router_outcome, took, request_done },
--- a/proxy/src/state/metrics/counters.rs
+++ b/proxy/src/state/metrics/counters.rs
@@ -52,6 +52,8 @@
     pub values_resumed: u64,
     /// Further attempts whose value differed from the part that the client had.
     pub values_changed: u64,
+    /// Requests rejected for lack of memory.
+    pub rejected_no_room: u64,
     attempt_outcomes: HashMap<AttemptOutcome, u64>,
     connection_ends: HashMap<ConnectionEnd, u64>,
     watch_ends: HashMap<DiscoveryEnd, u64>,
@@ -119,6 +121,7 @@
             ("values_held".to_owned(), self.values_held),
             ("values_resumed".to_owned(), self.values_resumed),
             ("values_changed".to_owned(), self.values_changed),
+            ("rejected_no_room".to_owned(), self.rejected_no_room),
         ];
         let attempts =
             AttemptOutcome::ALL.map(|outcome| (outcome.name(), count(&self.attempt_outcomes, outcome)));
--- a/proxy/src/state/pool.rs
+++ b/proxy/src/state/pool.rs
@@ -13,7 +13,7 @@
 /// within it, and the connection is then dropped before it costs an attempt.
 const REUSE_DELAY: Micros = 8_000;
 
-/// The right to one socket of a budget, returned on drop.
+/// The right to one socket, or one other place, of a budget; returned on drop.
 pub struct Ticket(Rc<Cell<usize>>);
 
 impl Drop for Ticket {
@@ -22,7 +22,7 @@
     }
 }
 
-/// A limit on the number of open sockets.
+/// A limit on the number of open sockets, or of other things that each take one place.
 pub struct Budget {
     used: Rc<Cell<usize>>,
     limit: Cell<usize>,
--- a/proxy/src/wire/client_session/reply_queue.rs
+++ b/proxy/src/wire/client_session/reply_queue.rs
@@ -1,5 +1,6 @@
 //! Queue of the replies of one client connection. Replies are written in command order.
 
+use crate::wire::MAX_VALUE;
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hasher};
 
@@ -178,6 +179,14 @@
         self.output().len() + self.slots.iter().flatten().map(Vec::len).sum::<usize>()
     }
 
+    /// Unsent bytes of a value that is being relayed, which the memory of its request in flight accounts for.
+    pub fn relayed_output(&self) -> usize {
+        match self.relay {
+            Some(_) => self.output().len().min(MAX_VALUE),
+            None => 0,
+        }
+    }
+
     /// Number of replies not yet moved to the output.
     pub fn pending(&self) -> usize {
         self.slots.len()
--- a/proxy/src/wire/driver/attempt/relaying.rs
+++ b/proxy/src/wire/driver/attempt/relaying.rs
@@ -10,6 +10,7 @@
 use super::Attempt;
 use crate::outcome::AttemptOutcome;
 use crate::proxy::ReplySlot;
+use crate::state::pool::Ticket;
 use crate::wire::client_session::RelayedPrefix;
 use crate::wire::driver::client::RelayStart;
 use crate::wire::driver::value_store::Reservation;
@@ -46,6 +47,8 @@
     attempt: &'a Attempt,
     progress: &'a Progress,
     stage: Stage,
+    /// Its place among the values that are relayed at the same time.
+    place: Option<Ticket>,
 }
 
 /// Memory to reserve for a value: that of one request is accounted for in any case.
@@ -55,7 +58,7 @@
 
 impl<'a> RelayedValue<'a> {
     pub(super) fn new(runtime: &'a Rc<Runtime>, attempt: &'a Attempt, progress: &'a Progress) -> Self {
-        RelayedValue { runtime, attempt, progress, stage: Stage::NotStarted }
+        RelayedValue { runtime, attempt, progress, stage: Stage::NotStarted, place: None }
     }
 
     /// Whether a value has begun, so that its length is known and its memory accounted for.
@@ -78,8 +81,16 @@
         self.stage = match slot {
             None => Stage::Discarding,
             Some(slot) => match self.runtime.relayed_prefix(slot) {
-                Some(prefix) => self.resume(slot, prefix, length)?,
-                None => self.begin(slot, length).await?,
+                Some(prefix) => {
+                    // It was admitted when it began.
+                    self.place = Some(self.runtime.relay_budget.overdraw());
+                    self.resume(slot, prefix, length)?
+                }
+                None => {
+                    let place = self.runtime.relay_budget.take().ok_or(AttemptOutcome::NoCapacity)?;
+                    self.place = Some(place);
+                    self.begin(slot, length).await?
+                }
             },
         };
         Ok(())
--- a/proxy/src/wire/driver/client/mod.rs
+++ b/proxy/src/wire/driver/client/mod.rs
@@ -107,7 +107,7 @@
     fn update_shares(&self) {
         let (waiting, partial) = {
             let session = self.session.borrow();
-            (session.replies().unsent_bytes(), session.unparsed_bytes())
+            (session.replies().unsent_bytes() - session.replies().relayed_output(), session.unparsed_bytes())
         };
         let others = self.unsent_reply_bytes.get().saturating_sub(self.unsent_share.replace(waiting));
         self.unsent_reply_bytes.set(others + waiting);
--- a/proxy/src/wire/driver/client/reader.rs
+++ b/proxy/src/wire/driver/client/reader.rs
@@ -21,6 +21,9 @@
 const MAX_PENDING_REPLIES: usize = 64;
 /// Limit on unsent reply bytes of one connection; above it, no further commands are accepted.
 const MAX_UNSENT_BYTES: usize = 4 * MAX_VALUE;
+/// Maximum time that the commands of one read wait for room. Beyond it they are rejected: room is freed by clients that read
+/// their replies, which has no bound.
+const ADMISSION_TIMEOUT: Micros = 20_000;
 /// Pause before the admission of a command is retried.
 const ROOM_RETRY_PAUSE: Duration = Duration::from_millis(2);
 /// Maximum time to receive a streamed value. A pause within it is limited by the command timeout.
@@ -81,7 +84,11 @@
     client: &Client,
     read_at: Micros,
 ) -> ControlFlow<ConnectionEnd> {
+    let mut room_timeout = None;
     loop {
+        if client.session.borrow().replies().has_relay() {
+            room_timeout = None;
+        }
         // If a relayed reply is cut off, the connection closes. Commands behind it are not accepted until it is
         // complete.
         let relay_done = client.unless_left(async {
@@ -95,22 +102,27 @@
         let Some(event) = client.session.borrow_mut().next_event() else { return ControlFlow::Continue(()) };
         // A complete command that waits for admission does not count as incomplete.
         client.partial_since.set(0);
-        let admissible = client.unless_left(async {
-            while client.reply_limit_exceeded() || !runtime.can_admit() {
+        let needs_room = matches!(event, SessionEvent::Command(..));
+        let admitted = client.unless_left(async {
+            // Ends with the replies before this command, whose time does not count.
+            while client.reply_limit_exceeded() {
                 Timer::after(ROOM_RETRY_PAUSE).await;
             }
+            !needs_room || runtime.wait_for_room(&mut room_timeout).await
         });
         // Commands of a disconnected client are dropped.
-        if admissible.await.is_none() || client.has_left() {
+        let Some(has_room) = admitted.await.filter(|_| !client.has_left()) else {
             return ControlFlow::Break(ConnectionEnd::ClientLeft);
-        }
+        };
         match event {
             // Rejected meanwhile because the process is stopping.
             SessionEvent::Command(sequence, _) if !client.session.borrow().replies().is_missing(sequence) => {
             }
             SessionEvent::Ping(sequence) => client.session.borrow_mut().pong(sequence, runtime.ready()),
             SessionEvent::Command(sequence, command) => {
-                admit(runtime, client, ReplySlot { connection: id, sequence }, *command, read_at);
+                let slot = ReplySlot { connection: id, sequence };
+                let request = client_request(runtime, slot, *command, read_at);
+                runtime.start_request(client, request, has_room);
             }
         }
     }
@@ -168,28 +180,56 @@
         self.proxy.borrow().requests_in_flight() + self.unsent_reply_bytes.get() / MAX_VALUE
             < self.room.get().requests
     }
+
+    /// Waits until another request can be admitted. Returns false at `timeout`, which is set if it is not yet.
+    async fn wait_for_room(&self, timeout: &mut Option<Micros>) -> bool {
+        while !self.can_admit() {
+            let now = self.clock.now();
+            if now >= *timeout.get_or_insert(now + ADMISSION_TIMEOUT) {
+                return false;
+            }
+            Timer::after(ROOM_RETRY_PAUSE).await;
+        }
+        true
+    }
+
+    /// Passes a request to the proxy, or has it rejected if there is no room.
+    fn start_request(
+        self: &Rc<Self>,
+        client: &Client,
+        request: ClientRequest<BackendCommand>,
+        has_room: bool,
+    ) {
+        let sequence = request.reply_slot.sequence;
+        let started = self.drive(|proxy, now| match has_room {
+            true => proxy.start_request(now, request),
+            false => proxy.reject_for_room(&request),
+        });
+        if let Err(error) = started {
+            self.proxy.borrow_mut().counters.rejected += 1;
+            client.session.borrow_mut().reject(sequence, &error.to_string());
+        }
+    }
 }
 
-fn admit(runtime: &Rc<Runtime>, client: &Client, slot: ReplySlot, command: BackendCommand, read_at: Micros) {
+fn client_request(
+    runtime: &Runtime,
+    slot: ReplySlot,
+    command: BackendCommand,
+    read_at: Micros,
+) -> ClientRequest<BackendCommand> {
     // A streamed write gets extra time to receive its value; the attempt applies the deadline from the last byte.
     let wait = command.wait.min(runtime.network.max_request_time());
     let wait = wait - REPLY_MARGIN.min(wait / REPLY_MARGIN_DIVISOR);
     let wait = if command.streamed.is_some() { wait.saturating_add(STREAMED_VALUE_TIMEOUT) } else { wait };
-    let result = runtime.drive(|proxy, now| {
-        let request = ClientRequest {
-            id: command.id.clone(),
-            reply_slot: slot,
-            class: command.class.clone(),
-            tenant: command.tenant.clone(),
-            key: command.key.clone(),
-            write: command.value_len().is_some(),
-            deadline: read_at.saturating_add(wait),
-            call: command,
-        };
-        proxy.start_request(now, request)
-    });
-    if let Err(error) = result {
-        runtime.proxy.borrow_mut().counters.rejected += 1;
-        client.session.borrow_mut().reject(slot.sequence, &error.to_string());
+    ClientRequest {
+        id: command.id.clone(),
+        reply_slot: slot,
+        class: command.class.clone(),
+        tenant: command.tenant.clone(),
+        key: command.key.clone(),
+        write: command.value_len().is_some(),
+        deadline: read_at.saturating_add(wait),
+        call: command,
     }
 }
--- a/proxy/src/wire/driver/hot_restart.rs
+++ b/proxy/src/wire/driver/hot_restart.rs
@@ -116,6 +116,7 @@
         let room = self.limits.per_process(processes);
         self.room.set(room);
         self.value_store.set_limit(room.large_value_bytes);
+        self.relay_budget.resize(room.relayed_values);
         self.client_budget.resize(room.client_connections);
         self.upstream_budget.resize(room.upstream_connections);
         while self.upstream_budget.used() > room.upstream_connections && self.pools.borrow_mut().evict() {}
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -98,6 +98,8 @@
     discovery: Cell<SocketAddr>,
     client_budget: Budget,
     upstream_budget: Budget,
+    /// Large values that are relayed at the same time.
+    relay_budget: Budget,
     /// Endpoints with recent path failures.
     reachability: RefCell<Reachability>,
     /// Number of connects that failed for a local reason or a network path error.
@@ -161,6 +163,7 @@
             discovery: Cell::new(config.discovery),
             client_budget: Budget::new(room.client_connections),
             upstream_budget: Budget::new(room.upstream_connections),
+            relay_budget: Budget::new(room.relayed_values),
             reachability: RefCell::default(),
             connect_failures: Cell::new(0),
             descriptors_short: Cell::new(false),
