A slow and steady reader is no longer cut off: progress is what it takes

Cause: the 10 s ran from one wake-up of the socket to the next, and the system reports a socket as writable only once a third of its send buffer is free. A write succeeds as soon as any is.

While clients that do not read crowd out others the times are shorter: 1 s for one that has taken nothing, else 3 s. Invalid commands, which are answered without being admitted, no longer pile up replies for a client that reads nothing.

--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub mod random;
 pub mod random_faults;
 pub mod recording_servers;
+pub mod small_buffer;
 
 use notchdoor_proxy::wire::resp::{write_command, Reader, Value};
 use std::io::{BufRead, BufReader, Read, Write};
--- a/proxy/src/wire/driver/client/eviction.rs
+++ b/proxy/src/wire/driver/client/eviction.rs
@@ -1,5 +1,6 @@
 //! Closes connections of slow or idle clients, and frees descriptors and memory under pressure.
 
+use super::Client;
 use crate::proxy::ReplySlot;
 use crate::wire::driver::Runtime;
 use crate::wire::MAX_VALUE;
@@ -9,8 +10,14 @@
 /// Timeout for a command, from its first byte, and for the first command, from connecting. Enforced by a sweep every
 /// 250 ms, so it takes effect within 3 s.
 const COMMAND_TIMEOUT: Micros = 2_300_000;
-/// Write timeout for stalled clients while unsent replies use at least half of the request limit.
-const CROWDED_STALL_TIMEOUT: Micros = 1_000_000;
+/// Clients that take nothing of their replies for this long are disconnected.
+const STALL_TIMEOUT: Micros = 10_000_000;
+/// The same while clients that do not read crowd out other requests: for one that has taken nothing since its socket was
+/// full, and for any other. A slow receiver may take a whole window of 64 KiB at once, and then nothing until it has read it.
+const CROWDED_NO_READ_TIMEOUT: Micros = 1_000_000;
+const CROWDED_STALL_TIMEOUT: Micros = 3_000_000;
+/// What a client takes within this time after its socket was full, its own system may have taken without it.
+const BUFFER_FILL_TIME: Micros = 500_000;
 /// Idle times after which connections without a pending request may be closed when descriptors are short: after at
 /// least one command, with an incomplete command, and without any byte received.
 const IDLE_TIMEOUT: Micros = 2_000_000;
@@ -87,21 +94,49 @@
         }
     }
 
-    /// Disconnects clients that do not read their replies while unsent replies use at least half of the request
-    /// limit. Otherwise a few such clients would block all new requests.
+    /// Whether unsent replies use at least half of the room for requests.
+    pub(super) fn unsent_replies_crowd(&self) -> bool {
+        self.unsent_reply_bytes.get() / MAX_VALUE * 2 >= self.room.get().requests
+    }
+
+    /// Disconnects clients that take nothing of their replies, early if these crowd out other requests.
+    ///
+    /// The system reports a socket as writable only once a third of its buffer is free, which a slow reader may take long
+    /// for. A write succeeds as soon as any of it is, so one is tried here to see what the client has taken.
     pub(in crate::wire::driver) fn disconnect_stalled(&self) {
-        if self.unsent_reply_bytes.get() / MAX_VALUE * 2 < self.room.get().requests {
-            return;
-        }
         let now = self.clock.now();
-        for client in self.clients.borrow().values() {
-            if client.unsent_share.get() > 0 && client.last_progress.get() + CROWDED_STALL_TIMEOUT <= now {
+        let blocked: Vec<_> = self
+            .clients
+            .borrow()
+            .values()
+            .filter(|client| client.output_blocked.get())
+            .map(Rc::clone)
+            .collect();
+        for client in blocked {
+            client.flush(now);
+            if client.output_blocked.get() && client.last_progress.get() + self.stall_timeout(&client) <= now
+            {
                 client.stalled.set(true);
                 client.wake();
             }
         }
     }
 
+    /// How long a client whose socket is full may take nothing.
+    fn stall_timeout(&self, client: &Client) -> Micros {
+        let has_read = client.last_progress.get() > client.blocked_since.get() + BUFFER_FILL_TIME;
+        if self.unsent_replies_crowd() && !has_read && !client.session.borrow().replies().has_relay() {
+            CROWDED_NO_READ_TIMEOUT
+        } else if self.stopping.get()
+            || self.unsent_replies_crowd()
+            || self.relay_budget.used() >= self.relay_budget.limit()
+        {
+            CROWDED_STALL_TIMEOUT
+        } else {
+            STALL_TIMEOUT
+        }
+    }
+
     /// Closes the connections with the oldest incomplete commands until these fit into their memory limit.
     pub(super) fn evict_partial_commands(&self) {
         while self.partial_command_bytes.get() > self.room.get().partial_command_bytes {
--- a/proxy/src/wire/driver/client/mod.rs
+++ b/proxy/src/wire/driver/client/mod.rs
@@ -54,7 +54,11 @@
     /// Bytes of incomplete commands on all connections, and this connection's share.
     partial_command_bytes: Rc<Cell<usize>>,
     partial_share: Cell<usize>,
-    /// Time of the last write progress, or when replies last began to queue.
+    /// Whether the socket has refused output.
+    output_blocked: Cell<bool>,
+    /// Since when it has, without a time in between when all output was taken.
+    blocked_since: Cell<Micros>,
+    /// When the socket last took output, or when it first refused some.
     last_progress: Cell<Micros>,
 }
 
@@ -117,7 +121,7 @@
 
     fn flush(&self, now: Micros) {
         let mut session = self.session.borrow_mut();
-        if self.unsent_share.get() == 0 {
+        if !self.output_blocked.get() {
             self.last_progress.set(now);
         }
         while !session.replies().output().is_empty() {
@@ -135,13 +139,16 @@
             }
             break;
         }
-        let can_relay = session.replies().output().len() < MAX_UNSENT_RELAYED;
+        let unsent = session.replies().output().len();
         drop(session);
-        if can_relay {
+        if !self.output_blocked.replace(unsent > 0) {
+            self.blocked_since.set(now);
+        }
+        if unsent < MAX_UNSENT_RELAYED {
             self.relay_ready.notify(usize::MAX);
         }
         self.update_shares();
-        if self.end().is_some() || !self.session.borrow().replies().output().is_empty() {
+        if self.end().is_some() || unsent > 0 {
             self.wake();
         }
     }
@@ -214,6 +221,16 @@
         }
     }
 
+    /// Number of clients with replies that have begun and are not written completely.
+    pub fn clients_with_unwritten_replies(&self) -> usize {
+        let is_unwritten = |client: &&Rc<Client>| {
+            let session = client.session.borrow();
+            client.end().is_none()
+                && (session.replies().has_relay() || !session.replies().output().is_empty())
+        };
+        self.clients.borrow().values().filter(is_unwritten).count()
+    }
+
     /// Rejects commands that were read but not yet passed to the proxy, and closes all sessions.
     pub(super) fn reject_unadmitted(&self) {
         let now = self.clock.now();
--- a/proxy/src/wire/driver/client/reader.rs
+++ b/proxy/src/wire/driver/client/reader.rs
@@ -27,7 +27,7 @@
 /// Pause before the admission of a command is retried.
 const ROOM_RETRY_PAUSE: Duration = Duration::from_millis(2);
 /// Maximum time to receive a streamed value. A pause within it is limited by the command timeout.
-const STREAMED_VALUE_TIMEOUT: Micros = 60_000_000;
+const STREAMED_VALUE_TIMEOUT: Micros = 180_000_000;
 /// A client is answered this long before its deadline, so that the answer arrives in time: `REPLY_MARGIN`, or the
 /// time until its deadline divided by `REPLY_MARGIN_DIVISOR` if that is less.
 const REPLY_MARGIN: Micros = 10_000;
@@ -55,6 +55,9 @@
         if !client.session.borrow().is_reading() {
             return wait_for_disconnect(client).await;
         }
+        if let ControlFlow::Break(ending) = wait_to_read(runtime, client).await {
+            return ending;
+        }
         let max = client.session.borrow().max_read_bytes().min(buffer.len());
         let n = match client.io.get_ref().read(buffer.get_mut(..max).unwrap_or_default()) {
             Ok(0) => return ConnectionEnd::ClientLeft,
@@ -105,9 +108,7 @@
         let needs_room = matches!(event, SessionEvent::Command(..));
         let admitted = client.unless_left(async {
             // Ends with the replies before this command, whose time does not count.
-            while client.reply_limit_exceeded() {
-                Timer::after(ROOM_RETRY_PAUSE).await;
-            }
+            runtime.wait_for_replies(client).await;
             !needs_room || runtime.wait_for_room(&mut room_timeout).await
         });
         // Commands of a disconnected client are dropped.
@@ -128,6 +129,27 @@
     }
 }
 
+/// Waits while the client takes too little of its replies. Commands that are answered without being admitted, such as invalid
+/// ones, could fill the memory with replies otherwise. What the client has sent meanwhile does not count as late.
+async fn wait_to_read(runtime: &Runtime, client: &Client) -> ControlFlow<ConnectionEnd> {
+    if !runtime.has_too_many_unsent(client) {
+        return ControlFlow::Continue(());
+    }
+    let writable = client.unless_left(async {
+        while runtime.has_too_many_unsent(client) {
+            if client.unread_bytes() > 0 {
+                client.partial_since.set(0);
+            }
+            Timer::after(ROOM_RETRY_PAUSE).await;
+        }
+    });
+    if writable.await.is_none() {
+        return ControlFlow::Break(ConnectionEnd::ClientLeft);
+    }
+    client.update_partial_since(runtime.clock.now());
+    ControlFlow::Continue(())
+}
+
 /// Waits while the buffer of a streamed value is full; returns true if it had to wait. Time spent waiting for the
 /// origin does not count towards the client's command timeout.
 async fn wait_for_stream_buffer(client: &Client) -> ControlFlow<ConnectionEnd, bool> {
@@ -150,13 +172,6 @@
 }
 
 impl Client {
-    /// Whether the limits on pending or unsent replies are exceeded.
-    fn reply_limit_exceeded(&self) -> bool {
-        let session = self.session.borrow();
-        session.replies().pending() > MAX_PENDING_REPLIES
-            || session.replies().unsent_bytes() > MAX_UNSENT_BYTES
-    }
-
     /// Records when the incomplete command, if any, started.
     fn update_partial_since(&self, read_at: Micros) {
         let (incoming, partial) = {
@@ -181,6 +196,20 @@
             < self.room.get().requests
     }
 
+    /// Waits while a client has too many replies pending or unsent. While unsent replies crowd out other requests, a client
+    /// with any of them gets no more.
+    async fn wait_for_replies(&self, client: &Client) {
+        let too_many = || client.session.borrow().replies().pending() > MAX_PENDING_REPLIES;
+        while too_many() || self.has_too_many_unsent(client) {
+            Timer::after(ROOM_RETRY_PAUSE).await;
+        }
+    }
+
+    fn has_too_many_unsent(&self, client: &Client) -> bool {
+        let max_unsent_bytes = if self.unsent_replies_crowd() { 0 } else { MAX_UNSENT_BYTES };
+        client.session.borrow().replies().unsent_bytes() > max_unsent_bytes
+    }
+
     /// Waits until another request can be admitted. Returns false at `timeout`, which is set if it is not yet.
     async fn wait_for_room(&self, timeout: &mut Option<Micros>) -> bool {
         while !self.can_admit() {
--- a/proxy/src/wire/driver/client/writer.rs
+++ b/proxy/src/wire/driver/client/writer.rs
@@ -9,8 +9,6 @@
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
 
-/// Clients that accept no bytes for this long are disconnected.
-const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Limits of the lingering close: its duration, its duration while descriptors are short, and the bytes to discard.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 const LINGER_TIMEOUT_CROWDED: Duration = Duration::from_millis(20);
@@ -26,21 +24,16 @@
             let _ = client.wake.1.recv().await;
             continue;
         }
-        let writable = async { client.io.writable().await.is_ok() };
-        let stalled = async {
-            Timer::after(STALL_TIMEOUT).await;
-            false
+        let writable = async {
+            let _ = client.io.writable().await;
         };
         // A wake-up may announce another reply or the end of the connection; only the end stops the wait.
-        let woken = async {
+        let ended = async {
             while client.end().is_none() {
                 let _ = client.wake.1.recv().await;
             }
-            true
         };
-        if !future::or(future::or(writable, woken), stalled).await {
-            return ConnectionEnd::ClientStalled;
-        }
+        future::or(writable, ended).await;
         client.flush(runtime.clock.now());
     }
 }
