Values that have begun are finished after a stop signal

Cause: stop() let the process exit at the stop timeout whatever was open. The log said `stopped with 6 requests unanswered on 6 connections` at just that time; nothing else ended them.

--- a/proxy/src/lifecycle/signals.rs
+++ b/proxy/src/lifecycle/signals.rs
@@ -80,15 +80,22 @@
 /// How long new commands are read after the signal. Only the rest of a command already begun is read afterwards, so
 /// that a request with the longest deadline can still finish before the stop timeout.
 const READ_AFTER_SIGNAL: Duration = Duration::from_millis(550);
+/// How long replies that have begun may take after the signal. They have no deadline, but a client could take its value byte
+/// by byte.
+const REPLIES_AFTER_SIGNAL: Duration = Duration::from_secs(300);
+/// Time for the close of the last connections after their replies are written.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time allowed for a stop beyond the longest deadline. SIGKILL follows SIGTERM after that deadline plus 0.7 s.
 const STOP_TIME_AFTER_DEADLINE: Duration = Duration::from_millis(600);
+/// Interval between checks of what is left to do.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Time before the stop timeout at which all open requests get their final answers, so that these can be sent.
 const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(30);
 
 /// The longest deadline that SIGKILL waits for; also the default if the settings have no deadline.
 const MAX_STOP_DEADLINE: Duration = Duration::from_secs(3);
 
-/// How long a stop may take before the process exits with requests still open. A `longest_deadline` of 0 means that
+/// How long a stop may take before the process exits with requests still open, unless their replies have begun. A `longest_deadline` of 0 means that
 /// none is set.
 fn stop_timeout(longest_deadline: Micros) -> Duration {
     let longest = match longest_deadline {
@@ -160,8 +167,9 @@
         if Instant::now() + FINAL_ANSWERS_TIME >= limit {
             runtime.answer_all();
         }
-        Timer::after(Duration::from_millis(5)).await;
+        Timer::after(STOP_POLL_INTERVAL).await;
     }
+    finish_replies(runtime, started + REPLIES_AFTER_SIGNAL).await;
     let (clients, unanswered) = (runtime.clients_open(), runtime.requests_in_flight());
     if unanswered > 0 {
         log::error!(owed = unanswered, clients; "stopped with {unanswered} requests unanswered on {clients} connections");
@@ -170,5 +178,26 @@
     }
 }
 
+/// Waits until the replies that have begun are written. Only SIGKILL may cut them off. They end early if the server falls
+/// silent or the client takes nothing.
+async fn finish_replies(runtime: &Rc<Runtime>, limit: Instant) {
+    let (mut unwritten, mut last_unwritten_at) = (runtime.clients_with_unwritten_replies(), None);
+    if unwritten > 0 {
+        log::info!(clients = unwritten; "finishing the replies of {unwritten} clients");
+    }
+    while runtime.clients_open() > 0 && Instant::now() < limit {
+        unwritten = runtime.clients_with_unwritten_replies();
+        if unwritten > 0 {
+            last_unwritten_at = Some(Instant::now());
+        }
+        if last_unwritten_at.is_none_or(|at| at.elapsed() >= CLOSE_TIMEOUT) {
+            return;
+        }
+        // Requests whose reply broke off get their final answers.
+        runtime.answer_all();
+        Timer::after(STOP_POLL_INTERVAL).await;
+    }
+}
+
 #[cfg(test)]
 mod tests;
