--- a/cli/tests/common/in_progress.rs
+++ b/cli/tests/common/in_progress.rs
@@ -3,13 +3,12 @@
 use super::TIMEOUT;
 use notchdoor_testbed::wire::frames::Frames;
 use std::io::Read;
-use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Reads one message; `None` if the connection ends before.
-pub fn read_message(stream: &mut TcpStream, frames: &mut Frames) -> Option<Vec<u8>> {
+pub fn read_message(stream: &mut impl Read, frames: &mut Frames) -> Option<Vec<u8>> {
     let (mut message, mut byte) = (Vec::new(), [0]);
     loop {
         stream.read_exact(&mut byte).ok()?;
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -8,6 +8,7 @@
 pub mod random_faults;
 pub mod recording_servers;
 pub mod small_buffer;
+pub mod soak;
 
 use notchdoor_proxy::wire::resp::{write_command, Reader, Value};
 use std::io::{BufRead, BufReader, Read, Write};
--- a/cli/tests/common/random_faults.rs
+++ b/cli/tests/common/random_faults.rs
@@ -5,7 +5,7 @@
 use super::random::Random;
 use notchdoor_testbed::wire::frames::{Frames, Protocol};
 use socket2::SockRef;
-use std::io::Write;
+use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -76,7 +76,8 @@
     client: TcpStream,
     /// The same connection; a copy and a reply are never written at the same time.
     writer: Arc<Mutex<TcpStream>>,
-    server: TcpStream,
+    /// Buffered, since a large reply is read byte by byte.
+    server: BufReader<TcpStream>,
     commands: Frames,
     replies: Frames,
     earlier: Vec<Vec<u8>>,
@@ -96,6 +97,7 @@
             let _ = stream.set_nodelay(true);
         }
         let writer = Arc::new(Mutex::new(client.try_clone().expect("a second handle")));
+        let server = BufReader::new(server);
         let (commands, replies) = (Frames::new(protocol), Frames::new(protocol));
         Connection { client, writer, server, commands, replies, earlier: Vec::new(), faults, random, silent }
     }
@@ -104,7 +106,7 @@
         let command = read_message(&mut self.client, &mut self.commands)?;
         let reply = {
             let _in_progress = in_progress.begin();
-            self.server.write_all(&command).ok()?;
+            self.server.get_mut().write_all(&command).ok()?;
             read_message(&mut self.server, &mut self.replies)?
         };
         if self.silent.load(Ordering::SeqCst) || self.random.chance(self.faults.silence) {
--- a/cli/tests/soak.rs
+++ b/cli/tests/soak.rs
@@ -9,20 +9,19 @@
 use common::random::Random;
 use common::random_faults::{Faults, FaultyLink};
 use common::recording_servers::{start_cache, start_origin, wrong_answer, Kind, Runs};
+use common::soak::{play_all, Played};
 use common::*;
 use notchdoor_proxy::wire::resp::{write_command, Reader, Value};
 use notchdoor_testbed::wire::frames::Protocol;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 /// Seeds of the test suite.
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=24;
-/// Runs that are played side by side.
-const PARALLEL_RUNS: usize = 4;
 /// How long clients send before SIGTERM.
 const LOAD_TIME: Duration = Duration::from_millis(2500);
 /// SIGKILL comes this long after SIGTERM, besides the longest deadline.
@@ -208,8 +207,8 @@
         .collect()
 }
 
-/// Plays one seed and returns what was wrong, and a line about it.
-fn play(seed: u64) -> (Vec<String>, String) {
+/// Plays one seed.
+fn play(seed: u64) -> Played {
     let (plan, runs) = (Arc::new(Plan::new(seed)), Runs::default());
     let (caches, origin) =
         ([start_cache(&runs), start_cache(&runs), start_cache(&runs)], start_origin(&runs));
@@ -284,33 +283,10 @@
         plan.pipeline,
         wrong.len()
     );
-    (wrong, summary)
-}
-
-fn seeds() -> std::ops::RangeInclusive<u64> {
-    let Ok(text) = std::env::var("NOTCHDOOR_SOAK_SEEDS") else { return SEEDS };
-    let (first, last) = text.split_once('-').expect("FIRST-LAST");
-    first.parse().expect("a number")..=last.parse().expect("a number")
+    Played { wrong, summary }
 }
 
 #[test]
 fn no_request_is_lost_repeated_or_given_a_reply_of_another_under_random_faults() {
-    let (waiting, failed) = (Arc::new(Mutex::new(seeds())), Arc::new(Mutex::new(Vec::new())));
-    let workers: Vec<JoinHandle<()>> = (0..PARALLEL_RUNS)
-        .map(|_| {
-            let (waiting, failed) = (Arc::clone(&waiting), Arc::clone(&failed));
-            std::thread::spawn(move || loop {
-                let Some(seed) = waiting.lock().unwrap().next() else { return };
-                let (wrong, summary) = play(seed);
-                println!("{summary}");
-                if !wrong.is_empty() {
-                    let some = wrong.get(..4).unwrap_or(&wrong);
-                    failed.lock().unwrap().push(format!("{summary}: {some:#?}"));
-                }
-            })
-        })
-        .collect();
-    workers.into_iter().for_each(|worker| worker.join().expect("a run panicked"));
-    let failed = failed.lock().unwrap();
-    assert!(failed.is_empty(), "{} seeds failed: {}", failed.len(), failed.join("\n"));
+    play_all(SEEDS, play);
 }
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -9,17 +9,16 @@
 use crate::state::time::ClockReading;
 use crate::state::timers::{TimerKey, Timers};
 use crate::state::versions::VersionInForce;
-use notchdoor::{
-    key_hash, Action, Class, Decide, Effect, Event, Micros, Outcome, Request, RequestId, ServerId, Settings,
-};
+use notchdoor::{Action, Class, Decide, Effect, Event, Micros, Outcome, RequestId, ServerId, Settings};
 use notchdoor_limits::policy::Policy;
 use notchdoor_limits::stack::Stack;
-use notchdoor_settings::{index_of, DeploymentNames};
+use notchdoor_settings::DeploymentNames;
 use std::borrow::Cow;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 
+mod arrivals;
 mod inspect;
 mod overrides;
 mod request;
@@ -95,11 +94,6 @@
     drains: AdministrativeDrains,
 }
 
-/// Retry-After, in microseconds, of requests for which there is no memory.
-const NO_ROOM_RETRY_AFTER: Micros = 100_000;
-/// Retry-After, in microseconds, of requests rejected by the configuration version in force.
-const FORBIDDEN_RETRY_AFTER: Micros = 1_000_000;
-
 impl<C> Proxy<C> {
     /// Creates a proxy with an empty endpoint list.
     pub fn new(
@@ -114,7 +108,7 @@
         let idempotent_classes = settings.classes.iter().map(is_idempotent).collect();
         Proxy {
             idempotent_classes,
-            no_room_retry_after: NO_ROOM_RETRY_AFTER.min(settings.max_retry_after),
+            no_room_retry_after: arrivals::NO_ROOM_RETRY_AFTER.min(settings.max_retry_after),
             stack: Stack::new(settings, policy, seed, start.monotonic),
             start,
             endpoints,
@@ -153,80 +147,6 @@
         self.stack.reload(policy, now)
     }
 
-    /// Starts a request that was read completely. An invalid request returns an error and is never sent, since its failure
-    /// would count against the servers that receive it.
-    pub fn start_request(&mut self, now: Micros, request: ClientRequest<C>) -> Result<(), RequestError> {
-        let class = index_of(&self.names.classes, &request.class).ok_or(RequestError::UnknownClass)?;
-        self.advance_version(now);
-        let forbidden = self
-            .version_in_force
-            .as_ref()
-            .is_some_and(|versions| versions.forbids(&request.class, &request.key));
-        // Backends identify a request by its id, so a second one with the same id would end the first.
-        if !self.open_client_ids.insert(request.id.clone()) {
-            return Err(RequestError::IdInUse);
-        }
-        let id = self.next_request;
-        self.next_request += 1;
-        self.counters.taken += 1;
-        let arrival = Request {
-            id,
-            class: Some(class),
-            tenant: index_of(&self.names.tenants, &request.tenant),
-            key: Some(key_hash(&request.key)),
-            group: self.stack.group(&request.key),
-            write: request.write,
-            deadline: request.deadline,
-        };
-        self.reply_slots.insert(request.reply_slot, id);
-        let in_flight = InFlightRequest {
-            client_id: request.id,
-            class,
-            reply_slot: request.reply_slot,
-            call: Rc::new(request.call),
-            attempts: Vec::new(),
-            timers: Vec::new(),
-            finished: false,
-            streaming: None,
-            value_begun: false,
-        };
-        self.in_flight.insert(id, in_flight);
-        if forbidden {
-            self.rejected_by_version += 1;
-            self.finish(id, Answer::Rejected { retry_after: FORBIDDEN_RETRY_AFTER });
-        } else {
-            self.process_event(now, Event::Arrived(arrival));
-        }
-        Ok(())
-    }
-
-    /// Rejects a request that was read completely, for lack of memory.
-    pub fn reject_for_room(&mut self, request: &ClientRequest<C>) -> Result<(), RequestError> {
-        let class = index_of(&self.names.classes, &request.class).ok_or(RequestError::UnknownClass)?;
-        self.counters.taken += 1;
-        self.counters.rejected_no_room += 1;
-        if let Some(class) = self.counters.classes.get_mut(class as usize) {
-            class.refused += 1;
-        }
-        let answer = Answer::Rejected { retry_after: self.no_room_retry_after };
-        self.commands.push(Command::Answer(request.reply_slot, answer));
-        Ok(())
-    }
-
-    /// Records that the client disconnected before it was answered.
-    pub fn client_left(&mut self, now: Micros, reply_slot: ReplySlot) {
-        if let Some(id) = self.reply_slots.remove(&reply_slot) {
-            self.counters.left += 1;
-            if let Some(request) = self.in_flight.get_mut(&id) {
-                request.finished = true;
-                let attempts = request.attempts.len();
-                log::debug!(attempts; "request {}: the client left after {attempts} attempts", request.name());
-            }
-            self.process_event(now, Event::ClientLeft(id));
-            self.remove_if_done(id);
-        }
-    }
-
     /// The reply slot of the request that an attempt belongs to; `None` if the request no longer needs an answer.
     pub fn reply_slot(&self, attempt_id: AttemptId) -> Option<ReplySlot> {
         let (id, _) = self.outstanding.get(&attempt_id)?;
--- /dev/null
+++ b/proxy/src/proxy/arrivals.rs
@@ -0,0 +1,87 @@
+//! Requests that arrive from clients, and clients that leave.
+
+use super::{Answer, ClientRequest, Command, InFlightRequest, Proxy, ReplySlot, RequestError};
+use notchdoor::{key_hash, Decide, Event, Micros, Request};
+use notchdoor_settings::index_of;
+use std::rc::Rc;
+
+/// Retry-After, in microseconds, of requests for which there is no memory.
+pub(super) const NO_ROOM_RETRY_AFTER: Micros = 100_000;
+/// Retry-After, in microseconds, of requests rejected by the configuration version in force.
+const FORBIDDEN_RETRY_AFTER: Micros = 1_000_000;
+
+impl<C> Proxy<C> {
+    /// Starts a request that was read completely. An invalid request returns an error and is never sent, since its failure
+    /// would count against the servers that receive it.
+    pub fn start_request(&mut self, now: Micros, request: ClientRequest<C>) -> Result<(), RequestError> {
+        let class = index_of(&self.names.classes, &request.class).ok_or(RequestError::UnknownClass)?;
+        self.advance_version(now);
+        let forbidden = self
+            .version_in_force
+            .as_ref()
+            .is_some_and(|versions| versions.forbids(&request.class, &request.key));
+        // Backends identify a request by its id, so a second one with the same id would end the first.
+        if !self.open_client_ids.insert(request.id.clone()) {
+            return Err(RequestError::IdInUse);
+        }
+        let id = self.next_request;
+        self.next_request += 1;
+        self.counters.taken += 1;
+        let arrival = Request {
+            id,
+            class: Some(class),
+            tenant: index_of(&self.names.tenants, &request.tenant),
+            key: Some(key_hash(&request.key)),
+            group: self.stack.group(&request.key),
+            write: request.write,
+            deadline: request.deadline,
+        };
+        self.reply_slots.insert(request.reply_slot, id);
+        let in_flight = InFlightRequest {
+            client_id: request.id,
+            class,
+            reply_slot: request.reply_slot,
+            call: Rc::new(request.call),
+            attempts: Vec::new(),
+            timers: Vec::new(),
+            finished: false,
+            streaming: None,
+            value_begun: false,
+        };
+        self.in_flight.insert(id, in_flight);
+        if forbidden {
+            self.rejected_by_version += 1;
+            self.finish(id, Answer::Rejected { retry_after: FORBIDDEN_RETRY_AFTER });
+        } else {
+            self.process_event(now, Event::Arrived(arrival));
+        }
+        Ok(())
+    }
+
+    /// Rejects a request that was read completely, for lack of memory.
+    pub fn reject_for_room(&mut self, request: &ClientRequest<C>) -> Result<(), RequestError> {
+        let class = index_of(&self.names.classes, &request.class).ok_or(RequestError::UnknownClass)?;
+        self.counters.taken += 1;
+        self.counters.rejected_no_room += 1;
+        if let Some(class) = self.counters.classes.get_mut(class as usize) {
+            class.refused += 1;
+        }
+        let answer = Answer::Rejected { retry_after: self.no_room_retry_after };
+        self.commands.push(Command::Answer(request.reply_slot, answer));
+        Ok(())
+    }
+
+    /// Records that the client disconnected before it was answered.
+    pub fn client_left(&mut self, now: Micros, reply_slot: ReplySlot) {
+        if let Some(id) = self.reply_slots.remove(&reply_slot) {
+            self.counters.left += 1;
+            if let Some(request) = self.in_flight.get_mut(&id) {
+                request.finished = true;
+                let attempts = request.attempts.len();
+                log::debug!(attempts; "request {}: the client left after {attempts} attempts", request.name());
+            }
+            self.process_event(now, Event::ClientLeft(id));
+            self.remove_if_done(id);
+        }
+    }
+}
