--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -9,6 +9,7 @@
 pub mod recording_servers;
 pub mod small_buffer;
 pub mod soak;
+pub mod streaming_backend;
 
 use notchdoor_proxy::wire::resp::{write_command, Reader, Value};
 use std::io::{BufRead, BufReader, Read, Write};
--- a/cli/tests/large.rs
+++ b/cli/tests/large.rs
@@ -18,33 +18,23 @@
 /// A backend that answers each read with a value of `VALUE_BYTES` derived from its key, in uneven pieces. A key that starts
 /// with `b` closes the connection half way, `s` stalls half way, and `x` sends garbage after the value.
 fn backend() -> std::net::SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let endpoint = listener.local_addr().unwrap();
-    std::thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            std::thread::spawn(move || {
-                while let Some(words) = read_command(&mut stream) {
-                    let key = words[1].as_bytes()[0];
-                    let value: Vec<u8> = (0..VALUE_BYTES).map(|at| byte_at(key, at)).collect();
-                    let mut bytes = format!("*3\r\n${VALUE_BYTES}\r\n").into_bytes();
-                    bytes.extend(&value);
-                    bytes.extend(if key == b'x' { b"noise".as_slice() } else { b"\r\n$3\r\nhit\r\n$-1\r\n" });
-                    let end = if matches!(key, b'b' | b's') { VALUE_BYTES / 2 } else { bytes.len() };
-                    for piece in bytes[..end].chunks(77_777) {
-                        if stream.write_all(piece).is_err() {
-                            return;
-                        }
-                    }
-                    match key {
-                        b's' => std::thread::sleep(2 * TIMEOUT),
-                        b'b' => return,
-                        _ => {}
-                    }
-                }
-            });
+    streaming_backend::start(|stream, words| {
+        let key = words[1].as_bytes()[0];
+        let value: Vec<u8> = (0..VALUE_BYTES).map(|at| byte_at(key, at)).collect();
+        let mut bytes = format!("*3\r\n${VALUE_BYTES}\r\n").into_bytes();
+        bytes.extend(&value);
+        bytes.extend(if key == b'x' { b"noise".as_slice() } else { b"\r\n$3\r\nhit\r\n$-1\r\n" });
+        let end = if matches!(key, b'b' | b's') { VALUE_BYTES / 2 } else { bytes.len() };
+        for piece in bytes[..end].chunks(77_777) {
+            if stream.write_all(piece).is_err() {
+                return false;
+            }
         }
-    });
-    endpoint
+        if key == b's' {
+            std::thread::sleep(2 * TIMEOUT);
+        }
+        key != b'b'
+    })
 }
 
 fn start_proxy(discovery: &FakeDiscovery, memory: u32) -> Proxy {
--- a/cli/tests/pipelined_values.rs
+++ b/cli/tests/pipelined_values.rs
@@ -4,10 +4,11 @@
 mod common;
 use common::*;
 use notchdoor_proxy::wire::resp::Value;
+use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 const VALUE_BYTES: usize = 4 * 1024 * 1024;
@@ -36,10 +37,8 @@
 }
 
 fn large_reply(shift: u8) -> Vec<u8> {
-    let mut bytes = format!("*3\r\n${VALUE_BYTES}\r\n").into_bytes();
-    bytes.extend((0..VALUE_BYTES).map(|at| byte_at(at, shift)));
-    bytes.extend(b"\r\n$3\r\nhit\r\n$-1\r\n");
-    bytes
+    let value: String = (0..VALUE_BYTES).map(|at| char::from(byte_at(at, shift))).collect();
+    hit_response(&value).unwrap()
 }
 
 /// Sends what the script says. Returns false once the connection is to be closed.
@@ -63,40 +62,19 @@
 
 /// A backend that answers reads of keys that start with `long` by script, and others with their id.
 fn backend(scripts: Scripts, signal: Arc<AtomicUsize>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let endpoint = listener.local_addr().unwrap();
-    let attempts = Arc::new(std::sync::Mutex::new(std::collections::HashMap::<String, usize>::new()));
-    std::thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            let (scripts, signal, attempts) =
-                (Arc::clone(&scripts), Arc::clone(&signal), Arc::clone(&attempts));
-            std::thread::spawn(move || {
-                while let Some(words) = read_command(&mut stream) {
-                    let (key, id) = (words.get(1).cloned().unwrap_or_default(), words.get(2));
-                    let goes_on = match (key.starts_with("long"), id) {
-                        (true, _) => {
-                            let attempt = {
-                                let mut attempts = attempts.lock().unwrap();
-                                let n = attempts.entry(key.clone()).or_default();
-                                *n += 1;
-                                *n - 1
-                            };
-                            send_scripted(&mut stream, scripts(&key, attempt), &signal)
-                        }
-                        (false, Some(id)) => {
-                            let text = format!("*3\r\n${}\r\n{id}\r\n$3\r\nhit\r\n$-1\r\n", id.len());
-                            stream.write_all(text.as_bytes()).is_ok()
-                        }
-                        (false, None) => stream.write_all(b"+PONG\r\n").is_ok(),
-                    };
-                    if !goes_on {
-                        return;
-                    }
-                }
-            });
+    let attempts = Mutex::new(HashMap::<String, usize>::new());
+    streaming_backend::start(move |stream, words| {
+        let (key, id) = (&words[1], &words[2]);
+        if !key.starts_with("long") {
+            return stream.write_all(&hit_response(id).unwrap()).is_ok();
         }
-    });
-    endpoint
+        let attempt = {
+            let mut attempts = attempts.lock().unwrap();
+            let next = attempts.entry(key.clone()).or_default();
+            std::mem::replace(next, *next + 1)
+        };
+        send_scripted(stream, scripts(key, attempt), &signal)
+    })
 }
 
 struct Fixture {
--- a/cli/tests/shutdown_values.rs
+++ b/cli/tests/shutdown_values.rs
@@ -3,11 +3,13 @@
 mod common;
 use common::*;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 const VALUE_BYTES: usize = 4 * 1024 * 1024;
 const PIECE_BYTES: usize = 64 * 1024;
+/// Pieces that a server gives before it falls silent.
+const SILENT_AFTER_PIECES: usize = 10;
 /// Pause between the pieces of a value, which takes 5 s with it: twice as long as a stop may take without it.
 const PIECE_PAUSE: Duration = Duration::from_millis(80);
 /// The time of a stop with requests that get no answer: the longest deadline and 0.6 s.
@@ -20,33 +22,23 @@
 /// A backend that gives large values piece by piece. Those of keys that start with `silent` end after a few pieces,
 /// while the connection stays open; that of `fast` is given at once.
 fn slow_backend() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let endpoint = listener.local_addr().unwrap();
-    std::thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            std::thread::spawn(move || {
-                while let Some(words) = read_command(&mut stream) {
-                    let mut reply = format!("*3\r\n${VALUE_BYTES}\r\n").into_bytes();
-                    reply.extend(vec![b'x'; VALUE_BYTES]);
-                    reply.extend(b"\r\n$3\r\nhit\r\n$-1\r\n");
-                    let pieces = if words[1].starts_with("silent") { 10 } else { usize::MAX };
-                    for piece in reply.chunks(PIECE_BYTES).take(pieces) {
-                        if stream.write_all(piece).is_err() {
-                            return;
-                        }
-                        if words[1] != "fast" {
-                            std::thread::sleep(PIECE_PAUSE);
-                        }
-                    }
-                    if pieces != usize::MAX {
-                        std::thread::sleep(2 * TIMEOUT);
-                        return;
-                    }
-                }
-            });
+    let reply = hit_response(&"x".repeat(VALUE_BYTES)).unwrap();
+    streaming_backend::start(move |stream, words| {
+        let is_silent = words[1].starts_with("silent");
+        for piece in reply.chunks(PIECE_BYTES).take(if is_silent { SILENT_AFTER_PIECES } else { usize::MAX })
+        {
+            if stream.write_all(piece).is_err() {
+                return false;
+            }
+            if words[1] != "fast" {
+                std::thread::sleep(PIECE_PAUSE);
+            }
         }
-    });
-    endpoint
+        if is_silent {
+            std::thread::sleep(2 * TIMEOUT);
+        }
+        !is_silent
+    })
 }
 
 struct Fixture {
--- a/cli/tests/soak_values.rs
+++ b/cli/tests/soak_values.rs
@@ -47,10 +47,7 @@
 fn start_cache() -> FakeServer {
     FakeServer::backend(Box::new(|words| {
         let value = value_for(&words[1], &words[2]);
-        let mut reply = format!("*3\r\n${}\r\n", value.len()).into_bytes();
-        reply.extend(value);
-        reply.extend(b"\r\n$3\r\nhit\r\n$-1\r\n");
-        Some(reply)
+        hit_response(std::str::from_utf8(&value).expect("text"))
     }))
 }
 
--- a/limits/src/layer/mod.rs
+++ b/limits/src/layer/mod.rs
@@ -203,6 +203,14 @@
     }
 }
 
+impl<D: Decide> LimitsLayer<D> {
+    /// The router's number of an attempt, which also counts attempts that were not sent.
+    fn router_number(&self, id: RequestId, attempt: u32) -> u32 {
+        let index = self.requests.get(&id).and_then(|request| request.index_of(attempt));
+        index.map_or(attempt, |index| index as u32)
+    }
+}
+
 impl<D: Decide> Decide for LimitsLayer<D> {
     fn handle(&mut self, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) {
         match event {
@@ -222,13 +230,11 @@
                 None => self.forward_to_router(now, event, actions),
             },
             Event::ReplyStarted { id, attempt, took } => {
-                let index = self.requests.get(&id).and_then(|request| request.index_of(attempt));
-                let attempt = index.map_or(attempt, |index| index as u32);
+                let attempt = self.router_number(id, attempt);
                 self.forward_to_router(now, Event::ReplyStarted { id, attempt, took }, actions);
             }
             Event::ReplyInterrupted { id, attempt } => {
-                let index = self.requests.get(&id).and_then(|request| request.index_of(attempt));
-                let attempt = index.map_or(attempt, |index| index as u32);
+                let attempt = self.router_number(id, attempt);
                 self.forward_to_router(now, Event::ReplyInterrupted { id, attempt }, actions);
             }
             Event::EndpointList(endpoints) => {
--- a/proxy/src/lifecycle/signals.rs
+++ b/proxy/src/lifecycle/signals.rs
@@ -2,7 +2,7 @@
 //! counters.
 
 use super::config::{Reload, Source};
-use crate::wire::driver::Runtime;
+use crate::wire::driver::{Runtime, LINGER_TIMEOUT};
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncRead, AsyncReadExt};
 use notchdoor::Micros;
@@ -83,8 +83,6 @@
 /// How long replies that have begun may take after the signal. They have no deadline, but a client could take its value byte
 /// by byte.
 const REPLIES_AFTER_SIGNAL: Duration = Duration::from_secs(300);
-/// Time for the close of the last connections after their replies are written.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time allowed for a stop beyond the longest deadline. SIGKILL follows SIGTERM after that deadline plus 0.7 s.
 const STOP_TIME_AFTER_DEADLINE: Duration = Duration::from_millis(600);
 /// Interval between checks of what is left to do.
@@ -95,8 +93,8 @@
 /// The longest deadline that SIGKILL waits for; also the default if the settings have no deadline.
 const MAX_STOP_DEADLINE: Duration = Duration::from_secs(3);
 
-/// How long a stop may take before the process exits with requests still open, unless their replies have begun. A `longest_deadline` of 0 means that
-/// none is set.
+/// How long a stop may take before the process exits with requests still open, unless their replies have begun. A
+/// `longest_deadline` of 0 means that none is set.
 fn stop_timeout(longest_deadline: Micros) -> Duration {
     let longest = match longest_deadline {
         0 => MAX_STOP_DEADLINE,
@@ -181,16 +179,16 @@
 /// Waits until the replies that have begun are written. Only SIGKILL may cut them off. They end early if the server falls
 /// silent or the client takes nothing.
 async fn finish_replies(runtime: &Rc<Runtime>, limit: Instant) {
-    let (mut unwritten, mut last_unwritten_at) = (runtime.clients_with_unwritten_replies(), None);
+    let unwritten = runtime.clients_with_unwritten_replies();
     if unwritten > 0 {
         log::info!(clients = unwritten; "finishing the replies of {unwritten} clients");
     }
+    let mut last_unwritten_at = None;
     while runtime.clients_open() > 0 && Instant::now() < limit {
-        unwritten = runtime.clients_with_unwritten_replies();
-        if unwritten > 0 {
+        if runtime.clients_with_unwritten_replies() > 0 {
             last_unwritten_at = Some(Instant::now());
         }
-        if last_unwritten_at.is_none_or(|at| at.elapsed() >= CLOSE_TIMEOUT) {
+        if last_unwritten_at.is_none_or(|at| at.elapsed() >= LINGER_TIMEOUT) {
             return;
         }
         // Requests whose reply broke off get their final answers.
--- a/proxy/src/wire/driver/attempt/relaying.rs
+++ b/proxy/src/wire/driver/attempt/relaying.rs
@@ -74,7 +74,6 @@
         response_time: Option<Micros>,
     ) -> Result<(), AttemptOutcome> {
         let attempt_id = self.attempt.id;
-        self.progress.value_started.set(true);
         // From here on the time depends on the client and on the replies before this one.
         self.progress.deadline_suspended.set(true);
         let slot = self.runtime.drive(|proxy, now| proxy.start_streaming(now, attempt_id, response_time));
@@ -177,10 +176,11 @@
             return;
         }
         self.runtime.begin_relay(self.attempt.id, slot, *length);
+        let mut remaining = *length;
         while let Some(part) = held.parts.pop_front() {
             self.runtime.relay(slot, &part);
+            remaining = remaining.saturating_sub(part.len());
             drop(part);
-            let remaining: usize = held.parts.iter().map(Vec::len).sum();
             held.reservation.resize(bytes_to_reserve(remaining));
             if !self.runtime.relay_ready(slot).await {
                 return;
--- a/proxy/src/wire/driver/client/eviction.rs
+++ b/proxy/src/wire/driver/client/eviction.rs
@@ -125,11 +125,10 @@
     /// How long a client whose socket is full may take nothing.
     fn stall_timeout(&self, client: &Client) -> Micros {
         let has_read = client.last_progress.get() > client.blocked_since.get() + BUFFER_FILL_TIME;
-        if self.unsent_replies_crowd() && !has_read && !client.session.borrow().replies().has_relay() {
+        let unsent_crowd = self.unsent_replies_crowd();
+        if unsent_crowd && !has_read && !client.session.borrow().replies().has_relay() {
             CROWDED_NO_READ_TIMEOUT
-        } else if self.stopping.get()
-            || self.unsent_replies_crowd()
-            || self.relay_budget.used() >= self.relay_budget.limit()
+        } else if self.stopping.get() || unsent_crowd || self.relay_budget.used() >= self.relay_budget.limit()
         {
             CROWDED_STALL_TIMEOUT
         } else {
--- a/proxy/src/wire/driver/client/mod.rs
+++ b/proxy/src/wire/driver/client/mod.rs
@@ -26,6 +26,7 @@
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
+pub use writer::LINGER_TIMEOUT;
 
 /// How often the connection is polled for a disconnect while it is not read. No attempt may start for a client that
 /// left 100 ms ago.
--- a/proxy/src/wire/driver/client/writer.rs
+++ b/proxy/src/wire/driver/client/writer.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 /// Limits of the lingering close: its duration, its duration while descriptors are short, and the bytes to discard.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+pub const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 const LINGER_TIMEOUT_CROWDED: Duration = Duration::from_millis(20);
 const MAX_LINGER_BYTES: usize = 1024 * 1024;
 
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -27,6 +27,7 @@
 use async_io::Timer;
 use attempt::{Attempt, AttemptDeadlines};
 use client::Client;
+pub use client::LINGER_TIMEOUT;
 use connection::Connection;
 use futures_lite::future;
 use notchdoor::{Discovery, Micros};
