A large value no longer takes the whole thread until it is complete

Cause: the loops that read a value and pass on a kept one had no point at which other tasks get a turn while neither socket blocks; the log shows values served one after the other, 25 ms each, and nothing else. Change: they yield after each read of at most 16 KiB and after each part of a kept value.

--- a/proxy/src/wire/driver/attempt/relaying.rs
+++ b/proxy/src/wire/driver/attempt/relaying.rs
@@ -16,6 +16,7 @@
 use crate::wire::driver::value_store::Reservation;
 use crate::wire::driver::Runtime;
 use crate::wire::MAX_VALUE;
+use futures_lite::future;
 use notchdoor::Micros;
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hasher};
@@ -159,6 +160,11 @@
 
     /// Waits until more of the value can be taken.
     pub(super) async fn ready(&mut self) {
+        if !self.has_started() {
+            return;
+        }
+        // Yields even if neither socket ever blocks, so that a value does not starve other tasks.
+        future::yield_now().await;
         if let Stage::PassingOn(slot) = self.stage {
             if !self.runtime.relay_ready(slot).await {
                 // The rest is read without waiting.
@@ -182,6 +188,7 @@
             remaining = remaining.saturating_sub(part.len());
             drop(part);
             held.reservation.resize(bytes_to_reserve(remaining));
+            future::yield_now().await;
             if !self.runtime.relay_ready(slot).await {
                 return;
             }
--- a/proxy/src/wire/driver/tests.rs
+++ b/proxy/src/wire/driver/tests.rs
@@ -5,9 +5,13 @@
 use crate::net::injection::{clear, fail, left};
 use crate::net::SocketCall;
 use crate::outcome::AttemptOutcome;
+use crate::proxy::ReplySlot;
 use crate::wire::resp::{write_command, Reader, Value};
+use crate::wire::MAX_VALUE;
 use blocking::unblock;
+use futures_lite::future;
 use rustix::io::Errno;
+use std::cell::Cell;
 use std::future::Future;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -17,6 +21,9 @@
 
 /// Timeout of every read, so that a hanging test fails.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
+const LARGE_VALUE_BYTES: usize = 4 * 1024 * 1024;
+/// Most bytes of a value that are handled before other tasks have their turn: one read from a socket.
+const MAX_BYTES_PER_TURN: usize = MAX_VALUE / 4;
 const SETTINGS: &str = r#"{"balancers":1,"me":0,"grades":[
     {"name":"read","aim":750.0,"deadline":2000.0,"effect":"idempotent","points":2.0},
     {"name":"close","aim":300.0,"deadline":600.0,"effect":"at_most_once","points":8.0}],
@@ -62,6 +69,27 @@
     })
 }
 
+/// Starts a backend that answers each command with a value of this length, as fast as it is taken.
+fn start_large_cache() -> SocketAddr {
+    start_server(|mut stream| {
+        let mut reply = format!("*3\r\n${LARGE_VALUE_BYTES}\r\n").into_bytes();
+        reply.resize(reply.len() + LARGE_VALUE_BYTES, b'v');
+        reply.extend_from_slice(b"\r\n$3\r\nhit\r\n$-1\r\n");
+        let (mut reader, mut buffer) = (Reader::default(), [0; 4096]);
+        while let Ok(n) = stream.read(&mut buffer) {
+            reader.feed(&buffer[..n]);
+            while reader.next_value().unwrap().is_some() {
+                if stream.write_all(&reply).is_err() {
+                    return;
+                }
+            }
+            if n == 0 {
+                return;
+            }
+        }
+    })
+}
+
 /// Starts an origin that answers each request with the same value.
 fn start_origin() -> SocketAddr {
     start_server(|mut stream| {
@@ -174,6 +202,21 @@
     matches!(answer, Some(Value::Error(line)) if line.starts_with(b"BUSY"))
 }
 
+/// Follows the value that is relayed to the only client as its first reply. Returns the most bytes of it that were relayed
+/// between two turns of another task, once `done` is set.
+async fn longest_step(runtime: Rc<Runtime>, done: Rc<Cell<bool>>) -> usize {
+    let (mut relayed, mut longest) = (0, 0);
+    while !done.get() {
+        let connection = runtime.clients.borrow().keys().next().copied().unwrap_or_default();
+        let prefix = runtime.relayed_prefix(ReplySlot { connection, sequence: 0 });
+        let bytes = prefix.map_or(0, |prefix| prefix.bytes);
+        longest = longest.max(bytes.saturating_sub(relayed));
+        relayed = bytes;
+        future::yield_now().await;
+    }
+    longest
+}
+
 impl Runtime {
     fn attempts_with(&self, outcome: AttemptOutcome) -> u64 {
         self.proxy.borrow().counters.attempts_ended(outcome)
@@ -318,3 +361,31 @@
         });
     }
 }
+
+/// Guards against a value that comes and goes without a pause and keeps all other tasks waiting meanwhile.
+#[test]
+fn value_that_never_blocks_leaves_turns_to_other_tasks() {
+    for commands in [1, 2] {
+        with_proxy(&[start_large_cache()], start_origin(), |runtime, address| async move {
+            let done = Rc::new(Cell::new(false));
+            let step = runtime.executor.spawn(longest_step(Rc::clone(&runtime), Rc::clone(&done)));
+            let received = unblock(move || {
+                let (mut client, mut bytes) = (Client::connect(address), Vec::new());
+                for n in 0..commands {
+                    let id = format!("id{n}");
+                    let words = ["OBJ.GET", "key", &id, "c=read,d=2000"].map(str::as_bytes);
+                    write_command(&mut bytes, &words);
+                }
+                client.stream.write_all(&bytes).unwrap();
+                let mut buffer = vec![0; LARGE_VALUE_BYTES];
+                client.stream.read_exact(&mut buffer).map(|()| buffer.ends_with(b"vv"))
+            })
+            .await;
+            done.set(true);
+            assert!(received.unwrap(), "{commands} commands");
+            assert_eq!(runtime.proxy.borrow().counters.values_held, commands - 1);
+            let step = step.await;
+            assert!((1..=MAX_BYTES_PER_TURN).contains(&step), "{commands} commands: {step} bytes");
+        });
+    }
+}
