pipelined_values forces what it assumes: admitted reads, attempts per key

Cause, by debug logs: (1) "answered rejected after 0 attempts": three backends with initial windows of 8 do not hold the first 24 reads of a cold proxy in each order of arrival, and rejecting them is the router's task; (2) attempts were counted for each backend, not for each key as the test says, so a retry at another backend broke again. Change: as many backends as clients, so that the windows hold all reads in any order; one count of attempts; the error line and the proxy's log in the failure. Every assertion stays as strict.

--- a/cli/tests/pipelined_values.rs
+++ b/cli/tests/pipelined_values.rs
@@ -15,6 +15,8 @@
 const PIECE_BYTES: usize = 64 * 1024;
 /// Clients that send at once.
 const CLIENTS: usize = 12;
+/// With one backend for each client, the initial congestion windows admit the reads of all clients in any order.
+const BACKENDS: usize = CLIENTS;
 
 /// How a backend answers one read of a large value.
 #[derive(Clone, Copy)]
@@ -60,9 +62,11 @@
     end == reply.len()
 }
 
+/// Number of attempts so far at each key, at all backends together.
+type Attempts = Arc<Mutex<HashMap<String, usize>>>;
+
 /// A backend that answers reads of keys that start with `long` by script, and others with their id.
-fn backend(scripts: Scripts, signal: Arc<AtomicUsize>) -> SocketAddr {
-    let attempts = Mutex::new(HashMap::<String, usize>::new());
+fn backend(scripts: Scripts, attempts: Attempts, signal: Arc<AtomicUsize>) -> SocketAddr {
     streaming_backend::start(move |stream, words| {
         let (key, id) = (&words[1], &words[2]);
         if !key.starts_with("long") {
@@ -87,7 +91,7 @@
 
 fn start(memory: u32, scripts: impl Fn(&str, usize) -> Script + Send + Sync + 'static) -> Fixture {
     let (discovery, signal) = (FakeDiscovery::start(), Arc::new(AtomicUsize::new(0)));
-    let scripts: Scripts = Arc::new(scripts);
+    let (scripts, attempts): (Scripts, _) = (Arc::new(scripts), Attempts::default());
     let origin = FakeServer::origin(Box::new(|words| {
         let read = words.first().is_some_and(|word| word.starts_with("GET"));
         // A read that broke at the caches is not served by the origin either.
@@ -97,11 +101,11 @@
             http_response("200 OK", "receipt")
         }
     }));
-    let mut list: Vec<String> = (0..3)
+    let mut list: Vec<String> = (0..BACKENDS)
         .map(|n| {
             endpoint_entry_at(
                 &format!("w{n}"),
-                backend(Arc::clone(&scripts), Arc::clone(&signal)),
+                backend(Arc::clone(&scripts), Arc::clone(&attempts), Arc::clone(&signal)),
                 "in_service",
                 0,
             )
@@ -117,7 +121,8 @@
 enum LargeAnswer {
     /// The value, as the backends have it.
     Whole,
-    Error,
+    /// The error line.
+    Error(String),
     /// The connection ended, or other bytes came.
     Spoilt,
 }
@@ -145,7 +150,7 @@
         line.push(byte[0]);
     }
     if line.starts_with(b"-") {
-        return LargeAnswer::Error;
+        return LargeAnswer::Error(String::from_utf8_lossy(&line).trim_end().to_owned());
     }
     let mut value = vec![0; VALUE_BYTES + 2];
     let whole = line == format!("${VALUE_BYTES}\r\n").into_bytes() && stream.read_exact(&mut value).is_ok();
@@ -162,8 +167,7 @@
 }
 
 /// All clients send a long read, a write and a short read at once. Returns their answers.
-fn play_pipelines(fixture: &Fixture) -> Vec<Answers> {
-    let proxy = &fixture.proxy;
+fn play_pipelines(proxy: &Proxy) -> Vec<Answers> {
     std::thread::scope(|scope| {
         let clients: Vec<_> = (0..CLIENTS)
             .map(|n| {
@@ -193,8 +197,11 @@
     let reply_bytes = large_reply(0).len();
     for break_after in [PIECE_BYTES, reply_bytes / 2, reply_bytes - 30] {
         let fixture = start(32, move |_, _| Script::BreakAfter(break_after));
-        for (n, answers) in play_pipelines(&fixture).iter().enumerate() {
-            assert_eq!(answers.value, LargeAnswer::Error, "{n}, broken after {break_after} bytes");
+        for (n, answers) in play_pipelines(&fixture.proxy).iter().enumerate() {
+            assert!(
+                matches!(answers.value, LargeAnswer::Error(_)),
+                "{n}, after {break_after} bytes: {answers:?}"
+            );
             assert_answered_behind(n, answers);
         }
         assert_eq!(fixture.proxy.metrics()["in_flight"], 0);
@@ -208,8 +215,8 @@
         0 => Script::BreakAfter(VALUE_BYTES / 2),
         _ => Script::Whole,
     });
-    for (n, answers) in play_pipelines(&fixture).iter().enumerate() {
-        assert_eq!(answers.value, LargeAnswer::Whole, "{n}");
+    for (n, answers) in play_pipelines(&fixture.proxy).iter().enumerate() {
+        assert_eq!(answers.value, LargeAnswer::Whole, "{n}: {}", fixture.proxy.log_and_status());
         assert_answered_behind(n, answers);
     }
     let status = std::fs::read_to_string(format!("/proc/{}/status", fixture.proxy.child.id())).unwrap();
