A value under way is continued after its deadline too

Seen: commands that arrive behind a value under way were lost when its connection broke after the value's deadline, also when only the first attempt broke; so always after a server that falls silent, which is given up after 3 s. Cause: the router allowed no attempt at or after the request's deadline, which a reply that has begun no longer has. Change: ReplyInterrupted says whether the client has part of the reply. If so, the router and the limits layer move the deadline to 2 s after the break (continuation_deadline), until which another attempt has to begin; class, window, group and number of attempts bind as before. Such an attempt is given up after a pause of 2 s, not 3 s, while it has no more of the value than the client. A value that had not begun keeps its deadline. Measured: a_value_under_way_is_continued_after_its_deadline (a break, and silence) failed before with a cut value and passes now, as does the router's test.

--- a/cli/tests/pipelined_values.rs
+++ b/cli/tests/pipelined_values.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 const VALUE_BYTES: usize = 4 * 1024 * 1024;
+const SHORT_DEADLINE_MS: u64 = 300;
 const PIECE_BYTES: usize = 64 * 1024;
 /// Clients that send at once.
 const CLIENTS: usize = 12;
@@ -27,6 +28,8 @@
     BreakAfter(usize),
     /// Closes the connection after this many bytes of the reply, once the client has been sent commands behind it.
     BreakOnSignal(usize),
+    /// Sends this many bytes of the reply and then nothing, with the connection open.
+    SilentAfter(usize),
     /// The whole reply, with another value of the same length.
     OtherValue,
 }
@@ -48,7 +51,7 @@
     let reply = large_reply(u8::from(matches!(script, Script::OtherValue)));
     let (end, waits) = match script {
         Script::Whole | Script::OtherValue => (reply.len(), false),
-        Script::BreakAfter(bytes) => (bytes, false),
+        Script::BreakAfter(bytes) | Script::SilentAfter(bytes) => (bytes, false),
         Script::BreakOnSignal(bytes) => (bytes, true),
     };
     for piece in reply[..end].chunks(PIECE_BYTES) {
@@ -59,7 +62,7 @@
     while waits && signal.load(Ordering::SeqCst) == 0 {
         std::thread::sleep(Duration::from_millis(1));
     }
-    end == reply.len()
+    end == reply.len() || matches!(script, Script::SilentAfter(_))
 }
 
 /// Number of attempts so far at each key, at all backends together.
@@ -255,6 +258,29 @@
     }
 }
 
+/// Guards against commands that are lost because the value before them broke off after its deadline, which no longer applies
+/// to a value under way: its connection breaks, or its server falls silent.
+#[test]
+fn a_value_under_way_is_continued_after_its_deadline() {
+    for script in [Script::BreakOnSignal(VALUE_BYTES / 2), Script::SilentAfter(VALUE_BYTES / 2)] {
+        let fixture = start(32, move |_, attempt| match attempt {
+            0 => script,
+            _ => Script::Whole,
+        });
+        let mut client = fixture.proxy.client();
+        client.send(&["OBJ.GET", "long", "id", &format!("c=read,t=acme,d={SHORT_DEADLINE_MS}")]);
+        client.stream.peek(&mut [0]).unwrap();
+        send_behind(&mut client, 0);
+        std::thread::sleep(Duration::from_millis(2 * SHORT_DEADLINE_MS));
+        fixture.signal.store(1, Ordering::SeqCst);
+        let answers = read_answers(&mut client);
+        assert_eq!(answers.value, LargeAnswer::Whole, "{}", fixture.proxy.log_and_status());
+        assert_eq!(answers.write, Some(bulk("receipt")));
+        assert_eq!(answers.read, Some(bulk("read0")));
+        assert_eq!(fixture.proxy.metrics()["served"]["read"], 2);
+    }
+}
+
 /// Guards against a client's value that is put together from two different ones.
 #[test]
 fn a_value_under_way_is_never_continued_by_another_value() {
--- a/lab/src/day/proxies.rs
+++ b/lab/src/day/proxies.rs
@@ -42,7 +42,7 @@
         Event::Timer(token) => (17, *token, 0),
         Event::HedgeGranted(id) => (18, *id, 0),
         Event::AnswerNow(id) => (19, *id, 0),
-        Event::ReplyInterrupted { id, attempt } => (20, *id, u64::from(*attempt)),
+        Event::ReplyInterrupted { id, attempt, .. } => (20, *id, u64::from(*attempt)),
     }
 }
 
--- a/limits/src/layer/mod.rs
+++ b/limits/src/layer/mod.rs
@@ -19,7 +19,9 @@
 use crate::token_bucket::TokenBucket;
 use attempts::{AttemptEnd, RequestedAttempt};
 use endpoints::Endpoints;
-use notchdoor::{Action, Decide, Endpoint, Event, Micros, Outcome, RequestId, Settings};
+use notchdoor::{
+    continuation_deadline, Action, Decide, Endpoint, Event, Micros, Outcome, RequestId, Settings,
+};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use request::InFlightRequest;
@@ -233,9 +235,12 @@
                 let attempt = self.router_number(id, attempt);
                 self.forward_to_router(now, Event::ReplyStarted { id, attempt, took }, actions);
             }
-            Event::ReplyInterrupted { id, attempt } => {
+            Event::ReplyInterrupted { id, attempt, begun } => {
                 let attempt = self.router_number(id, attempt);
-                self.forward_to_router(now, Event::ReplyInterrupted { id, attempt }, actions);
+                if let Some(request) = self.requests.get_mut(&id).filter(|_| begun) {
+                    request.deadline = continuation_deadline(now, request.deadline);
+                }
+                self.forward_to_router(now, Event::ReplyInterrupted { id, attempt, begun }, actions);
             }
             Event::EndpointList(endpoints) => {
                 self.on_endpoints(endpoints, true);
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -192,7 +192,8 @@
         let Some((id, n)) = self.outstanding.remove(&attempt_id) else { return };
         self.counters.attempt_ended(outcome);
         let router_outcome = outcome.outcome();
-        let (mut waited, mut request_done, mut interrupted) = (0, true, false);
+        let (mut waited, mut request_done) = (0, true);
+        let (mut interrupted, mut begun) = (false, false);
         if let Some(request) = self.in_flight.get_mut(&id) {
             if let Some(attempt) = request.attempts.get_mut(n as usize) {
                 attempt.outcome = Some(outcome);
@@ -213,6 +214,7 @@
             interrupted = streamed && answer.is_none() && !request.finished;
             if interrupted {
                 request.streaming = None;
+                begun = request.value_begun;
             }
             if let Some(answer) = answer {
                 self.answer(id, answer);
@@ -228,7 +230,7 @@
         );
         let took = if answered { reply.took } else { Some(waited) };
         if interrupted {
-            self.process_event(now, Event::ReplyInterrupted { id, attempt: n });
+            self.process_event(now, Event::ReplyInterrupted { id, attempt: n, begun });
         }
         if outcome == AttemptOutcome::NoCapacity && !request_done {
             // Another attempt would find no room either.
--- a/proxy/src/wire/driver/attempt/reading.rs
+++ b/proxy/src/wire/driver/attempt/reading.rs
@@ -3,7 +3,6 @@
 use super::decoder::Decoder;
 use super::progress::AttemptTimings;
 use super::relaying::RelayedValue;
-use super::RELAY_STALL_TIMEOUT;
 use crate::outcome::AttemptOutcome;
 use crate::state::pool::ReplyOrder;
 use crate::wire::backend::{Reply, ReplyPart};
@@ -63,7 +62,7 @@
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
                 let stalled = async {
                     match decoder.has_partial_reply() {
-                        _ if value.has_started() => Timer::after(RELAY_STALL_TIMEOUT).await,
+                        _ if value.has_started() => Timer::after(value.stall_timeout()).await,
                         true => Timer::after(STALL_TIMEOUT).await,
                         false => future::pending().await,
                     };
--- a/proxy/src/wire/driver/attempt/relaying.rs
+++ b/proxy/src/wire/driver/attempt/relaying.rs
@@ -7,7 +7,7 @@
 //! bytes.
 
 use super::progress::Progress;
-use super::Attempt;
+use super::{Attempt, RELAY_STALL_TIMEOUT};
 use crate::outcome::AttemptOutcome;
 use crate::proxy::ReplySlot;
 use crate::state::pool::Ticket;
@@ -21,6 +21,11 @@
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hasher};
 use std::rc::Rc;
+use std::time::Duration;
+
+/// Maximum pause until an attempt that continues a value has gone beyond the earlier one. The client has waited for
+/// [`RELAY_STALL_TIMEOUT`] already if that one fell silent.
+const RESUME_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What happens to the bytes of the value.
 enum Stage {
@@ -67,6 +72,14 @@
         !matches!(self.stage, Stage::NotStarted)
     }
 
+    /// Maximum pause within the value.
+    pub(super) fn stall_timeout(&self) -> Duration {
+        match self.stage {
+            Stage::Resuming { .. } => RESUME_STALL_TIMEOUT,
+            _ => RELAY_STALL_TIMEOUT,
+        }
+    }
+
     /// Begins the value. `response_time` is the time until the first byte of the reply. Returns the outcome of the attempt
     /// if the value cannot be used.
     pub(super) async fn start(
@@ -148,6 +161,10 @@
                     if hasher.finish() != prefix.digest {
                         return Err(self.value_changed());
                     }
+                    if new.is_empty() && prefix.bytes < prefix.length {
+                        // Nothing was added yet to what the earlier attempt gave.
+                        return Ok(());
+                    }
                     let slot = *slot;
                     self.runtime.proxy.borrow_mut().counters.values_resumed += 1;
                     self.runtime.relay(slot, new);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -208,6 +208,15 @@
     }
 }
 
+/// How long other attempts may take to continue a reply that the client has received in part, in microseconds.
+const CONTINUATION_TIME: Micros = 2_000_000;
+
+/// Returns the deadline of a request whose reply has begun and was interrupted now. A reply that has begun has no
+/// deadline, but the attempt that continues it needs one.
+pub fn continuation_deadline(now: Micros, deadline: Micros) -> Micros {
+    deadline.max(now.saturating_add(CONTINUATION_TIME))
+}
+
 /// An input of the router.
 #[derive(Clone, Debug)]
 pub enum Event<'a> {
@@ -235,6 +244,9 @@
         id: RequestId,
         /// The attempt whose reply it was.
         attempt: u32,
+        /// Whether the client has received part of the reply. The request's deadline then no longer applies; see
+        /// [`continuation_deadline`].
+        begun: bool,
     },
     /// An attempt ended. The host reports exactly one end for each [`Action::Send`].
     AttemptEnded {
--- a/src/router.rs
+++ b/src/router.rs
@@ -113,7 +113,9 @@
             Event::DiscoveryError => self.handle_discovery_error(actions),
             Event::Arrived(request) => self.handle_arrival(now, request, actions),
             Event::ReplyStarted { id, attempt, took } => self.reply_started(now, id, attempt, took, actions),
-            Event::ReplyInterrupted { id, attempt } => self.reply_interrupted(id, attempt),
+            Event::ReplyInterrupted { id, attempt, begun } => {
+                self.reply_interrupted(now, id, attempt, begun, actions);
+            }
             Event::AttemptEnded { id, attempt, outcome, took, request_done } => {
                 let end = AttemptEnd { id, attempt: attempt as usize, outcome, took, request_done };
                 self.attempt_ended(now, end, actions);
@@ -131,7 +133,7 @@
     fn handle_timer(&mut self, now: Micros, token: u64, actions: &mut Vec<Action>) {
         match RouterTimer::from_token(token) {
             Some(RouterTimer::SlowRead(id)) => self.handle_slow_read(now, id, false, actions),
-            Some(RouterTimer::Deadline(id)) => self.give_final_answer(now, id, actions),
+            Some(RouterTimer::Deadline(id)) => self.handle_deadline(now, id, actions),
             Some(RouterTimer::Discovery) => actions.push(Action::Watch),
             None => {}
         }
--- a/src/router/attempt_results.rs
+++ b/src/router/attempt_results.rs
@@ -2,8 +2,9 @@
 
 use super::congestion_window::{Completion, MEAN_SAMPLES, MIN_WINDOW, MIN_WINDOW_WHILE_DOWN};
 use super::in_flight::{Attempt, AttemptKind};
+use super::timer_token::RouterTimer;
 use super::Router;
-use crate::interface::{Action, Effect, Micros, Outcome, RequestId};
+use crate::interface::{continuation_deadline, Action, Effect, Micros, Outcome, RequestId};
 
 /// The end of an attempt as reported by the host; see [`crate::Event::AttemptEnded`].
 pub(super) struct AttemptEnd {
@@ -62,11 +63,36 @@
     }
 
     /// Handles the break of a streamed reply: the request waits for an answer again, so that another attempt
-    /// can continue the value.
-    pub(super) fn reply_interrupted(&mut self, id: RequestId, attempt: u32) {
+    /// can continue the value. If the client has part of it, that attempt has a deadline of its own.
+    pub(super) fn reply_interrupted(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        attempt: u32,
+        begun: bool,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(request) = self.in_flight.get_mut(&id) else { return };
-        if request.attempts.get(attempt as usize).is_some_and(|attempt| attempt.streaming) {
-            request.streaming = false;
+        if !request.attempts.get(attempt as usize).is_some_and(|attempt| attempt.streaming) {
+            return;
+        }
+        request.streaming = false;
+        if begun {
+            let deadline = continuation_deadline(now, request.request.deadline);
+            request.request.deadline = deadline;
+            request.continued_until = Some(deadline);
+            self.handle_deadline(now, id, actions);
+        }
+    }
+
+    /// Handles the deadline of a request: gives its final answer, unless a reply that has begun may still be continued.
+    pub(super) fn handle_deadline(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
+        let continued_until = self.in_flight.get(&id).and_then(|request| request.continued_until);
+        match continued_until.and_then(|until| until.checked_sub(now)) {
+            Some(after @ 1..) => {
+                actions.push(Action::Timer { after, token: RouterTimer::Deadline(id).token() });
+            }
+            _ => self.give_final_answer(now, id, actions),
         }
     }
 
--- a/src/router/in_flight.rs
+++ b/src/router/in_flight.rs
@@ -85,6 +85,8 @@
     pub(super) done: bool,
     /// Whether a reply is being streamed to the client.
     pub(super) streaming: bool,
+    /// Until when other attempts may continue a reply that the client has in part; `None` if none was interrupted.
+    pub(super) continued_until: Option<Micros>,
     /// The cache that returned the latest miss.
     pub(super) missed_at: Option<BackendIndex>,
     /// Whether the request was within its tenant's quota on arrival.
@@ -98,6 +100,7 @@
             attempts: Vec::new(),
             done: false,
             streaming: false,
+            continued_until: None,
             missed_at: None,
             quota,
         }
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -186,7 +186,12 @@
         let request = Request { class: Some(class), ..read_request(1, 1, START) };
         assert_eq!(send_targets(&arrive(&mut router, START, request)).len(), 1);
         handle(&mut router, START + MS, Event::ReplyStarted { id: 1, attempt: 0, took: Some(MS) });
-        assert!(handle(&mut router, START + 2 * MS, Event::ReplyInterrupted { id: 1, attempt: 0 }).is_empty());
+        assert!(handle(
+            &mut router,
+            START + 2 * MS,
+            Event::ReplyInterrupted { id: 1, attempt: 0, begun: false }
+        )
+        .is_empty());
         let end = Event::AttemptEnded {
             id: 1,
             attempt: 0,
@@ -200,3 +205,43 @@
     assert_eq!(send_targets(&interrupt(0)).len(), 1);
     assert!(interrupt(3).contains(&Action::Fail { id: 1 }));
 }
+
+/// Guards against a reply that the client has in part and that is given up because of a deadline it no longer has.
+#[test]
+fn interrupted_reply_that_has_begun_is_continued_after_the_deadline() {
+    let interrupt = |begun: bool| {
+        let mut router = new_router(settings(), &endpoints(6));
+        let request = read_request(1, 1, START);
+        let late = request.deadline + S;
+        assert_eq!(send_targets(&arrive(&mut router, START, request)).len(), 1);
+        handle(&mut router, START + MS, Event::ReplyStarted { id: 1, attempt: 0, took: Some(MS) });
+        let mut actions = handle(&mut router, late, Event::ReplyInterrupted { id: 1, attempt: 0, begun });
+        let end = |attempt| Event::AttemptEnded {
+            id: 1,
+            attempt,
+            outcome: Outcome::Reset,
+            took: None,
+            request_done: false,
+        };
+        actions.extend(handle(&mut router, late, end(0)));
+        (router, late, actions)
+    };
+    let is_rejection = |action: &Action| matches!(action, Action::Reject { id: 1, .. });
+    let (_, _, actions) = interrupt(false);
+    assert!(send_targets(&actions).is_empty() && actions.iter().any(is_rejection), "{actions:?}");
+    let (mut router, late, actions) = interrupt(true);
+    let until = late + 2 * S;
+    assert!(actions
+        .iter()
+        .any(|action| matches!(action, Action::Send { give_up_at, .. } if *give_up_at == until)));
+    let timer = actions.iter().find_map(|action| match action {
+        Action::Timer { after, token } if late + after == until => Some(*token),
+        _ => None,
+    });
+    let token = timer.expect("a timer for the end of the continuation");
+    // The timer of the first deadline, and one that fires early, end nothing.
+    let early = handle(&mut router, until - 1, Event::Timer(token));
+    assert!(matches!(early[..], [Action::Timer { after: 1, .. }]), "{early:?}");
+    let ended = handle(&mut router, until, Event::Timer(token));
+    assert!(ended.iter().any(is_rejection), "{ended:?}");
+}
