Commands behind a value that is finished after a stop signal are answered

Seen: a client reads a long value when the proxy gets SIGTERM, and later sends two commands behind it on the same connection. The value is finished, then the proxy closes the connection; neither command gets an answer, though both were in an accepted socket. Change: before such a connection is closed, commands that are complete in its socket, of up to 64 KiB, are rejected with a Retry-After. The beginning of a command that the session had read at its close is kept for that.

--- a/cli/tests/shutdown_values.rs
+++ b/cli/tests/shutdown_values.rs
@@ -16,6 +16,8 @@
 const STOP_TIMEOUT: Duration = Duration::from_millis(2600);
 /// Time after which a silent server is given up, and the close of the connection.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(3500);
+/// Time after a stop signal from which on no new command is accepted.
+const NO_NEW_COMMANDS_AFTER: Duration = Duration::from_millis(1000);
 /// Bound for slow machines.
 const SLACK: Duration = Duration::from_millis(1500);
 
@@ -97,6 +99,28 @@
     }
 }
 
+/// Guards against commands that the proxy's own end loses, because they arrived behind a value that is finished after a stop
+/// signal. They are on a connection that is still open.
+#[test]
+fn commands_behind_a_value_that_is_finished_after_a_stop_signal_are_answered() {
+    let fixture = start();
+    let mut client = fixture.proxy.client();
+    client.send(&["OBJ.GET", "long", "id", "c=read,t=acme,d=1500"]);
+    client.stream.peek(&mut [0]).unwrap();
+    fixture.proxy.signal("TERM");
+    std::thread::sleep(NO_NEW_COMMANDS_AFTER);
+    client.send(&["OBJ.SET", "k", "write", "c=close,t=acme,d=500", "closed"]);
+    client.send(&["OBJ.GET", "k", "read", "c=read,t=acme,d=1500"]);
+    let mut value = vec![0; format!("${VALUE_BYTES}\r\n").len() + VALUE_BYTES + 2];
+    client.stream.read_exact(&mut value).unwrap();
+    for command in ["write", "read"] {
+        let answer = client.next();
+        assert!(answer.as_ref().is_some_and(is_busy), "{command}: {answer:?}");
+    }
+    assert_eq!(client.next(), None);
+    assert!(fixture.proxy.wait_for_exit().0);
+}
+
 /// Guards against values that the old process of a hot restart cuts off.
 #[test]
 fn values_under_way_are_finished_in_a_hot_restart() {
--- a/proxy/src/wire/client_session.rs
+++ b/proxy/src/wire/client_session.rs
@@ -51,6 +51,9 @@
     timed_out: bool,
     /// Number of complete commands received.
     commands_received: u64,
+    /// The beginning of the command that follows the last one that was answered, once the session was closed for the end
+    /// of the process.
+    late_reader: Option<Reader>,
 }
 
 impl ClientSession {
@@ -277,8 +280,9 @@
     }
 
     fn close_if_no_partial_command(&mut self) {
-        if self.finishing && self.incoming.is_none() && self.unparsed_bytes() == 0 {
+        if self.finishing && self.incoming.is_none() && self.unparsed_bytes() == 0 && !self.closing {
             self.close();
+            self.late_reader = Some(Reader::default());
         }
     }
 
@@ -308,11 +312,28 @@
         for sequence in &sequences {
             self.answer(*sequence, Answer::Rejected { retry_after: STOPPING_RETRY_AFTER_US });
         }
+        // Within a value it is not known where the next command begins.
+        let unparsed = self.incoming.is_none().then(|| std::mem::take(&mut self.reader));
         self.abort_incoming("the proxy is stopping");
-        self.close();
+        if !self.closing {
+            self.close();
+            self.late_reader = unparsed;
+        }
         sequences.len()
     }
 
+    /// Rejects the commands that this input completes. It arrived after the session was closed for the end of the process.
+    /// Returns the number of rejected commands. Ignored if it is not known where a command begins.
+    pub fn refuse_late(&mut self, input: &[u8]) -> usize {
+        let Some(reader) = self.late_reader.take() else { return 0 };
+        let mut late = ClientSession { reader, ..ClientSession::default() };
+        late.feed(input);
+        let refused = late.refuse_rest();
+        self.late_reader = late.late_reader.filter(|_| !late.malformed);
+        self.replies.append_output(late.replies.output());
+        refused
+    }
+
     /// Stops reading and discards unparsed input; queued replies are still written.
     pub fn close(&mut self) {
         if let Some(incoming) = &self.incoming {
--- a/proxy/src/wire/client_session/reply_queue.rs
+++ b/proxy/src/wire/client_session/reply_queue.rs
@@ -134,6 +134,12 @@
         self.cut
     }
 
+    /// Appends complete replies to commands that have no slot. All slots must be written.
+    pub fn append_output(&mut self, replies: &[u8]) {
+        debug_assert!(self.slots.is_empty());
+        self.append(replies);
+    }
+
     fn append(&mut self, bytes: &[u8]) {
         // Frees written bytes first.
         self.out.drain(..std::mem::take(&mut self.written));
--- a/proxy/src/wire/driver/client/writer.rs
+++ b/proxy/src/wire/driver/client/writer.rs
@@ -13,11 +13,17 @@
 pub const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 const LINGER_TIMEOUT_CROWDED: Duration = Duration::from_millis(20);
 const MAX_LINGER_BYTES: usize = 1024 * 1024;
+/// Limit on the bytes of commands that arrive at a connection once it is to be closed for the end of the process.
+const MAX_LATE_BYTES: usize = 64 * 1024;
 
 /// Writes output that the socket did not accept immediately, until the connection ends.
 pub(super) async fn write(runtime: &Runtime, client: &Client) -> ConnectionEnd {
+    let mut late_bytes = 0;
     loop {
         if let Some(ending) = client.end() {
+            if ending == ConnectionEnd::ClosedIdle && runtime.refuse_late_commands(client, &mut late_bytes) {
+                continue;
+            }
             return ending;
         }
         if client.session.borrow().replies().output().is_empty() {
@@ -38,6 +44,23 @@
     }
 }
 
+impl Runtime {
+    /// Rejects the commands that arrived while the last replies before the end of the process were written. Their connection is
+    /// open, so they need an answer. `late_bytes` counts their bytes. Returns whether there were any.
+    fn refuse_late_commands(&self, client: &Client, late_bytes: &mut usize) -> bool {
+        if !self.stopping.get() || *late_bytes >= MAX_LATE_BYTES {
+            return false;
+        }
+        let mut buffer = vec![0; MAX_LATE_BYTES - *late_bytes];
+        let n = client.io.get_ref().read(&mut buffer).unwrap_or(0);
+        *late_bytes += n;
+        let refused = client.session.borrow_mut().refuse_late(buffer.get(..n).unwrap_or_default());
+        self.proxy.borrow_mut().counters.rejected += refused as u64;
+        client.flush(self.clock.now());
+        refused > 0
+    }
+}
+
 /// Lingering close: shuts down the write side and discards input for a short time. Closing a socket with unread bytes
 /// resets it, and the client could lose its last replies. Discarded requests are not answered.
 pub(super) async fn linger(runtime: &Runtime, client: &Client) {
--- a/proxy/tests/session_end.rs
+++ b/proxy/tests/session_end.rs
@@ -97,3 +97,32 @@
     assert_eq!(session.refuse_rest(), 3);
     assert_eq!(session.replies().output(), b"-BUSY 1\r\n-BUSY 1\r\n-BUSY 1\r\n");
 }
+
+/// Guards against commands whose rest arrives after the session was closed for the end of the process: each is answered
+/// once, and none is taken for other bytes.
+#[test]
+fn refuse_late_answers_each_command_once_at_every_split() {
+    let mut bytes = Vec::new();
+    for _ in 0..2 {
+        write_command(&mut bytes, GET);
+    }
+    for split in 0..bytes.len() {
+        let mut session = ClientSession::default();
+        session.feed(&bytes[..split]);
+        let mut refused = session.refuse_rest();
+        for byte in &bytes[split..] {
+            refused += session.refuse_late(&[*byte]);
+        }
+        assert_eq!(refused, 2, "split at {split}");
+        assert_eq!(session.replies().output(), b"-BUSY 1\r\n-BUSY 1\r\n", "split at {split}");
+        assert!(!session.is_reading());
+    }
+    // Within a value it is not known where the next command begins.
+    let mut bytes = Vec::new();
+    write_command(&mut bytes, &[b"OBJ.SET", b"k", b"id", b"c=close,d=500", &vec![b'v'; 2 * MAX_VALUE]]);
+    let mut session = ClientSession::default();
+    session.feed(&bytes[..MAX_VALUE + 200]);
+    assert!(session.next_event().is_some());
+    session.refuse_rest();
+    assert_eq!(session.refuse_late(&bytes[MAX_VALUE + 200..]), 0);
+}
