A kept value takes no more memory when its server sends it in small pieces

Cause: a value that is kept until it is complete had a buffer of its own for each piece received, which needs several times the bytes of a short one; the reservation in the ValueStore counts only the bytes. The kept bytes, their reservation and its return are one type, HeldValue, apart from the relay.

--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -1,6 +1,7 @@
 //! Runs attempts: sends one command on a pooled connection and reads its reply.
 
 mod decoder;
+mod held_value;
 mod progress;
 mod reading;
 mod relaying;
--- a/proxy/src/wire/driver/attempt/relaying.rs
+++ b/proxy/src/wire/driver/attempt/relaying.rs
@@ -6,6 +6,7 @@
 //! way: after a break, a further attempt of a class that allows one continues the value, if its own begins with the same
 //! bytes.
 
+use super::held_value::{bytes_to_reserve, HeldValue};
 use super::progress::Progress;
 use super::{Attempt, RELAY_STALL_TIMEOUT};
 use crate::outcome::AttemptOutcome;
@@ -15,10 +16,8 @@
 use crate::wire::driver::client::RelayStart;
 use crate::wire::driver::value_store::Reservation;
 use crate::wire::driver::Runtime;
-use crate::wire::MAX_VALUE;
 use futures_lite::future;
 use notchdoor::Micros;
-use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,13 +37,7 @@
     /// The bytes are passed on as they come.
     PassingOn(ReplySlot),
     /// The bytes are kept until the value is complete.
-    Holding { slot: ReplySlot, length: usize, held: HeldBytes },
-}
-
-/// The bytes of a value that are kept, and the memory reserved for them.
-struct HeldBytes {
-    parts: VecDeque<Vec<u8>>,
-    reservation: Reservation,
+    Holding { slot: ReplySlot, length: usize, held: HeldValue },
 }
 
 /// The large value in the reply to an attempt.
@@ -57,11 +50,6 @@
     place: Option<Ticket>,
 }
 
-/// Memory to reserve for a value: that of one request is accounted for in any case.
-fn bytes_to_reserve(length: usize) -> usize {
-    length.saturating_sub(MAX_VALUE)
-}
-
 impl<'a> RelayedValue<'a> {
     pub(super) fn new(runtime: &'a Rc<Runtime>, attempt: &'a Attempt, progress: &'a Progress) -> Self {
         RelayedValue { runtime, attempt, progress, stage: Stage::NotStarted, place: None }
@@ -143,7 +131,7 @@
         let mut reservation = Reservation::new(&self.runtime.value_store);
         reservation.wait_for(bytes).await;
         self.runtime.proxy.borrow_mut().counters.values_held += 1;
-        Ok(Stage::Holding { slot, length, held: HeldBytes { parts: VecDeque::new(), reservation } })
+        Ok(Stage::Holding { slot, length, held: HeldValue::new(length, reservation) })
     }
 
     /// Takes the next bytes of the value. Returns the outcome of the attempt if they show that it cannot be used.
@@ -151,7 +139,7 @@
         match &mut self.stage {
             Stage::NotStarted | Stage::Discarding => {}
             Stage::PassingOn(slot) => self.runtime.relay(*slot, &data),
-            Stage::Holding { held, .. } => held.parts.push_back(data),
+            Stage::Holding { held, .. } => held.push(data),
             Stage::Resuming { slot, prefix, compared, hasher } => {
                 let missing = prefix.bytes.saturating_sub(*compared);
                 let (known, new) = data.split_at(missing.min(data.len()));
@@ -199,12 +187,8 @@
             return;
         }
         self.runtime.begin_relay(self.attempt.id, slot, *length);
-        let mut remaining = *length;
-        while let Some(part) = held.parts.pop_front() {
+        while let Some(part) = held.take_part() {
             self.runtime.relay(slot, &part);
-            remaining = remaining.saturating_sub(part.len());
-            drop(part);
-            held.reservation.resize(bytes_to_reserve(remaining));
             future::yield_now().await;
             if !self.runtime.relay_ready(slot).await {
                 return;
