--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod fault_proxy;
 pub mod in_progress;
+pub mod peak_memory;
 pub mod random;
 pub mod random_faults;
 pub mod recording_servers;
--- a/cli/tests/large.rs
+++ b/cli/tests/large.rs
@@ -73,13 +73,6 @@
     (value.len(), bytes.len() == response_bytes && bytes.ends_with(b"\r\n"))
 }
 
-/// Returns the peak resident memory of the process in MiB.
-fn peak_memory_mib(proxy: &Proxy) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).unwrap();
-    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
-    line.trim().trim_end_matches(" kB").trim().parse::<usize>().unwrap() / 1024
-}
-
 #[test]
 fn concurrent_large_reads_are_streamed_in_bounded_memory_without_delaying_others() {
     let discovery = FakeDiscovery::start();
@@ -105,7 +98,7 @@
         // The transfer takes longer than the 400 ms deadline, which applies only until the response begins.
         assert_eq!(reader.join().unwrap(), (VALUE_BYTES, true));
     }
-    assert!(peak_memory_mib(&proxy) < 16, "{} MiB", peak_memory_mib(&proxy));
+    assert!(proxy.peak_memory_kib() < 16 * 1024, "{} KiB", proxy.peak_memory_kib());
     let vars = proxy.metrics();
     assert_eq!((&vars["served"]["read"], &vars["in_flight"]), (&41.into(), &0.into()));
 }
@@ -255,7 +248,7 @@
         "{}",
         completed.len()
     );
-    assert!(peak_memory_mib(&proxy) < 16, "{} MiB", peak_memory_mib(&proxy));
+    assert!(proxy.peak_memory_kib() < 16 * 1024, "{} KiB", proxy.peak_memory_kib());
     let vars = proxy.metrics();
     assert_eq!(
         (&vars["served"]["fix"], &vars["served"]["close"], &vars["in_flight"]),
--- a/cli/tests/pipelined_values.rs
+++ b/cli/tests/pipelined_values.rs
@@ -222,20 +222,18 @@
         assert_eq!(answers.value, LargeAnswer::Whole, "{n}: {}", fixture.proxy.log_and_status());
         assert_answered_behind(n, answers);
     }
-    let status = std::fs::read_to_string(format!("/proc/{}/status", fixture.proxy.child.id())).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-    let kib: usize = line.trim().trim_end_matches(" kB").trim().parse().unwrap();
-    assert!(kib < 24 * 1024, "{kib} KiB");
+    let peak = fixture.proxy.peak_memory_kib();
+    assert!(peak < 24 * 1024, "{peak} KiB");
 }
 
 /// Starts a read, waits until its value is under way, sends commands behind it and lets the first attempt break.
-fn play_late_commands(fixture: &Fixture) -> (Vec<u8>, Client) {
+fn play_late_commands(fixture: &Fixture) -> Client {
     let mut client = fixture.proxy.client();
     client.send(&["OBJ.GET", "long", "id", "c=read,t=acme,d=1500"]);
     client.stream.peek(&mut [0]).unwrap();
     send_behind(&mut client, 0);
     fixture.signal.store(1, Ordering::SeqCst);
-    (Vec::new(), client)
+    client
 }
 
 /// Guards against commands that are lost because they arrived once the value before them was under way.
@@ -247,7 +245,7 @@
             0 => Script::BreakOnSignal(break_after),
             _ => Script::Whole,
         });
-        let (_, mut client) = play_late_commands(&fixture);
+        let mut client = play_late_commands(&fixture);
         let answers = read_answers(&mut client);
         assert_eq!(answers.value, LargeAnswer::Whole, "broken after {break_after} bytes");
         assert_answered_behind(0, &answers);
@@ -288,7 +286,7 @@
         0 => Script::BreakOnSignal(VALUE_BYTES / 2),
         _ => Script::OtherValue,
     });
-    let (mut got, mut client) = play_late_commands(&fixture);
+    let (mut got, mut client) = (Vec::new(), play_late_commands(&fixture));
     client.stream.read_to_end(&mut got).unwrap();
     let head = format!("${VALUE_BYTES}\r\n").into_bytes();
     assert!(got.len() > head.len() && got.len() < head.len() + VALUE_BYTES, "{}", got.len());
--- a/cli/tests/rules.rs
+++ b/cli/tests/rules.rs
@@ -284,10 +284,8 @@
     }
     let mut other = proxy.client();
     assert_eq!(other.get("k", "id1", 2000), bulk("id1"));
-    let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).unwrap();
-    let peak = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
-    let kilobytes: u64 = peak.split_whitespace().nth(1).unwrap().parse().unwrap();
-    assert!(kilobytes < 24_000, "{peak}");
+    let peak = proxy.peak_memory_kib();
+    assert!(peak < 24_000, "{peak} KiB");
 }
 
 #[test]
--- a/cli/tests/shutdown_values.rs
+++ b/cli/tests/shutdown_values.rs
@@ -60,6 +60,11 @@
     Fixture { discovery, proxy, _origin: origin }
 }
 
+/// Length of the whole answer to a read of a large value.
+fn answer_bytes() -> usize {
+    format!("${VALUE_BYTES}\r\n").len() + VALUE_BYTES + 2
+}
+
 /// Starts reads of large values and waits until all have begun. Each thread returns whether its value was whole.
 fn begin_reads(proxy: &Proxy, key: &str) -> Vec<std::thread::JoinHandle<bool>> {
     let begin = |n: usize| {
@@ -72,7 +77,7 @@
     let read_all = |mut stream: TcpStream| {
         let mut bytes = Vec::new();
         let ended = stream.read_to_end(&mut bytes).is_ok();
-        ended && bytes.len() == format!("${VALUE_BYTES}\r\n").len() + VALUE_BYTES + 2
+        ended && bytes.len() == answer_bytes()
     };
     streams.into_iter().map(|stream| std::thread::spawn(move || read_all(stream))).collect()
 }
@@ -111,7 +116,7 @@
     std::thread::sleep(NO_NEW_COMMANDS_AFTER);
     client.send(&["OBJ.SET", "k", "write", "c=close,t=acme,d=500", "closed"]);
     client.send(&["OBJ.GET", "k", "read", "c=read,t=acme,d=1500"]);
-    let mut value = vec![0; format!("${VALUE_BYTES}\r\n").len() + VALUE_BYTES + 2];
+    let mut value = vec![0; answer_bytes()];
     client.stream.read_exact(&mut value).unwrap();
     for command in ["write", "read"] {
         let answer = client.next();
