--- /dev/null
+++ b/cli/tests/common/judge.rs
@@ -0,0 +1,244 @@
+//! Judges a run by what clients and servers saw: the rules of the protocol page on lost requests, effects and drains. Nothing
+//! that the program says of itself is used.
+
+use super::records::{AnswerForm, AttemptRecord, Effect, ProcessRecord, Records, RequestEnd, RequestRecord};
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// An answer that is later than this after its deadline counts as lost.
+pub const MAX_LATENESS: Duration = Duration::from_millis(500);
+/// No attempt begins later than this after its client has left, or after its request is over.
+pub const MAX_BEGIN_AFTER_END: Duration = Duration::from_millis(100);
+/// Each time limit is longer by this on sockets.
+pub const SOCKET_SLACK: Duration = Duration::from_millis(50);
+/// A draining server may get commands for this long after the proxy was told.
+pub const DRAIN_GRACE: Duration = Duration::from_millis(1000);
+/// Requests that come later than this after SIGTERM must not be left to SIGKILL.
+const LAST_TAKEN_AFTER_TERM: Duration = Duration::from_millis(700);
+
+/// A broken rule.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Violation {
+    /// A request was read, and its connection ended or stayed open without an answer.
+    Unanswered(String),
+    /// The answer came too late.
+    Late(String, Duration),
+    /// The answer was not made for the request.
+    WrongAnswer(String, String),
+    /// A value broke off although commands that had come before it stood behind it.
+    TruncatedBeforeOthers(String),
+    /// A client got bytes that it did not ask for.
+    Surplus(String),
+    /// A rejection did not say when to come back.
+    NoRetryAfter(String),
+    /// An attempt began after its client had left, or its request was over.
+    ForwardedAfterEnd(String, Duration),
+    /// A request that nobody sent reached a server.
+    NeverSent(String),
+    /// A request that may run once ran more often.
+    RanTwice(String, usize),
+    /// A request that may run once was rejected although it had run.
+    RejectedAfterRun(String),
+    /// A keyed request ran again after the deduplication window.
+    RepeatedTooLate(String, Duration),
+    /// A command was sent to a draining server after the grace period.
+    SentToDraining(String, Duration),
+    /// A process ended by itself.
+    Crashed(String),
+}
+
+/// What the rules depend on.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Within which a repeat of a keyed request is dropped by the servers.
+    pub dedup_window: Duration,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Terms { dedup_window: Duration::from_millis(2000) }
+    }
+}
+
+/// Returns every broken rule.
+pub fn judge(records: &Records, terms: Terms) -> Vec<Violation> {
+    let mut tries: HashMap<&str, Vec<&RequestRecord>> = HashMap::new();
+    for request in &records.requests {
+        tries.entry(&request.id).or_default().push(request);
+    }
+    let mut attempts: HashMap<&str, Vec<&AttemptRecord>> = HashMap::new();
+    for attempt in &records.attempts {
+        attempts.entry(&attempt.id).or_default().push(attempt);
+    }
+    let mut violations = Vec::new();
+    violations.extend(records.requests.iter().filter_map(|request| answer_violation(request, records)));
+    violations.extend(truncations(records));
+    violations.extend(
+        records
+            .surplus
+            .iter()
+            .map(|(connection, text)| Violation::Surplus(format!("connection {connection}: {text}"))),
+    );
+    for (id, attempts) in &attempts {
+        let tries = tries.get(id).map_or(&[][..], Vec::as_slice);
+        violations.extend(attempts.iter().filter_map(|attempt| forwarding_violation(attempt, tries)));
+        violations.extend(effect_violation(tries, attempts, terms));
+    }
+    violations.extend(drain_violations(records));
+    let crashes = records.processes.iter().filter_map(|process| process.crash.clone());
+    violations.extend(crashes.map(Violation::Crashed));
+    violations
+}
+
+/// What is wrong with the answer to one try, or with the lack of it.
+fn answer_violation(request: &RequestRecord, records: &Records) -> Option<Violation> {
+    let written_at = request.written_at?;
+    let id =
+        || format!("{} on connection {}{}", request.id, request.connection, circumstances(request, records));
+    let deadline = written_at + request.deadline;
+    // The time spent waiting for the answers before it does not count.
+    let deadline = request.turn_at.map_or(deadline, |turn| turn.max(deadline));
+    let due = deadline + MAX_LATENESS;
+    let turn_came = request.position == 0 || request.turn_at.is_some();
+    let Some(answer) = &request.answer else {
+        let freed = match request.end {
+            RequestEnd::ClientLeft(_) | RequestEnd::ClosedUnread(_) => true,
+            RequestEnd::ClosedRead(at) => {
+                was_killed(request, written_at, turn_came.then_some(due), Some(at), records)
+            }
+            RequestEnd::Open => was_killed(request, written_at, turn_came.then_some(due), None, records),
+        };
+        return (!freed).then(|| Violation::Unanswered(id()));
+    };
+    let timed_at = if request.is_large { answer.began_at } else { answer.completed_at };
+    match &answer.form {
+        AnswerForm::Other(text) => Some(Violation::WrongAnswer(id(), text.clone())),
+        AnswerForm::Busy(None) => Some(Violation::NoRetryAfter(id())),
+        _ if timed_at > due => Some(Violation::Late(id(), timed_at - deadline)),
+        _ => None,
+    }
+}
+
+/// When the connection of a request ended, and what its processes did then.
+fn circumstances(request: &RequestRecord, records: &Records) -> String {
+    let (RequestEnd::ClosedRead(ended_at) | RequestEnd::ClosedUnread(ended_at)) = request.end else {
+        return String::new();
+    };
+    let ms = |from: Instant, to: Instant| match to.checked_duration_since(from) {
+        Some(after) => after.as_millis() as i64,
+        None => -(from.duration_since(to).as_millis() as i64),
+    };
+    let mut text = format!(", closed {} ms after its begin", ms(request.began_at, ended_at));
+    for process in records.processes.iter().filter(|process| process.proxy == request.proxy) {
+        text += &format!(", process started {} ms before", ms(process.started_at, ended_at));
+        text +=
+            &process.term_at.map_or(String::new(), |at| format!(" SIGTERM {} ms before", ms(at, ended_at)));
+        text +=
+            &process.killed_at.map_or(String::new(), |at| format!(" SIGKILL {} ms before", ms(at, ended_at)));
+    }
+    text
+}
+
+/// Whether SIGKILL ended the process that had this request, at a time at which it may still have been open. `due` is when its
+/// answer was due; `None` if it waited for the answers before it.
+fn was_killed(
+    request: &RequestRecord,
+    written_at: Instant,
+    due: Option<Instant>,
+    closed_at: Option<Instant>,
+    records: &Records,
+) -> bool {
+    let of_proxy = |process: &&ProcessRecord| process.proxy == request.proxy;
+    records.processes.iter().filter(of_proxy).any(|process| {
+        let Some(killed_at) = process.killed_at.filter(|at| *at >= request.began_at) else { return false };
+        let ended_then = closed_at.is_none_or(|at| at + SOCKET_SLACK >= killed_at);
+        // The kill came first: a successor has the connections that were opened after it.
+        let had_it = process.started_at <= request.began_at;
+        let is_open = due.is_none_or(|due| killed_at <= due);
+        let in_time = match process.term_at {
+            Some(term_at) => written_at <= term_at + LAST_TAKEN_AFTER_TERM && is_open,
+            None => is_open,
+        };
+        ended_then && had_it && in_time
+    })
+}
+
+/// Values that broke off although another command stood behind them.
+fn truncations(records: &Records) -> Vec<Violation> {
+    let mut connections: HashMap<u64, Vec<&RequestRecord>> = HashMap::new();
+    for request in &records.requests {
+        connections.entry(request.connection).or_default().push(request);
+    }
+    let broke_off = |request: &&RequestRecord| {
+        let Some(answer) = request.answer.as_ref().filter(|a| a.form == AnswerForm::Truncated) else {
+            return false;
+        };
+        let stands_behind = |other: &&RequestRecord| {
+            other.position > request.position && other.written_at.is_some_and(|at| at < answer.began_at)
+        };
+        connections[&request.connection].iter().any(stands_behind)
+            && !was_killed(request, answer.began_at, None, Some(answer.completed_at), records)
+    };
+    let broke_off = records.requests.iter().filter(broke_off);
+    broke_off.map(|request| Violation::TruncatedBeforeOthers(request.id.clone())).collect()
+}
+
+/// Whether an attempt began after every try of its request was over.
+fn forwarding_violation(attempt: &AttemptRecord, tries: &[&RequestRecord]) -> Option<Violation> {
+    let began = tries.iter().filter(|request| request.began_at <= attempt.began_at);
+    let Some(last_end) = began.map(|request| request.over_at()).reduce(latest_end) else {
+        return Some(Violation::NeverSent(attempt.id.clone()));
+    };
+    let late = attempt.began_at.checked_duration_since(last_end?)?;
+    (late > MAX_BEGIN_AFTER_END + SOCKET_SLACK)
+        .then(|| Violation::ForwardedAfterEnd(format!("{} at {}", attempt.id, attempt.server), late))
+}
+
+/// The later of two ends; a try that never ended ends last.
+fn latest_end(a: Option<Instant>, b: Option<Instant>) -> Option<Instant> {
+    Some(a?.max(b?))
+}
+
+/// What the class of a request forbids of its attempts.
+fn effect_violation(
+    tries: &[&RequestRecord],
+    attempts: &[&AttemptRecord],
+    terms: Terms,
+) -> Option<Violation> {
+    let request = tries.first()?;
+    let mut runs: Vec<Instant> = attempts.iter().filter(|a| a.ran).map(|a| a.began_at).collect();
+    runs.sort_unstable();
+    match request.class.effect {
+        Effect::Idempotent => None,
+        Effect::AtMostOnce if runs.len() > 1 => Some(Violation::RanTwice(request.id.clone(), runs.len())),
+        Effect::AtMostOnce => {
+            let first = *runs.first()?;
+            let rejected = |request: &&&RequestRecord| {
+                let answer = request.answer.as_ref();
+                answer.is_some_and(|a| matches!(a.form, AnswerForm::Busy(_)) && a.completed_at > first)
+            };
+            tries.iter().find(rejected).map(|request| Violation::RejectedAfterRun(request.id.clone()))
+        }
+        Effect::Deduplicated => {
+            let over = runs.last()?.duration_since(*runs.first()?);
+            (over > terms.dedup_window + SOCKET_SLACK)
+                .then(|| Violation::RepeatedTooLate(request.id.clone(), over))
+        }
+    }
+}
+
+/// Commands that began at a draining server after its grace period.
+fn drain_violations(records: &Records) -> Vec<Violation> {
+    let mut told: HashMap<&str, Instant> = HashMap::new();
+    for drain in &records.drains {
+        let first = told.entry(&drain.server).or_insert(drain.told_at);
+        *first = (*first).min(drain.told_at);
+    }
+    let late = |attempt: &AttemptRecord| {
+        let told_at = told.get(attempt.server.as_str())?;
+        let after = attempt.began_at.checked_duration_since(*told_at)?;
+        (after > DRAIN_GRACE + SOCKET_SLACK)
+            .then(|| Violation::SentToDraining(format!("{} at {}", attempt.id, attempt.server), after))
+    };
+    records.attempts.iter().filter_map(late).collect()
+}
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -3,16 +3,22 @@
 #![allow(dead_code)]
 
 pub mod crowd;
+pub mod discovery_service;
 pub mod fault_proxy;
+pub mod fleet;
 pub mod in_progress;
+pub mod judge;
 pub mod ordinary_clients;
 pub mod peak_memory;
 pub mod random;
 pub mod random_faults;
+pub mod recorded_client;
 pub mod recording_servers;
+pub mod records;
 pub mod small_buffer;
 pub mod small_buffer_origin;
 pub mod soak;
+pub mod stand_in;
 pub mod streaming_backend;
 
 use notchdoor_proxy::wire::resp::{write_command, Reader, Value};
--- a/cli/tests/common/peak_memory.rs
+++ b/cli/tests/common/peak_memory.rs
@@ -20,7 +20,8 @@
 
     fn status_kib(&self, name: &str) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
+        // A process that has ended and was not waited for has none.
+        let Some(line) = status.lines().find_map(|line| line.strip_prefix(name)) else { return 0 };
         line.trim().trim_end_matches(" kB").trim().parse().unwrap()
     }
 }
--- a/cli/tests/common/random_faults.rs
+++ b/cli/tests/common/random_faults.rs
@@ -1,18 +1,22 @@
-//! A proxy between the program and one of its servers that does random things to the replies: copies that come late, whole
-//! or in part, delays, and connections that are reset or end within a reply.
+//! A server that does random things to its replies and to its connections, and records each command with the time at which it
+//! began.
 
-use super::in_progress::{read_message, InProgress};
+use super::in_progress::InProgress;
 use super::random::Random;
+use super::records::{AttemptRecord, SharedRecords};
+use super::Handler;
+use notchdoor_proxy::wire::resp::{Reader, Value};
 use notchdoor_testbed::wire::frames::{Frames, Protocol};
 use socket2::SockRef;
-use std::io::{BufReader, Write};
+use std::collections::HashMap;
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// How likely each fault is for a reply.
-#[derive(Clone, Copy, Debug)]
+/// How likely each fault is for a reply, or for a connection.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
     /// A copy of an earlier reply comes later.
     pub copy: f64,
@@ -20,24 +24,65 @@
     pub part: f64,
     /// The reply is delayed.
     pub delay: f64,
+    /// The reply is delayed by up to [`MAX_LATE_MS`].
+    pub late: f64,
+    /// The reply comes in pieces.
+    pub pieces: f64,
     /// The connection is reset within the reply.
     pub reset: f64,
     /// The connection ends within the reply.
     pub cut: f64,
     /// Nothing more comes on the connection, which stays open.
     pub silence: f64,
+    /// The server closes the connection once it was idle for a while.
+    pub idle_close: f64,
+    /// An HTTP reply has no length, and ends with its connection.
+    pub unframed: f64,
+    /// An HTTP reply comes in chunks.
+    pub chunked: f64,
+}
+
+impl Faults {
+    /// Draws how likely each fault of small replies is.
+    pub fn draw(random: &mut Random) -> Faults {
+        let mut likely = |most: f64| most * random.below(1000) as f64 / 1000.0;
+        Faults {
+            copy: likely(0.4),
+            part: likely(0.5),
+            delay: likely(0.3),
+            late: likely(0.05),
+            pieces: likely(0.3),
+            reset: likely(0.02),
+            cut: likely(0.02),
+            silence: likely(0.01),
+            idle_close: likely(0.3),
+            unframed: likely(0.2),
+            chunked: likely(0.3),
+        }
+    }
 }
 
 /// The longest delay of a reply.
 const MAX_DELAY_MS: f64 = 60.0;
+/// The longest delay of a late reply.
+const MAX_LATE_MS: f64 = 700.0;
 /// How late a copy comes at most.
 const MAX_COPY_DELAY_MS: f64 = 40.0;
+/// The longest pause between two pieces of a reply.
+const MAX_PIECE_PAUSE_MS: f64 = 5.0;
+/// After what idle time a server closes a connection.
+const MIN_IDLE_MS: usize = 20;
+const MAX_IDLE_MS: usize = 1500;
 
 /// How long a silent connection stays open; longer than a run.
 const SILENCE: Duration = Duration::from_secs(20);
+/// Interval at which a server that hangs looks whether it goes on.
+const HANG_POLL: Duration = Duration::from_millis(2);
 
-/// A running proxy with faults.
-pub struct FaultyLink {
+/// A running server with faults.
+pub struct FaultyServer {
+    /// The name of the server in the records.
+    pub name: String,
     /// Where it listens.
     pub endpoint: SocketAddr,
     /// The copies sent.
@@ -46,83 +91,268 @@
     pub in_progress: InProgress,
     /// Once set, all connections fall silent with their next reply.
     pub silent: Arc<AtomicBool>,
+    state: Arc<ServerState>,
+}
+
+/// What the process of the server does.
+#[derive(Default)]
+struct ServerState {
+    /// It takes commands and does nothing with them until this is unset.
+    hangs: AtomicBool,
+    /// Its process has ended: connections are reset.
+    is_dead: AtomicBool,
+    /// The open connections, by their number.
+    connections: Mutex<HashMap<usize, Arc<TcpStream>>>,
+}
+
+impl ServerState {
+    fn wait_while_hanging(&self) {
+        while self.hangs.load(Ordering::SeqCst) && !self.is_dead.load(Ordering::SeqCst) {
+            std::thread::sleep(HANG_POLL);
+        }
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    let _ = stream.shutdown(Shutdown::Both);
 }
 
-impl FaultyLink {
-    /// Starts a link to `target`.
-    pub fn start(target: SocketAddr, protocol: Protocol, faults: Faults, seed: u64) -> FaultyLink {
+impl FaultyServer {
+    /// Starts a server that replies by this handler and records the commands under this name.
+    pub fn start(
+        name: &str,
+        (protocol, handler): (Protocol, Arc<Handler>),
+        faults: Faults,
+        seed: u64,
+        records: &SharedRecords,
+    ) -> FaultyServer {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let endpoint = listener.local_addr().unwrap();
-        let (copies, in_progress) = (Arc::new(AtomicUsize::new(0)), InProgress::default());
-        let silent = Arc::new(AtomicBool::new(false));
-        let counts = (Arc::clone(&copies), in_progress.clone(), Arc::clone(&silent));
+        let server = FaultyServer {
+            name: name.to_owned(),
+            endpoint,
+            copies: Arc::default(),
+            in_progress: InProgress::default(),
+            silent: Arc::default(),
+            state: Arc::default(),
+        };
+        let shared = Shared {
+            name: server.name.clone(),
+            protocol,
+            handler,
+            faults,
+            copies: Arc::clone(&server.copies),
+            in_progress: server.in_progress.clone(),
+            silent: Arc::clone(&server.silent),
+            state: Arc::clone(&server.state),
+            records: records.clone(),
+        };
         std::thread::spawn(move || {
-            for (number, client) in listener.incoming().flatten().enumerate() {
+            for (number, stream) in listener.incoming().flatten().enumerate() {
+                if shared.state.is_dead.load(Ordering::SeqCst) {
+                    reset(&stream);
+                    continue;
+                }
                 let random = Random::new(seed ^ (number as u64 + 1).wrapping_mul(0x9e37_79b9));
-                let (copies, in_progress, silent) = counts.clone();
+                let (shared, stream) = (shared.clone(), Arc::new(stream));
+                shared.state.connections.lock().unwrap().insert(number, Arc::clone(&stream));
                 std::thread::spawn(move || {
-                    let Ok(server) = TcpStream::connect(target) else { return };
-                    let mut connection =
-                        Connection::new((client, server), protocol, (faults, random), silent);
-                    while connection.forward_one(&copies, &in_progress).is_some() {}
+                    Connection::new(stream, random, shared.clone()).serve();
+                    shared.state.connections.lock().unwrap().remove(&number);
                 });
             }
         });
-        FaultyLink { endpoint, copies, in_progress, silent }
+        server
+    }
+
+    /// Makes the server hang, or go on.
+    pub fn set_hanging(&self, hangs: bool) {
+        self.state.hangs.store(hangs, Ordering::SeqCst);
+    }
+
+    /// Ends the process of the server: its connections are reset, and so are new ones.
+    pub fn kill(&self) {
+        self.state.is_dead.store(true, Ordering::SeqCst);
+        self.state.connections.lock().unwrap().drain().for_each(|(_, stream)| reset(&stream));
+    }
+}
+
+/// What the connections of a server share.
+#[derive(Clone)]
+struct Shared {
+    name: String,
+    protocol: Protocol,
+    handler: Arc<Handler>,
+    faults: Faults,
+    copies: Arc<AtomicUsize>,
+    in_progress: InProgress,
+    silent: Arc<AtomicBool>,
+    state: Arc<ServerState>,
+    records: SharedRecords,
+}
+
+/// The replying side of a connection; a copy and a reply are never written at the same time.
+#[derive(Clone)]
+struct ReplyWriter {
+    stream: Arc<TcpStream>,
+    in_use: Arc<Mutex<()>>,
+}
+
+impl ReplyWriter {
+    fn write(&self, bytes: &[u8]) -> Option<()> {
+        let _in_use = self.in_use.lock().unwrap();
+        (&*self.stream).write_all(bytes).ok()
     }
 }
 
 struct Connection {
-    client: TcpStream,
-    /// The same connection; a copy and a reply are never written at the same time.
-    writer: Arc<Mutex<TcpStream>>,
-    /// Buffered, since a large reply is read byte by byte.
-    server: BufReader<TcpStream>,
+    stream: Arc<TcpStream>,
+    writer: ReplyWriter,
     commands: Frames,
-    replies: Frames,
     earlier: Vec<Vec<u8>>,
-    faults: Faults,
     random: Random,
-    silent: Arc<AtomicBool>,
+    shared: Shared,
+}
+
+/// A command with the time at which its first byte came.
+struct Received {
+    began_at: Instant,
+    bytes: Vec<u8>,
+}
+
+/// Reads one message a byte at a time; `None` if the connection ends before.
+fn read_message(stream: &mut impl Read, frames: &mut Frames) -> Option<Received> {
+    let (mut bytes, mut byte, mut began_at) = (Vec::new(), [0], None);
+    loop {
+        stream.read_exact(&mut byte).ok()?;
+        began_at.get_or_insert_with(Instant::now);
+        bytes.push(byte[0]);
+        if frames.push(byte[0]) {
+            return Some(Received { began_at: began_at?, bytes });
+        }
+    }
+}
+
+/// The words of a backend command, or method, path and call id of an HTTP request.
+fn words(protocol: Protocol, command: &[u8]) -> Vec<String> {
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    match protocol {
+        Protocol::Resp => {
+            let mut reader = Reader::with_most(command.len());
+            reader.feed(command);
+            let Ok(Some(Value::Array(Some(words)))) = reader.next_value() else { return Vec::new() };
+            let word =
+                |word: Value| if let Value::Bulk(Some(bytes)) = word { text(&bytes) } else { String::new() };
+            words.into_iter().map(word).collect()
+        }
+        Protocol::Http => {
+            let head = command.windows(4).position(|window| window == b"\r\n\r\n").unwrap_or(command.len());
+            let head = text(&command[..head]);
+            let mut lines = head.split("\r\n");
+            let request_line = lines.next().unwrap_or_default().split(' ').take(2).map(str::to_owned);
+            let mut words: Vec<String> = request_line.collect();
+            words.extend(lines.find_map(|line| line.strip_prefix("X-Call-Id: ")).map(str::to_owned));
+            words
+        }
+    }
+}
+
+/// Whether a reply says that the request was carried out, or may have been.
+fn has_run(protocol: Protocol, reply: &[u8]) -> bool {
+    match protocol {
+        Protocol::Resp => !reply.starts_with(b"-BUSY") && !reply.starts_with(b"*3\r\n$-1\r\n"),
+        Protocol::Http => !reply.starts_with(b"HTTP/1.1 503") && !reply.starts_with(b"HTTP/1.1 504"),
+    }
 }
 
 impl Connection {
-    fn new(
-        (client, server): (TcpStream, TcpStream),
-        protocol: Protocol,
-        (faults, random): (Faults, Random),
-        silent: Arc<AtomicBool>,
-    ) -> Self {
-        for stream in [&client, &server] {
-            let _ = stream.set_nodelay(true);
-        }
-        let writer = Arc::new(Mutex::new(client.try_clone().expect("a second handle")));
-        let server = BufReader::new(server);
-        let (commands, replies) = (Frames::new(protocol), Frames::new(protocol));
-        Connection { client, writer, server, commands, replies, earlier: Vec::new(), faults, random, silent }
-    }
-
-    fn forward_one(&mut self, copies: &Arc<AtomicUsize>, in_progress: &InProgress) -> Option<()> {
-        let command = read_message(&mut self.client, &mut self.commands)?;
-        let reply = {
-            let _in_progress = in_progress.begin();
-            self.server.get_mut().write_all(&command).ok()?;
-            read_message(&mut self.server, &mut self.replies)?
-        };
-        if self.silent.load(Ordering::SeqCst) || self.random.chance(self.faults.silence) {
+    fn new(stream: Arc<TcpStream>, random: Random, shared: Shared) -> Self {
+        let _ = stream.set_nodelay(true);
+        let writer = ReplyWriter { stream: Arc::clone(&stream), in_use: Arc::default() };
+        let commands = Frames::new(shared.protocol);
+        Connection { stream, writer, commands, earlier: Vec::new(), random, shared }
+    }
+
+    /// Replies to commands until the connection ends, or has been idle for a time that may be drawn.
+    fn serve(mut self) {
+        let idle = self.random.chance(self.shared.faults.idle_close).then(|| {
+            let idle_ms = MIN_IDLE_MS + self.random.below(MAX_IDLE_MS - MIN_IDLE_MS);
+            Duration::from_millis(idle_ms as u64)
+        });
+        loop {
+            let _ = self.stream.set_read_timeout(idle);
+            match self.stream.peek(&mut [0]) {
+                Ok(n) if n > 0 => {}
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                _ => break,
+            }
+            let _ = self.stream.set_read_timeout(None);
+            if self.serve_one().is_none() {
+                break;
+            }
+        }
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+
+    fn serve_one(&mut self) -> Option<()> {
+        let (reply, faults) = (self.carry_out()?, self.shared.faults);
+        if self.shared.silent.load(Ordering::SeqCst) || self.random.chance(faults.silence) {
             std::thread::sleep(SILENCE);
             return None;
         }
-        if self.random.chance(self.faults.delay) {
+        if self.random.chance(faults.delay) {
             self.random.sleep(MAX_DELAY_MS);
         }
-        if self.random.chance(self.faults.reset) || self.random.chance(self.faults.cut) {
+        if self.random.chance(faults.late) {
+            self.random.sleep(MAX_LATE_MS);
+        }
+        if self.random.chance(faults.reset) || self.random.chance(faults.cut) {
             return self.end_within(&reply);
         }
-        self.writer.lock().unwrap().write_all(&reply).ok()?;
+        if self.shared.protocol == Protocol::Http && self.random.chance(faults.unframed) {
+            self.write(&without_length(&reply))?;
+            return None;
+        }
+        let chunked = self.shared.protocol == Protocol::Http && self.random.chance(faults.chunked);
+        let reply = if chunked { in_chunks(&reply) } else { reply };
+        self.write(&reply)?;
         self.earlier.push(reply);
-        if self.random.chance(self.faults.copy) {
-            self.send_copy(copies);
+        if self.random.chance(faults.copy) {
+            self.send_copy();
+        }
+        Some(())
+    }
+
+    /// Reads a command, carries it out and returns the reply.
+    fn carry_out(&mut self) -> Option<Vec<u8>> {
+        let command = read_message(&mut &*self.stream, &mut self.commands)?;
+        let _in_progress = self.shared.in_progress.begin();
+        self.shared.state.wait_while_hanging();
+        let words = words(self.shared.protocol, &command.bytes);
+        if words.first().is_some_and(|word| word == "PING") {
+            return Some(b"+PONG\r\n".to_vec());
+        }
+        let is_dead = self.shared.state.is_dead.load(Ordering::SeqCst);
+        let reply = if is_dead { None } else { (self.shared.handler)(&words) };
+        let ran = reply.as_ref().is_some_and(|reply| has_run(self.shared.protocol, reply));
+        let (server, began_at) = (self.shared.name.clone(), command.began_at);
+        let id = words.get(2).cloned().unwrap_or_default();
+        self.shared.records.attempt(AttemptRecord { id, server, began_at, ran });
+        reply
+    }
+
+    /// Writes a reply, in pieces if it is drawn.
+    fn write(&mut self, reply: &[u8]) -> Option<()> {
+        let length = match self.random.chance(self.shared.faults.pieces) {
+            true => 1 + self.random.below(reply.len().max(2) / 2),
+            false => reply.len().max(1),
+        };
+        for piece in reply.chunks(length.max(reply.len() / 8 + 1)) {
+            self.writer.write(piece)?;
+            if piece.len() < reply.len() {
+                self.random.sleep(MAX_PIECE_PAUSE_MS);
+            }
         }
         Some(())
     }
@@ -131,27 +361,52 @@
     fn end_within(&mut self, reply: &[u8]) -> Option<()> {
         let length = self.random.below(reply.len());
         let reset = self.random.chance(0.5);
-        let mut writer = self.writer.lock().unwrap();
-        writer.write_all(&reply[..length]).ok()?;
+        self.writer.write(&reply[..length])?;
         if reset {
-            SockRef::from(&*writer).set_linger(Some(Duration::ZERO)).ok()?;
+            SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO)).ok()?;
         }
-        writer.shutdown(Shutdown::Both).ok()?;
         None
     }
 
     /// Sends a copy of an earlier reply after a while, whatever the connection does meanwhile.
-    fn send_copy(&mut self, copies: &Arc<AtomicUsize>) {
+    fn send_copy(&mut self) {
         let mut copy = self.earlier[self.random.below(self.earlier.len())].clone();
-        if self.random.chance(self.faults.part) {
+        if self.random.chance(self.shared.faults.part) {
             copy.truncate(1 + self.random.below(copy.len()));
         }
-        let (writer, copies, mut random) = (Arc::clone(&self.writer), Arc::clone(copies), self.random.fork());
+        let (writer, copies) = (self.writer.clone(), Arc::clone(&self.shared.copies));
+        let mut random = self.random.fork();
         std::thread::spawn(move || {
             random.sleep(MAX_COPY_DELAY_MS);
-            if writer.lock().unwrap().write_all(&copy).is_ok() {
+            if writer.write(&copy).is_some() {
                 copies.fetch_add(1, Ordering::Relaxed);
             }
         });
     }
 }
+
+/// The head of an HTTP reply without its `Content-Length`, and the body.
+fn split_reply(reply: &[u8]) -> (String, &[u8]) {
+    let end = reply.windows(4).position(|window| window == b"\r\n\r\n").map_or(reply.len(), |at| at + 4);
+    let head = String::from_utf8_lossy(&reply[..end]);
+    let lines = head.split_inclusive("\r\n").filter(|line| !line.starts_with("Content-Length"));
+    (lines.collect(), &reply[end..])
+}
+
+fn without_length(reply: &[u8]) -> Vec<u8> {
+    let (head, body) = split_reply(reply);
+    [head.as_bytes(), body].concat()
+}
+
+fn in_chunks(reply: &[u8]) -> Vec<u8> {
+    let (head, body) = split_reply(reply);
+    let mut chunked = head.trim_end().as_bytes().to_vec();
+    chunked.extend_from_slice(b"\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for chunk in body.chunks(body.len() / 2 + 1) {
+        chunked.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+        chunked.extend_from_slice(chunk);
+        chunked.extend_from_slice(b"\r\n");
+    }
+    chunked.extend_from_slice(b"0\r\n\r\n");
+    chunked
+}
--- /dev/null
+++ b/cli/tests/common/recorded_client.rs
@@ -0,0 +1,518 @@
+//! Clients that record each request and how it ended. They send several commands at once, in pieces, with little time left,
+//! leave, rest, and send once more what was closed unread.
+
+use super::random::Random;
+use super::recording_servers::{value_of, Kind};
+use super::records::{AnswerForm, AnswerRecord, Class, Effect, RequestEnd, RequestRecord, SharedRecords};
+use super::TIMEOUT;
+use notchdoor_proxy::wire::resp::write_command;
+use notchdoor_proxy::wire::MAX_VALUE;
+use socket2::SockRef;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// What clients do, and how likely it is for each of their pipelines unless said otherwise.
+#[derive(Clone, Debug)]
+pub struct Habits {
+    /// The classes of requests: reads, keyed writes, writes that run at most once.
+    pub classes: [Class; 3],
+    /// The numbers of commands that are sent at once.
+    pub pipelines: Vec<usize>,
+    /// The commands come in pieces.
+    pub pieces: f64,
+    /// A command tells less time than its class has.
+    pub little_time: f64,
+    /// The client leaves before it has all answers.
+    pub leave: f64,
+    /// Having left, it sends the same ids once more.
+    pub repeat: f64,
+    /// It rests for up to [`Habits::max_rest_ms`] before it goes on.
+    pub rest: f64,
+    pub max_rest_ms: f64,
+    /// A read asks for a large value.
+    pub large_reads: f64,
+    /// A write has a large value.
+    pub large_writes: f64,
+    /// A read asks for a key that makes servers reject or fail.
+    pub failures: f64,
+    /// Bytes each second that a client takes of a large value, one of these for each client; 0: as fast as they come.
+    pub paces: Vec<usize>,
+}
+
+/// The shortest time that a command tells.
+const MIN_TIME: Duration = Duration::from_millis(15);
+/// How long a client that leaves has waited at most.
+const MAX_STAY_MS: f64 = 150.0;
+const MAX_PAUSE_MS: f64 = 20.0;
+const MAX_PIECE_PAUSE_MS: f64 = 8.0;
+/// How long after the end of a connection its system has said whether bytes were left unread.
+const VERDICT_TIME: Duration = Duration::from_millis(900);
+const CONNECT_PAUSE: Duration = Duration::from_millis(5);
+/// The first kinds of [`Kind::ALL`], which servers neither reject nor fail.
+const KINDS_WITHOUT_FAILURE: usize = 3;
+const LARGE_VALUES: [usize; 3] = [70_000, 300_000, 1_000_000];
+const LARGE_WRITES: [usize; 3] = [100_000, 400_000, 2 * 1024 * 1024];
+/// Bytes of a large value that are read between two looks at the pace.
+const PACED_BYTES: usize = 32 * 1024;
+
+static NEXT_CONNECTION: AtomicU64 = AtomicU64::new(1);
+
+/// A command as a client sends it.
+#[derive(Clone)]
+pub struct Command {
+    pub id: String,
+    pub key: String,
+    pub class: Class,
+    pub deadline: Duration,
+    /// The value of a write.
+    pub value: Option<Vec<u8>>,
+}
+
+impl Command {
+    /// A read of a key that is there, or a small write.
+    pub fn new(id: &str, class: Class, is_write: bool) -> Command {
+        Command {
+            id: id.to_owned(),
+            key: format!("{}{id}", Kind::Value.prefix()),
+            class,
+            deadline: class.deadline,
+            value: is_write.then(|| b"v".to_vec()),
+        }
+    }
+
+    pub fn encode(&self) -> Vec<u8> {
+        let info = format!("c={},t=acme,d={}", self.class.name, self.deadline.as_millis());
+        let mut words: Vec<&[u8]> = vec![if self.value.is_some() { b"OBJ.SET" } else { b"OBJ.GET" }];
+        words.extend([self.key.as_bytes(), self.id.as_bytes(), info.as_bytes()]);
+        words.extend(self.value.as_deref());
+        let mut bytes = Vec::new();
+        write_command(&mut bytes, &words);
+        bytes
+    }
+
+    fn expected(&self) -> Vec<u8> {
+        value_of(&self.key, &self.id)
+    }
+}
+
+/// A connection of a client, with the records of what it sent.
+pub struct RecordedConnection {
+    reader: BufReader<TcpStream>,
+    number: u64,
+    proxy: usize,
+    /// What was sent, the oldest first.
+    sent: Vec<(Command, RequestRecord)>,
+    /// How many of these were answered.
+    answered: usize,
+    last_answer_at: Option<Instant>,
+}
+
+/// A connection that the program closed; whether it had read everything shows a little later.
+struct Closed {
+    connection: RecordedConnection,
+    at: Instant,
+    /// Its system has reported a reset.
+    is_reset: bool,
+}
+
+impl RecordedConnection {
+    /// Connects to a proxy.
+    pub fn open(proxy: usize, address: SocketAddr) -> Option<RecordedConnection> {
+        RecordedConnection::on(TcpStream::connect(address).ok()?, proxy)
+    }
+
+    /// Uses a connection that is open already.
+    pub fn on(stream: TcpStream, proxy: usize) -> Option<RecordedConnection> {
+        stream.set_read_timeout(Some(TIMEOUT)).ok()?;
+        stream.set_write_timeout(Some(TIMEOUT)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        let number = NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed);
+        let reader = BufReader::new(stream);
+        Some(RecordedConnection {
+            reader,
+            number,
+            proxy,
+            sent: Vec::new(),
+            answered: 0,
+            last_answer_at: None,
+        })
+    }
+
+    pub fn stream(&self) -> &TcpStream {
+        self.reader.get_ref()
+    }
+
+    /// Sends commands, cut into pieces of at most this many bytes with pauses between them. `None` if the connection ended.
+    pub fn send(&mut self, commands: &[Command], pieces: Option<(usize, &mut Random)>) -> Option<()> {
+        let (mut bytes, mut ends, first) = (Vec::new(), Vec::new(), self.sent.len());
+        for command in commands {
+            bytes.extend(command.encode());
+            ends.push(bytes.len());
+            self.push(command);
+        }
+        let (piece_bytes, mut random) = match pieces {
+            Some((piece_bytes, random)) => (piece_bytes.max(1), Some(random)),
+            None => (bytes.len().max(1), None),
+        };
+        let mut written = 0;
+        for piece in bytes.chunks(piece_bytes) {
+            self.reader.get_mut().write_all(piece).ok()?;
+            written += piece.len();
+            let now = Instant::now();
+            for (end, (_, record)) in ends.iter().zip(&mut self.sent[first..]) {
+                if *end <= written && record.written_at.is_none() {
+                    record.written_at = Some(now);
+                }
+            }
+            if let Some(random) = random.as_mut().filter(|_| written < bytes.len()) {
+                random.sleep(MAX_PIECE_PAUSE_MS);
+            }
+        }
+        Some(())
+    }
+
+    /// Records a command whose bytes the caller writes.
+    pub fn push(&mut self, command: &Command) {
+        let record = RequestRecord {
+            id: command.id.clone(),
+            class: command.class,
+            deadline: command.deadline,
+            proxy: self.proxy,
+            connection: self.number,
+            position: self.sent.len(),
+            began_at: Instant::now(),
+            written_at: None,
+            turn_at: None,
+            is_large: command.value.is_none() && command.expected().len() > MAX_VALUE,
+            answer: None,
+            end: RequestEnd::Open,
+        };
+        self.sent.push((command.clone(), record));
+    }
+
+    /// Says that the last byte of the command sent last was written.
+    pub fn written(&mut self) {
+        if let Some((_, record)) = self.sent.last_mut() {
+            record.written_at = Some(Instant::now());
+        }
+    }
+
+    /// Number of commands without an answer.
+    pub fn unanswered(&self) -> usize {
+        self.sent.len() - self.answered
+    }
+
+    /// Reads the answer to the oldest command without one, at a pace. Returns whether the connection goes on.
+    pub fn read_answer(&mut self, pace: usize) -> Result<(), Ended> {
+        let (command, record) = &mut self.sent[self.answered];
+        record.turn_at = self.last_answer_at;
+        let mut line = Vec::new();
+        match self.reader.read_until(b'\n', &mut line) {
+            Ok(_) if line.ends_with(b"\n") => {}
+            Ok(_) => return Err(Ended::Closed),
+            Err(error) if is_timeout(&error) => return Err(Ended::Silent),
+            Err(_) => return Err(Ended::Reset),
+        }
+        let (began_at, mut ended) = (Instant::now(), None);
+        let line = String::from_utf8_lossy(&line).trim_end().to_owned();
+        let form = match line.strip_prefix('$').and_then(|text| text.parse::<usize>().ok()) {
+            Some(length) => match read_value(&mut self.reader, length, pace) {
+                Ok(value) if value == command.expected() => AnswerForm::MadeForIt,
+                Ok(value) => AnswerForm::Other(String::from_utf8_lossy(&value[..value.len().min(80)]).into()),
+                Err(end) => {
+                    ended = Some(end);
+                    AnswerForm::Truncated
+                }
+            },
+            None => match line.strip_prefix("-BUSY") {
+                Some(rest) => AnswerForm::Busy(rest.trim().parse().ok()),
+                None if line.starts_with('-') => AnswerForm::Failed,
+                None => AnswerForm::Other(line),
+            },
+        };
+        let completed_at = Instant::now();
+        record.answer = Some(AnswerRecord { form, began_at, completed_at });
+        self.last_answer_at = Some(completed_at);
+        self.answered += 1;
+        ended.map_or(Ok(()), Err)
+    }
+
+    /// Whether the program has closed a connection on which nothing is asked. Records bytes that nobody asked for.
+    pub fn is_closed_at_rest(&mut self, records: &SharedRecords) -> bool {
+        let surplus = String::from_utf8_lossy(self.reader.buffer()).into_owned();
+        let stream = self.reader.get_ref();
+        let _ = stream.set_nonblocking(true);
+        let mut buffer = [0; 80];
+        let peeked = stream.peek(&mut buffer);
+        let _ = stream.set_nonblocking(false);
+        let (ended, more) = match peeked {
+            Ok(0) => (true, String::new()),
+            Ok(n) => (false, String::from_utf8_lossy(&buffer[..n]).into_owned()),
+            Err(error) => (error.kind() != ErrorKind::WouldBlock, String::new()),
+        };
+        if !surplus.is_empty() || !more.is_empty() {
+            records.lock().surplus.push((self.number, surplus + &more));
+        }
+        ended
+    }
+
+    /// Closes or resets the connection as a client that leaves.
+    pub fn leave(mut self, by_reset: bool, records: &SharedRecords) -> Vec<Command> {
+        if by_reset {
+            let _ = SockRef::from(self.stream()).set_linger(Some(Duration::ZERO));
+        }
+        let unanswered = self.sent.split_off(self.answered);
+        let answered: Vec<RequestRecord> = self.sent.drain(..).map(|(_, record)| record).collect();
+        drop(self);
+        let left_at = Instant::now();
+        let (commands, left): (Vec<Command>, Vec<RequestRecord>) = unanswered
+            .into_iter()
+            .map(|(command, record)| {
+                (command, RequestRecord { end: RequestEnd::ClientLeft(left_at), ..record })
+            })
+            .unzip();
+        records.requests(answered.into_iter().chain(left));
+        commands
+    }
+
+    /// Hands the records on while the connection is open.
+    pub fn finish(self, records: &SharedRecords) {
+        records.requests(self.sent.into_iter().map(|(_, record)| record));
+    }
+
+    fn closed(self, ended: Ended) -> Closed {
+        Closed { connection: self, at: Instant::now(), is_reset: ended == Ended::Reset }
+    }
+
+    /// Waits until it shows whether the program, which has closed this connection, had read everything, and hands the
+    /// records on. Returns the commands to send once more.
+    pub fn settle(self, ended: Ended, records: &SharedRecords) -> Vec<Command> {
+        if ended == Ended::Silent {
+            self.finish(records);
+            return Vec::new();
+        }
+        self.closed(ended).settle(records)
+    }
+}
+
+impl Closed {
+    /// The commands that were left unread. Of several commands some may have been read: of those, only the ones that may run
+    /// again.
+    fn commands_to_repeat(&self) -> Vec<Command> {
+        let unanswered = &self.connection.sent[self.connection.answered..];
+        let is_only = unanswered.len() == 1;
+        let may_repeat = |(command, record): &&(Command, RequestRecord)| {
+            let is_unread = matches!(record.end, RequestEnd::ClosedUnread(_)) && record.written_at.is_some();
+            is_unread && (is_only || command.class.effect == Effect::Idempotent)
+        };
+        unanswered.iter().filter(may_repeat).map(|(command, _)| command.clone()).collect()
+    }
+
+    fn is_due(&self) -> bool {
+        self.at.elapsed() >= VERDICT_TIME
+    }
+
+    /// Hands the records on. Returns the commands to send once more.
+    fn settle(mut self, records: &SharedRecords) -> Vec<Command> {
+        if self.connection.unanswered() > 0 && !self.is_reset {
+            std::thread::sleep((self.at + VERDICT_TIME).saturating_duration_since(Instant::now()));
+            self.is_reset = !matches!(self.connection.stream().take_error(), Ok(None));
+        }
+        let end = match self.is_reset {
+            true => RequestEnd::ClosedUnread(self.at),
+            false => RequestEnd::ClosedRead(self.at),
+        };
+        let answered = self.connection.answered;
+        for (_, record) in &mut self.connection.sent[answered..] {
+            record.end = end;
+        }
+        let commands = self.commands_to_repeat();
+        self.connection.finish(records);
+        commands
+    }
+}
+
+/// Why no answer came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The program closed the connection.
+    Closed,
+    /// The connection was reset.
+    Reset,
+    /// Nothing came for longer than any deadline.
+    Silent,
+}
+
+fn is_timeout(error: &std::io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
+}
+
+/// Reads a value and the end of its line.
+fn read_value(reader: &mut impl Read, length: usize, pace: usize) -> Result<Vec<u8>, Ended> {
+    let (began_at, mut value) = (Instant::now(), vec![0; length + 2]);
+    for (n, piece) in value.chunks_mut(PACED_BYTES).enumerate() {
+        reader.read_exact(piece).map_err(|error| match error.kind() {
+            ErrorKind::UnexpectedEof => Ended::Closed,
+            _ if is_timeout(&error) => Ended::Silent,
+            _ => Ended::Reset,
+        })?;
+        if pace > 0 {
+            let due = Duration::from_secs_f64((n * PACED_BYTES) as f64 / pace as f64);
+            std::thread::sleep(due.saturating_sub(began_at.elapsed()));
+        }
+    }
+    value.truncate(length);
+    Ok(value)
+}
+
+/// A client that uses one connection after another.
+pub struct RecordedClient<'a> {
+    name: String,
+    habits: &'a Habits,
+    pace: usize,
+    random: Random,
+    records: &'a SharedRecords,
+    commands: usize,
+    closed: Vec<Closed>,
+    /// The proxy to which the commands of a client that left are sent once more.
+    left_proxy: Option<usize>,
+}
+
+impl<'a> RecordedClient<'a> {
+    pub fn new(name: String, habits: &'a Habits, mut random: Random, records: &'a SharedRecords) -> Self {
+        let pace = habits.paces.get(random.below(habits.paces.len())).copied().unwrap_or_default();
+        RecordedClient {
+            name,
+            habits,
+            pace,
+            random,
+            records,
+            commands: 0,
+            closed: Vec::new(),
+            left_proxy: None,
+        }
+    }
+
+    /// Sends requests to these proxies until `done`.
+    pub fn run(mut self, proxies: &[SocketAddr], done: &AtomicBool) {
+        let mut to_repeat = Vec::new();
+        while !done.load(Ordering::Relaxed) {
+            // Proxies do not know the ids of each other.
+            let drawn = self.random.below(proxies.len());
+            let proxy = self.left_proxy.take().unwrap_or(drawn);
+            let Some(connection) = RecordedConnection::open(proxy, proxies[proxy]) else {
+                std::thread::sleep(CONNECT_PAUSE);
+                continue;
+            };
+            to_repeat = self.use_connection(connection, std::mem::take(&mut to_repeat), done);
+            let (due, waiting): (Vec<Closed>, Vec<Closed>) =
+                std::mem::take(&mut self.closed).into_iter().partition(Closed::is_due);
+            self.closed = waiting;
+            to_repeat.extend(due.into_iter().flat_map(|closed| closed.settle(self.records)));
+        }
+        for closed in self.closed {
+            closed.settle(self.records);
+        }
+    }
+
+    /// Uses a connection until it ends or `done`. Returns the commands to send once more on another one.
+    fn use_connection(
+        &mut self,
+        mut connection: RecordedConnection,
+        mut to_repeat: Vec<Command>,
+        done: &AtomicBool,
+    ) -> Vec<Command> {
+        loop {
+            let is_repeat = !to_repeat.is_empty();
+            let commands = match is_repeat {
+                true => std::mem::take(&mut to_repeat),
+                false => self.draw_pipeline(),
+            };
+            let longest = commands.iter().map(|command| command.encode().len()).max().unwrap_or_default();
+            let in_pieces = self.random.chance(self.habits.pieces);
+            let piece_bytes = 1 + self.random.below(longest.max(2));
+            let pieces = in_pieces.then_some((piece_bytes.max(longest / 20), &mut self.random));
+            let ended = match connection.send(&commands, pieces) {
+                Some(()) if !is_repeat && self.random.chance(self.habits.leave) => {
+                    return self.leave(connection);
+                }
+                Some(()) => self.read_answers(&mut connection),
+                None => Err(Ended::Reset),
+            };
+            if let Err(ended) = ended {
+                if ended == Ended::Silent {
+                    connection.finish(self.records);
+                    return Vec::new();
+                }
+                self.closed.push(connection.closed(ended));
+                return Vec::new();
+            }
+            if self.random.chance(self.habits.rest) {
+                self.random.sleep(self.habits.max_rest_ms);
+            } else {
+                self.random.sleep(MAX_PAUSE_MS);
+            }
+            if connection.is_closed_at_rest(self.records) || done.load(Ordering::Relaxed) {
+                connection.finish(self.records);
+                return Vec::new();
+            }
+        }
+    }
+
+    fn read_answers(&mut self, connection: &mut RecordedConnection) -> Result<(), Ended> {
+        while connection.unanswered() > 0 {
+            connection.read_answer(self.pace)?;
+        }
+        Ok(())
+    }
+
+    fn leave(&mut self, connection: RecordedConnection) -> Vec<Command> {
+        self.random.sleep(MAX_STAY_MS);
+        let proxy = connection.proxy;
+        let commands = connection.leave(self.random.chance(0.5), self.records);
+        if self.random.chance(self.habits.repeat) {
+            self.left_proxy = Some(proxy);
+            return commands;
+        }
+        Vec::new()
+    }
+
+    fn draw_pipeline(&mut self) -> Vec<Command> {
+        let pipelines = &self.habits.pipelines;
+        let length = pipelines.get(self.random.below(pipelines.len())).copied().unwrap_or(1);
+        (0..length).map(|_| self.draw_command()).collect()
+    }
+
+    fn draw_command(&mut self) -> Command {
+        self.commands += 1;
+        let (habits, random) = (self.habits, &mut self.random);
+        let id = format!("{}n{}", self.name, self.commands);
+        let class = habits.classes[[0, 0, 0, 1, 2][random.below(5)]];
+        let deadline = match random.chance(habits.little_time) {
+            true => {
+                let most = class.deadline.saturating_sub(MIN_TIME).as_millis() as usize;
+                MIN_TIME + Duration::from_millis(random.below(most) as u64)
+            }
+            false => class.deadline,
+        };
+        let is_write = class != habits.classes[0] && random.chance(0.7);
+        let value = match is_write {
+            true if random.chance(habits.large_writes) => Some(vec![b'v'; LARGE_WRITES[random.below(3)]]),
+            true => Some(b"v".to_vec()),
+            false => None,
+        };
+        let key = match is_write {
+            false if random.chance(habits.large_reads) => {
+                format!("large-{}-{id}", LARGE_VALUES[random.below(3)])
+            }
+            _ => {
+                let fails = random.chance(habits.failures) && value.as_ref().is_none_or(|v| v.len() == 1);
+                let kinds = if fails { Kind::ALL.len() } else { KINDS_WITHOUT_FAILURE };
+                format!("{}{id}", Kind::ALL[random.below(kinds)].prefix())
+            }
+        };
+        Command { id, key, class, deadline, value }
+    }
+}
--- a/cli/tests/common/recording_servers.rs
+++ b/cli/tests/common/recording_servers.rs
@@ -1,6 +1,6 @@
 //! Caches and an origin that make a value of its own for each request and record how often each one ran.
 
-use super::{http_response, FakeServer};
+use super::{hit_response, http_response, FakeServer, Handler};
 use notchdoor_proxy::wire::resp::Value;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -28,7 +28,12 @@
 
     /// The kind of a key.
     pub fn of(key: &str) -> Kind {
-        Kind::ALL.into_iter().find(|kind| key.starts_with(kind.prefix())).expect("a key of a kind")
+        Kind::find(key).expect("a key of a kind")
+    }
+
+    /// The kind of a key, if it has one.
+    pub fn find(key: &str) -> Option<Kind> {
+        Kind::ALL.into_iter().find(|kind| key.starts_with(kind.prefix()))
     }
 
     /// The start of keys of this kind.
@@ -43,6 +48,27 @@
     }
 }
 
+/// The beginning of keys of large values, which is followed by their length in bytes.
+const LARGE_PREFIX: &str = "large-";
+
+/// The value or receipt that a server makes for a request, by its key.
+pub fn value_of(key: &str, id: &str) -> Vec<u8> {
+    match large_value_bytes(key) {
+        Some(length) => id.bytes().cycle().take(length).collect(),
+        None => value_for(id, Kind::of(key)).into_bytes(),
+    }
+}
+
+/// The value of a key of clients that do not check it: 1 MiB if the key begins with `long`.
+fn other_value(key: &str) -> String {
+    "x".repeat(if key.starts_with("long") { 1024 * 1024 } else { 2 })
+}
+
+/// The length of the value of a key that asks for a large one.
+fn large_value_bytes(key: &str) -> Option<usize> {
+    key.strip_prefix(LARGE_PREFIX)?.split('-').next()?.parse().ok()
+}
+
 /// The value or receipt that a server makes for a request.
 pub fn value_for(id: &str, kind: Kind) -> String {
     if kind == Kind::LongValue {
@@ -103,23 +129,43 @@
 
 /// Starts a cache.
 pub fn start_cache(runs: &Runs) -> FakeServer {
+    FakeServer::backend(cache_handler(runs))
+}
+
+/// Starts an origin.
+pub fn start_origin(runs: &Runs) -> FakeServer {
+    FakeServer::origin(origin_handler(runs))
+}
+
+/// The replies of a cache.
+pub fn cache_handler(runs: &Runs) -> Handler {
     let runs = Arc::clone(runs);
-    FakeServer::backend(Box::new(move |words| {
-        let mut kind = Kind::of(&words[1]);
+    Box::new(move |words| {
+        if large_value_bytes(&words[1]).is_some() {
+            record(&runs, &words[2], true);
+            return hit_response(&String::from_utf8(value_of(&words[1], &words[2])).expect("text"));
+        }
+        let Some(mut kind) = Kind::find(&words[1]) else { return hit_response(&other_value(&words[1])) };
         if kind == Kind::Miss && runs.lock().unwrap().contains_key(&words[2]) {
             kind = Kind::Value;
         }
         record(&runs, &words[2], matches!(kind, Kind::Value | Kind::LongValue | Kind::Error));
         Some(cache_reply(kind, &words[2]))
-    }))
+    })
 }
 
-/// Starts an origin.
-pub fn start_origin(runs: &Runs) -> FakeServer {
+/// The responses of an origin.
+pub fn origin_handler(runs: &Runs) -> Handler {
     let runs = Arc::clone(runs);
-    FakeServer::origin(Box::new(move |request| {
-        let kind = Kind::of(request[1].trim_start_matches('/'));
+    Box::new(move |request| {
+        let key = request[1].trim_start_matches('/');
+        if large_value_bytes(key).is_some() {
+            record(&runs, &request[2], true);
+            let value = String::from_utf8(value_of(key, &request[2])).expect("text");
+            return http_response("200 OK", &value);
+        }
+        let Some(kind) = Kind::find(key) else { return http_response("200 OK", "ok") };
         record(&runs, &request[2], kind != Kind::Busy);
         Some(origin_reply(kind, &request[2]))
-    }))
+    })
 }
--- /dev/null
+++ b/cli/tests/common/records.rs
@@ -0,0 +1,163 @@
+//! What clients, servers, discovery and the starter of the processes saw, for the judge.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Idempotent,
+    AtMostOnce,
+    /// Servers drop a repeat within the deduplication window.
+    Deduplicated,
+}
+
+impl Effect {
+    /// The name in the settings.
+    pub fn name(self) -> &'static str {
+        match self {
+            Effect::Idempotent => "idempotent",
+            Effect::AtMostOnce => "at_most_once",
+            Effect::Deduplicated => "deduplicated",
+        }
+    }
+}
+
+/// A class of the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Class {
+    pub name: &'static str,
+    pub effect: Effect,
+    pub deadline: Duration,
+}
+
+/// What a client got for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AnswerForm {
+    /// The value or receipt that a server made for this request.
+    MadeForIt,
+    /// Another value, or no answer of the protocol.
+    Other(String),
+    /// `-BUSY`, with the time to stay away in milliseconds, if any.
+    Busy(Option<u64>),
+    /// An error.
+    Failed,
+    /// The connection ended within a value.
+    Truncated,
+}
+
+/// An answer, whole unless its form is [`AnswerForm::Truncated`].
+#[derive(Clone, Debug)]
+pub struct AnswerRecord {
+    pub form: AnswerForm,
+    pub began_at: Instant,
+    pub completed_at: Instant,
+}
+
+/// How the connection of a request ended for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestEnd {
+    /// It was answered, or its connection is still open.
+    Open,
+    /// The client closed or reset its connection.
+    ClientLeft(Instant),
+    /// The program closed the connection, and its system reported unread bytes by a reset.
+    ClosedUnread(Instant),
+    /// The program closed the connection after it had read everything.
+    ClosedRead(Instant),
+}
+
+/// One try of a client: a command that it wrote on one connection.
+#[derive(Clone, Debug)]
+pub struct RequestRecord {
+    pub id: String,
+    pub class: Class,
+    /// The time that the command tells.
+    pub deadline: Duration,
+    /// The proxy that it was sent to.
+    pub proxy: usize,
+    /// A number for each client connection.
+    pub connection: u64,
+    /// Its place among the commands of the connection.
+    pub position: usize,
+    pub began_at: Instant,
+    /// When the last byte was written; `None` if the client wrote only part of it.
+    pub written_at: Option<Instant>,
+    /// When the answer before it on its connection was complete, if there was one.
+    pub turn_at: Option<Instant>,
+    /// Its value is above 64 KiB: the first bytes of the answer are timed.
+    pub is_large: bool,
+    pub answer: Option<AnswerRecord>,
+    pub end: RequestEnd,
+}
+
+impl RequestRecord {
+    /// When the request was over for its client; `None` if it never was.
+    pub fn over_at(&self) -> Option<Instant> {
+        match (&self.answer, self.end) {
+            (_, RequestEnd::ClientLeft(at)) => Some(at),
+            (Some(answer), _) => Some(answer.completed_at),
+            (None, RequestEnd::ClosedUnread(at) | RequestEnd::ClosedRead(at)) => Some(at),
+            (None, RequestEnd::Open) => None,
+        }
+    }
+}
+
+/// A command at a server.
+#[derive(Clone, Debug)]
+pub struct AttemptRecord {
+    pub id: String,
+    pub server: String,
+    /// When its first byte came.
+    pub began_at: Instant,
+    /// Whether the server carried it out.
+    pub ran: bool,
+}
+
+/// A server that discovery has said to drain or to be gone.
+#[derive(Clone, Debug)]
+pub struct DrainRecord {
+    pub server: String,
+    /// When the last proxy counted as told.
+    pub told_at: Instant,
+}
+
+/// One process of a proxy.
+#[derive(Clone, Debug)]
+pub struct ProcessRecord {
+    pub proxy: usize,
+    pub started_at: Instant,
+    pub term_at: Option<Instant>,
+    pub killed_at: Option<Instant>,
+    /// How it ended, if not by SIGKILL and not with exit code 0.
+    pub crash: Option<String>,
+}
+
+/// All records of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Records {
+    pub requests: Vec<RequestRecord>,
+    pub attempts: Vec<AttemptRecord>,
+    pub drains: Vec<DrainRecord>,
+    pub processes: Vec<ProcessRecord>,
+    /// Bytes that came on a client connection that waited for no answer, by its number.
+    pub surplus: Vec<(u64, String)>,
+}
+
+/// Records that several threads write.
+#[derive(Clone, Default)]
+pub struct SharedRecords(Arc<Mutex<Records>>);
+
+impl SharedRecords {
+    pub fn lock(&self) -> MutexGuard<'_, Records> {
+        self.0.lock().expect("a writer of records panicked")
+    }
+
+    pub fn attempt(&self, attempt: AttemptRecord) {
+        self.lock().attempts.push(attempt);
+    }
+
+    pub fn requests(&self, requests: impl IntoIterator<Item = RequestRecord>) {
+        self.lock().requests.extend(requests);
+    }
+}
--- a/cli/tests/common/small_buffer_origin.rs
+++ b/cli/tests/common/small_buffer_origin.rs
@@ -1,5 +1,7 @@
 //! An origin that takes the bodies of writes at a pace, with a small receive buffer, so that the rest stays with the proxy.
 
+use super::recording_servers::{value_of, Kind};
+use super::records::{AttemptRecord, SharedRecords};
 use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -30,6 +32,11 @@
 
 impl SmallBufferOrigin {
     pub fn start(reading: Reading) -> SmallBufferOrigin {
+        SmallBufferOrigin::recording(reading, &SharedRecords::default())
+    }
+
+    /// Starts an origin that records the writes, and those that were received to their end as run.
+    pub fn recording(reading: Reading, records: &SharedRecords) -> SmallBufferOrigin {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
         // Accepted connections have it too.
         socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
@@ -38,11 +45,11 @@
         let listener = TcpListener::from(socket);
         let endpoint = listener.local_addr().unwrap();
         let completed = Arc::new(Mutex::new(Vec::new()));
-        let ids = Arc::clone(&completed);
+        let (ids, records) = (Arc::clone(&completed), records.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let ids = Arc::clone(&ids);
-                std::thread::spawn(move || serve(stream, reading, &ids));
+                let (ids, records) = (Arc::clone(&ids), records.clone());
+                std::thread::spawn(move || serve(stream, reading, &ids, &records));
             }
         });
         SmallBufferOrigin { endpoint, completed }
@@ -59,21 +66,37 @@
     }
 }
 
-fn serve(stream: TcpStream, reading: Reading, completed: &Mutex<Vec<String>>) -> Option<()> {
+fn serve(
+    stream: TcpStream,
+    reading: Reading,
+    completed: &Mutex<Vec<String>>,
+    records: &SharedRecords,
+) -> Option<()> {
     let mut reader = BufReader::with_capacity(1024, stream);
     loop {
-        let (mut id, mut length, mut line) = (String::new(), 0, String::new());
+        let (mut id, mut key, mut length, mut line) = (String::new(), String::new(), 0, String::new());
+        reader.fill_buf().ok().filter(|bytes| !bytes.is_empty())?;
+        let began_at = Instant::now();
         while reader.read_line(&mut line).ok().filter(|n| *n > 0)? > 2 {
             match line.trim().split_once(": ") {
                 Some(("X-Call-Id", text)) => text.clone_into(&mut id),
                 Some(("Content-Length", text)) => length = text.parse().unwrap(),
+                None if key.is_empty() => line.split(" /").nth(1)?.split(' ').next()?.clone_into(&mut key),
                 _ => {}
             }
             line.clear();
         }
-        read_body(&mut reader, length, reading)?;
-        completed.lock().unwrap().push(id);
-        reader.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").ok()?;
+        let received = read_body(&mut reader, length, reading);
+        let ran = received.is_some();
+        records.attempt(AttemptRecord { id: id.clone(), server: "o".to_owned(), began_at, ran });
+        received?;
+        completed.lock().unwrap().push(id.clone());
+        let receipt = match Kind::find(&key) {
+            Some(_) => value_of(&key, &id),
+            None => b"ok".to_vec(),
+        };
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", receipt.len());
+        reader.get_mut().write_all(&[head.into_bytes(), receipt].concat()).ok()?;
     }
 }
 
--- /dev/null
+++ b/cli/tests/common/stand_in.rs
@@ -0,0 +1,65 @@
+//! A program between two others that breaks a rule on purpose, to show that the judge reports it.
+
+use super::TIMEOUT;
+use notchdoor_testbed::wire::frames::{Frames, Protocol};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+
+/// What a stand-in does after a command.
+pub enum Reply {
+    /// Sends these bytes.
+    Bytes(Vec<u8>),
+    /// Sends these bytes and closes the connection.
+    ThenClose(Vec<u8>),
+    /// Nothing; the connection stays open.
+    Nothing,
+}
+
+/// Starts a stand-in that handles each command by `answer`. Returns its address.
+pub fn start(protocol: Protocol, answer: impl Fn(&[u8]) -> Reply + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let endpoint = listener.local_addr().unwrap();
+    let answer = Arc::new(answer);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let answer = Arc::clone(&answer);
+            std::thread::spawn(move || serve(stream, protocol, &*answer));
+        }
+    });
+    endpoint
+}
+
+fn serve(mut stream: TcpStream, protocol: Protocol, answer: &dyn Fn(&[u8]) -> Reply) -> Option<()> {
+    let mut frames = Frames::new(protocol);
+    loop {
+        let command = read_message(&mut stream, &mut frames)?;
+        match answer(&command) {
+            Reply::Bytes(bytes) => stream.write_all(&bytes).ok()?,
+            Reply::ThenClose(bytes) => return stream.write_all(&bytes).ok(),
+            Reply::Nothing => {}
+        }
+    }
+}
+
+fn read_message(stream: &mut TcpStream, frames: &mut Frames) -> Option<Vec<u8>> {
+    let (mut message, mut byte) = (Vec::new(), [0]);
+    loop {
+        stream.read_exact(&mut byte).ok()?;
+        message.push(byte[0]);
+        if frames.push(byte[0]) {
+            return Some(message);
+        }
+    }
+}
+
+/// Sends a command on a connection of its own and returns the reply; empty if there is none.
+pub fn exchange(target: SocketAddr, protocol: Protocol, command: &[u8]) -> Vec<u8> {
+    let reply = || {
+        let mut stream = TcpStream::connect(target).ok()?;
+        stream.set_read_timeout(Some(TIMEOUT)).ok()?;
+        stream.write_all(command).ok()?;
+        read_message(&mut stream, &mut Frames::new(protocol))
+    };
+    reply().unwrap_or_default()
+}
--- /dev/null
+++ b/cli/tests/judge.rs
@@ -0,0 +1,316 @@
+//! The judge of the soaks reports each fault that it is there for: a stand-in round the real program commits it.
+
+mod common;
+
+use common::judge::{judge, Terms, Violation, MAX_LATENESS};
+use common::random_faults::{Faults, FaultyServer};
+use common::recorded_client::{Command, RecordedConnection};
+use common::recording_servers::{cache_handler, origin_handler, Runs};
+use common::records::{Class, DrainRecord, Effect, ProcessRecord, RequestEnd, SharedRecords};
+use common::stand_in::{exchange, start, Reply};
+use common::*;
+use notchdoor_testbed::wire::frames::Protocol;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const READ: Class = Class { name: "read", effect: Effect::Idempotent, deadline: Duration::from_millis(700) };
+const FIX: Class = Class { name: "fix", effect: Effect::Deduplicated, deadline: Duration::from_millis(700) };
+const CLOSE: Class =
+    Class { name: "close", effect: Effect::AtMostOnce, deadline: Duration::from_millis(600) };
+/// How long a client waits for an answer that does not come.
+const PATIENCE: Duration = Duration::from_millis(1500);
+
+/// The program with a cache node and the origin, whose commands are recorded.
+struct Setup {
+    records: SharedRecords,
+    cache: FaultyServer,
+    origin: FaultyServer,
+}
+
+impl Setup {
+    fn new() -> Setup {
+        let (records, runs) = (SharedRecords::default(), Runs::default());
+        let start = |name, protocol, handler| {
+            FaultyServer::start(name, (protocol, Arc::new(handler)), Faults::default(), 1, &records)
+        };
+        let cache = start("w", Protocol::Resp, cache_handler(&runs));
+        let origin = start("o", Protocol::Http, origin_handler(&runs));
+        Setup { records: records.clone(), cache, origin }
+    }
+
+    fn proxy(&self) -> Proxy {
+        self.proxy_with(self.cache.endpoint, self.origin.endpoint)
+    }
+
+    /// The program with servers at these addresses.
+    fn proxy_with(&self, cache: SocketAddr, origin: SocketAddr) -> Proxy {
+        let list =
+            [endpoint_entry_at("w", cache, "in_service", 0), endpoint_entry_at("o", origin, "in_service", 0)];
+        Proxy::start(&FakeDiscovery::start(), &list)
+    }
+
+    fn connect(&self, address: SocketAddr) -> RecordedConnection {
+        let connection = RecordedConnection::open(0, address).expect("a connection");
+        connection.stream().set_read_timeout(Some(PATIENCE)).unwrap();
+        connection
+    }
+
+    /// Sends commands at once and reads their answers.
+    fn ask(&self, address: SocketAddr, commands: &[Command]) {
+        let mut connection = self.connect(address);
+        connection.send(commands, None).expect("sent");
+        while connection.unanswered() > 0 {
+            if let Err(ended) = connection.read_answer(0) {
+                connection.settle(ended, &self.records);
+                return;
+            }
+        }
+        std::thread::sleep(Duration::from_millis(100));
+        connection.is_closed_at_rest(&self.records);
+        connection.finish(&self.records);
+    }
+
+    fn violations(&self) -> Vec<Violation> {
+        self.cache.in_progress.wait_until_idle();
+        self.origin.in_progress.wait_until_idle();
+        judge(&self.records.lock(), Terms::default())
+    }
+}
+
+fn read(id: &str) -> Command {
+    Command::new(id, READ, false)
+}
+
+/// Plays commands through a stand-in between the client and the program.
+fn violations_with(
+    commands: &[Command],
+    answer: impl Fn(Vec<u8>) -> Reply + Send + Sync + 'static,
+) -> Vec<Violation> {
+    let setup = Setup::new();
+    let proxy = setup.proxy();
+    let target = proxy.listen;
+    let front = start(Protocol::Resp, move |command| answer(exchange(target, Protocol::Resp, command)));
+    setup.ask(front, commands);
+    setup.violations()
+}
+
+macro_rules! assert_only {
+    ($violations:expr, $pattern:pat) => {
+        let violations: Vec<Violation> = $violations;
+        assert!(matches!(violations.as_slice(), [$pattern]), "{violations:?}");
+    };
+}
+
+#[test]
+fn judge_finds_nothing_in_a_play_without_a_fault() {
+    let commands = [
+        read("a"),
+        Command::new("b", FIX, true),
+        Command::new("c", CLOSE, true),
+        Command::new("d", CLOSE, false),
+    ];
+    assert_eq!(violations_with(&commands, Reply::Bytes), []);
+}
+
+#[test]
+fn judge_reports_a_request_that_is_read_and_whose_connection_is_closed() {
+    assert_only!(violations_with(&[read("a")], |_| Reply::ThenClose(Vec::new())), Violation::Unanswered(_));
+}
+
+#[test]
+fn judge_reports_a_request_that_is_never_answered() {
+    assert_only!(violations_with(&[read("a")], |_| Reply::Nothing), Violation::Unanswered(_));
+}
+
+#[test]
+fn judge_reports_a_late_answer() {
+    let late = READ.deadline + MAX_LATENESS + Duration::from_millis(100);
+    let answer = move |reply| {
+        std::thread::sleep(late);
+        Reply::Bytes(reply)
+    };
+    assert_only!(violations_with(&[read("a")], answer), Violation::Late(..));
+}
+
+#[test]
+fn judge_reports_an_answer_made_for_another_request() {
+    let other = |_| Reply::Bytes(b"$10\r\nmade-for-b\r\n".to_vec());
+    assert_only!(violations_with(&[read("a")], other), Violation::WrongAnswer(..));
+}
+
+#[test]
+fn judge_reports_a_second_answer() {
+    let twice = |reply: Vec<u8>| Reply::Bytes(reply.repeat(2));
+    assert_only!(violations_with(&[read("a")], twice), Violation::Surplus(_));
+}
+
+#[test]
+fn judge_reports_a_value_that_breaks_off_before_other_commands() {
+    let cut = |reply: Vec<u8>| Reply::ThenClose(reply[..reply.len() / 2].to_vec());
+    assert_only!(violations_with(&[read("a"), read("b")], cut), Violation::TruncatedBeforeOthers(_));
+}
+
+#[test]
+fn judge_reports_a_rejection_without_a_time_to_come_back() {
+    let reject = |_| Reply::Bytes(b"-BUSY\r\n".to_vec());
+    assert_only!(violations_with(&[read("a")], reject), Violation::NoRetryAfter(_));
+}
+
+#[test]
+fn judge_reports_a_rejection_of_what_has_run() {
+    let reject = |_| Reply::Bytes(b"-BUSY 5\r\n".to_vec());
+    assert_only!(violations_with(&[Command::new("a", CLOSE, true)], reject), Violation::RejectedAfterRun(_));
+}
+
+#[test]
+fn judge_reports_a_request_that_runs_twice() {
+    let setup = Setup::new();
+    let origin = setup.origin.endpoint;
+    let twice = start(Protocol::Http, move |command| {
+        exchange(origin, Protocol::Http, command);
+        Reply::Bytes(exchange(origin, Protocol::Http, command))
+    });
+    let proxy = setup.proxy_with(setup.cache.endpoint, twice);
+    setup.ask(proxy.listen, &[Command::new("a", CLOSE, true)]);
+    assert_only!(setup.violations(), Violation::RanTwice(_, 2));
+}
+
+#[test]
+fn judge_reports_a_repeat_after_the_deduplication_window() {
+    let setup = Setup::new();
+    let origin = setup.origin.endpoint;
+    let again = start(Protocol::Http, move |command| {
+        exchange(origin, Protocol::Http, command);
+        std::thread::sleep(Duration::from_millis(200));
+        Reply::Bytes(exchange(origin, Protocol::Http, command))
+    });
+    let proxy = setup.proxy_with(setup.cache.endpoint, again);
+    setup.ask(proxy.listen, &[Command::new("a", FIX, true)]);
+    let window = |dedup_window| judge(&setup.records.lock(), Terms { dedup_window });
+    setup.origin.in_progress.wait_until_idle();
+    assert_eq!(window(Duration::from_millis(2000)), []);
+    assert_only!(window(Duration::from_millis(100)), Violation::RepeatedTooLate(..));
+}
+
+/// Plays a client that leaves 50 ms after its request, while the stand-in before the cache holds the command back.
+fn violations_of_leaving(hold: Duration) -> Vec<Violation> {
+    let setup = Setup::new();
+    let cache = setup.cache.endpoint;
+    let holding = start(Protocol::Resp, move |command| {
+        std::thread::sleep(hold);
+        Reply::Bytes(exchange(cache, Protocol::Resp, command))
+    });
+    let proxy = setup.proxy_with(holding, setup.origin.endpoint);
+    let mut connection = setup.connect(proxy.listen);
+    connection.send(&[read("a")], None).expect("sent");
+    std::thread::sleep(Duration::from_millis(50));
+    connection.leave(false, &setup.records);
+    std::thread::sleep(hold);
+    setup.violations()
+}
+
+#[test]
+fn judge_reports_an_attempt_that_begins_after_its_client_left() {
+    assert_only!(violations_of_leaving(Duration::from_millis(400)), Violation::ForwardedAfterEnd(..));
+    assert_eq!(violations_of_leaving(Duration::from_millis(20)), []);
+}
+
+#[test]
+fn judge_reports_an_attempt_that_begins_after_the_answer() {
+    let setup = Setup::new();
+    let cache = setup.cache.endpoint;
+    let again = start(Protocol::Resp, move |command| {
+        let (later, reply) = (command.to_vec(), exchange(cache, Protocol::Resp, command));
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(300));
+            exchange(cache, Protocol::Resp, &later);
+        });
+        Reply::Bytes(reply)
+    });
+    let proxy = setup.proxy_with(again, setup.origin.endpoint);
+    setup.ask(proxy.listen, &[read("a")]);
+    std::thread::sleep(Duration::from_millis(400));
+    assert_only!(setup.violations(), Violation::ForwardedAfterEnd(..));
+}
+
+#[test]
+fn judge_reports_a_command_that_no_client_sent() {
+    let setup = Setup::new();
+    let cache = setup.cache.endpoint;
+    let other = start(Protocol::Resp, move |command| {
+        let text = String::from_utf8_lossy(command).replace("\r\n$1\r\na\r\n", "\r\n$1\r\nb\r\n");
+        exchange(cache, Protocol::Resp, text.as_bytes());
+        Reply::Bytes(exchange(cache, Protocol::Resp, command))
+    });
+    let proxy = setup.proxy_with(other, setup.origin.endpoint);
+    setup.ask(proxy.listen, &[read("a")]);
+    assert_only!(setup.violations(), Violation::NeverSent(_));
+}
+
+#[test]
+fn judge_reports_a_command_to_a_draining_server() {
+    let setup = Setup::new();
+    let told_at = Instant::now().checked_sub(Duration::from_millis(1_100)).unwrap();
+    let proxy = setup.proxy();
+    setup.ask(proxy.listen, &[read("a")]);
+    assert_eq!(setup.violations(), []);
+    // The stand-in is discovery: it says to the judge, and not to the program, that the server drains.
+    setup.records.lock().drains.push(DrainRecord { server: "w".to_owned(), told_at });
+    assert_only!(setup.violations(), Violation::SentToDraining(..));
+}
+
+#[test]
+fn judge_reports_a_process_that_ends_by_itself() {
+    let (setup, started_at) = (Setup::new(), Instant::now());
+    let mut proxy = setup.proxy();
+    proxy.signal("ABRT");
+    let status = proxy.child.wait().unwrap();
+    let crash = (!status.success()).then(|| format!("{status}"));
+    let process = ProcessRecord { proxy: 0, started_at, term_at: None, killed_at: None, crash };
+    setup.records.lock().processes.push(process);
+    assert_only!(setup.violations(), Violation::Crashed(_));
+}
+
+/// Has the program killed while a cache node holds a request, and records that or not.
+fn violations_of_a_kill(is_recorded: bool) -> Vec<Violation> {
+    let (setup, started_at) = (Setup::new(), Instant::now());
+    let holding = start(Protocol::Resp, |_| Reply::Nothing);
+    let mut proxy = setup.proxy_with(holding, setup.origin.endpoint);
+    let mut connection = setup.connect(proxy.listen);
+    connection.send(&[read("a")], None).expect("sent");
+    std::thread::sleep(Duration::from_millis(100));
+    let killed_at = is_recorded.then(Instant::now);
+    proxy.child.kill().unwrap();
+    let process = ProcessRecord { proxy: 0, started_at, term_at: None, killed_at, crash: None };
+    setup.records.lock().processes.push(process);
+    let ended = connection.read_answer(0).expect_err("no answer");
+    connection.settle(ended, &setup.records);
+    setup.violations()
+}
+
+#[test]
+fn judge_frees_what_a_killed_process_had_not_answered() {
+    assert_eq!(violations_of_a_kill(true), []);
+    assert_only!(violations_of_a_kill(false), Violation::Unanswered(_));
+}
+
+#[test]
+fn judge_frees_a_request_that_is_closed_unread() {
+    let setup = Setup::new();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            stream.peek(&mut [0; 64]).unwrap();
+            // Dropped with its input unread.
+        }
+    });
+    let mut connection = setup.connect(address);
+    connection.send(&[read("a")], None).expect("sent");
+    let ended = connection.read_answer(0).expect_err("no answer");
+    let commands = connection.settle(ended, &setup.records);
+    assert_eq!(commands.len(), 1, "it is sent once more");
+    assert!(matches!(setup.records.lock().requests[0].end, RequestEnd::ClosedUnread(_)));
+    assert_eq!(setup.violations(), []);
+}
