Every socket call of a connection goes through net, where a test can stop a debug build

With NOTCHDOOR_BREAKPOINTS set, a debug build stops before and after each of them until a test has acted, and a call can be made to fail; release builds carry none of this.

peek and poll are repeated when a signal interrupts them; behaviour is otherwise as before.

--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -2,6 +2,7 @@
 // Each test file uses some of them.
 #![allow(dead_code)]
 
+pub mod breakpoints;
 pub mod crowd;
 pub mod discovery_service;
 pub mod fault_proxy;
@@ -402,6 +403,10 @@
         if coord.exists() {
             command.env("NOTCHDOOR_COORD", &coord);
         }
+        let breakpoints = folder.0.join(breakpoints::FILE);
+        if breakpoints.exists() {
+            command.env(breakpoints::VARIABLE, std::fs::read_to_string(breakpoints).unwrap());
+        }
         let mut child = command
             .env("EDGE_CONFIG", folder.0.join("config"))
             .env("EDGE_DISCOVERY", discovery.endpoint.to_string())
--- a/cli/tests/common/recorded_client.rs
+++ b/cli/tests/common/recorded_client.rs
@@ -9,8 +9,9 @@
 use notchdoor_proxy::wire::MAX_VALUE;
 use socket2::SockRef;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// What clients do, and how likely it is for each of their pipelines unless said otherwise.
@@ -97,18 +98,35 @@
     }
 }
 
-/// A connection of a client, with the records of what it sent.
-pub struct RecordedConnection {
-    reader: BufReader<TcpStream>,
+/// The sending side of a connection, for any thread.
+#[derive(Clone)]
+pub struct Sender {
+    stream: Arc<TcpStream>,
+    /// What was sent, the oldest first. Locked while it is written.
+    sent: Arc<Mutex<Vec<(Command, RequestRecord)>>>,
     number: u64,
     proxy: usize,
-    /// What was sent, the oldest first.
-    sent: Vec<(Command, RequestRecord)>,
-    /// How many of these were answered.
+    left_at: Arc<Mutex<Option<Instant>>>,
+}
+
+/// A connection of a client, with the records of what it sent.
+pub struct RecordedConnection {
+    reader: BufReader<ReadHalf>,
+    sender: Sender,
+    /// How many of the commands were answered.
     answered: usize,
     last_answer_at: Option<Instant>,
 }
 
+/// The reading side of a connection.
+struct ReadHalf(Arc<TcpStream>);
+
+impl Read for ReadHalf {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        (&*self.0).read(buffer)
+    }
+}
+
 /// A connection that the program closed; whether it had read everything shows a little later.
 struct Closed {
     connection: RecordedConnection,
@@ -117,40 +135,21 @@
     is_reset: bool,
 }
 
-impl RecordedConnection {
-    /// Connects to a proxy.
-    pub fn open(proxy: usize, address: SocketAddr) -> Option<RecordedConnection> {
-        RecordedConnection::on(TcpStream::connect(address).ok()?, proxy)
-    }
-
-    /// Uses a connection that is open already.
-    pub fn on(stream: TcpStream, proxy: usize) -> Option<RecordedConnection> {
-        stream.set_read_timeout(Some(TIMEOUT)).ok()?;
-        stream.set_write_timeout(Some(TIMEOUT)).ok()?;
-        stream.set_nodelay(true).ok()?;
+impl Sender {
+    fn new(stream: Arc<TcpStream>, proxy: usize) -> Sender {
         let number = NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed);
-        let reader = BufReader::new(stream);
-        Some(RecordedConnection {
-            reader,
-            number,
-            proxy,
-            sent: Vec::new(),
-            answered: 0,
-            last_answer_at: None,
-        })
-    }
-
-    pub fn stream(&self) -> &TcpStream {
-        self.reader.get_ref()
+        Sender { stream, sent: Arc::default(), number, proxy, left_at: Arc::default() }
     }
 
     /// Sends commands, cut into pieces of at most this many bytes with pauses between them. `None` if the connection ended.
-    pub fn send(&mut self, commands: &[Command], pieces: Option<(usize, &mut Random)>) -> Option<()> {
-        let (mut bytes, mut ends, first) = (Vec::new(), Vec::new(), self.sent.len());
+    pub fn send(&self, commands: &[Command], pieces: Option<(usize, &mut Random)>) -> Option<()> {
+        let mut sent = self.sent.lock().unwrap();
+        let (mut bytes, mut ends, first) = (Vec::new(), Vec::new(), sent.len());
         for command in commands {
             bytes.extend(command.encode());
             ends.push(bytes.len());
-            self.push(command);
+            let record = self.record(command, sent.len());
+            sent.push((command.clone(), record));
         }
         let (piece_bytes, mut random) = match pieces {
             Some((piece_bytes, random)) => (piece_bytes.max(1), Some(random)),
@@ -158,10 +157,10 @@
         };
         let mut written = 0;
         for piece in bytes.chunks(piece_bytes) {
-            self.reader.get_mut().write_all(piece).ok()?;
+            (&*self.stream).write_all(piece).ok()?;
             written += piece.len();
             let now = Instant::now();
-            for (end, (_, record)) in ends.iter().zip(&mut self.sent[first..]) {
+            for (end, (_, record)) in ends.iter().zip(&mut sent[first..]) {
                 if *end <= written && record.written_at.is_none() {
                     record.written_at = Some(now);
                 }
@@ -173,41 +172,103 @@
         Some(())
     }
 
-    /// Records a command whose bytes the caller writes.
-    pub fn push(&mut self, command: &Command) {
-        let record = RequestRecord {
+    /// Sends the first half of a command. Nothing else may be sent before [`Sender::send_rest`].
+    pub fn send_half(&self, command: &Command) {
+        let mut sent = self.sent.lock().unwrap();
+        let record = self.record(command, sent.len());
+        sent.push((command.clone(), record));
+        let bytes = command.encode();
+        let _ = (&*self.stream).write_all(&bytes[..bytes.len() / 2]);
+    }
+
+    /// Sends the rest of the command that was sent last.
+    pub fn send_rest(&self) {
+        let mut sent = self.sent.lock().unwrap();
+        let Some((command, record)) = sent.last_mut().filter(|(_, record)| record.written_at.is_none())
+        else {
+            return;
+        };
+        let bytes = command.encode();
+        if (&*self.stream).write_all(&bytes[bytes.len() / 2..]).is_ok() {
+            record.written_at = Some(Instant::now());
+        }
+    }
+
+    /// Has the client leave. Returns once its reader has let go of the connection, which is then closed or reset.
+    pub fn leave(self, by_reset: bool) {
+        if by_reset {
+            let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
+        }
+        *self.left_at.lock().unwrap() = Some(Instant::now());
+        let _ = self.stream.shutdown(Shutdown::Read);
+        let give_up = Instant::now() + TIMEOUT;
+        while Arc::strong_count(&self.stream) > 1 && Instant::now() < give_up {
+            std::thread::yield_now();
+        }
+        let left_at = Arc::clone(&self.left_at);
+        drop(self);
+        *left_at.lock().unwrap() = Some(Instant::now());
+    }
+
+    fn record(&self, command: &Command, position: usize) -> RequestRecord {
+        RequestRecord {
             id: command.id.clone(),
             class: command.class,
             deadline: command.deadline,
             proxy: self.proxy,
             connection: self.number,
-            position: self.sent.len(),
+            position,
             began_at: Instant::now(),
             written_at: None,
             turn_at: None,
             is_large: command.value.is_none() && command.expected().len() > MAX_VALUE,
             answer: None,
             end: RequestEnd::Open,
-        };
-        self.sent.push((command.clone(), record));
+        }
     }
+}
 
-    /// Says that the last byte of the command sent last was written.
-    pub fn written(&mut self) {
-        if let Some((_, record)) = self.sent.last_mut() {
-            record.written_at = Some(Instant::now());
-        }
+impl RecordedConnection {
+    /// Connects to a proxy.
+    pub fn open(proxy: usize, address: SocketAddr) -> Option<RecordedConnection> {
+        let stream = TcpStream::connect(address).ok()?;
+        stream.set_read_timeout(Some(TIMEOUT)).ok()?;
+        stream.set_write_timeout(Some(TIMEOUT)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        let stream = Arc::new(stream);
+        let reader = BufReader::new(ReadHalf(Arc::clone(&stream)));
+        let sender = Sender::new(stream, proxy);
+        Some(RecordedConnection { reader, sender, answered: 0, last_answer_at: None })
+    }
+
+    pub fn stream(&self) -> &TcpStream {
+        &self.reader.get_ref().0
+    }
+
+    /// Its sending side, for another thread.
+    pub fn sender(&self) -> Sender {
+        self.sender.clone()
+    }
+
+    /// Like [`Sender::send`].
+    pub fn send(&self, commands: &[Command], pieces: Option<(usize, &mut Random)>) -> Option<()> {
+        self.sender.send(commands, pieces)
     }
 
     /// Number of commands without an answer.
     pub fn unanswered(&self) -> usize {
-        self.sent.len() - self.answered
+        self.sender.sent.lock().unwrap().len() - self.answered
     }
 
     /// Reads the answer to the oldest command without one, at a pace. Returns whether the connection goes on.
     pub fn read_answer(&mut self, pace: usize) -> Result<(), Ended> {
-        let (command, record) = &mut self.sent[self.answered];
-        record.turn_at = self.last_answer_at;
+        let (position, turn_at) = (self.answered, self.last_answer_at);
+        let command = {
+            let mut sent = self.sender.sent.lock().unwrap();
+            let (command, record) = &mut sent[position];
+            record.turn_at = turn_at;
+            command.clone()
+        };
         let mut line = Vec::new();
         match self.reader.read_until(b'\n', &mut line) {
             Ok(_) if line.ends_with(b"\n") => {}
@@ -233,7 +294,8 @@
             },
         };
         let completed_at = Instant::now();
-        record.answer = Some(AnswerRecord { form, began_at, completed_at });
+        let answer = AnswerRecord { form, began_at, completed_at };
+        self.sender.sent.lock().unwrap()[position].1.answer = Some(answer);
         self.last_answer_at = Some(completed_at);
         self.answered += 1;
         ended.map_or(Ok(()), Err)
@@ -242,7 +304,7 @@
     /// Whether the program has closed a connection on which nothing is asked. Records bytes that nobody asked for.
     pub fn is_closed_at_rest(&mut self, records: &SharedRecords) -> bool {
         let surplus = String::from_utf8_lossy(self.reader.buffer()).into_owned();
-        let stream = self.reader.get_ref();
+        let stream = self.stream();
         let _ = stream.set_nonblocking(true);
         let mut buffer = [0; 80];
         let peeked = stream.peek(&mut buffer);
@@ -253,39 +315,48 @@
             Err(error) => (error.kind() != ErrorKind::WouldBlock, String::new()),
         };
         if !surplus.is_empty() || !more.is_empty() {
-            records.lock().surplus.push((self.number, surplus + &more));
+            records.lock().surplus.push((self.sender.number, surplus + &more));
         }
         ended
     }
 
-    /// Closes or resets the connection as a client that leaves.
-    pub fn leave(mut self, by_reset: bool, records: &SharedRecords) -> Vec<Command> {
-        if by_reset {
-            let _ = SockRef::from(self.stream()).set_linger(Some(Duration::ZERO));
-        }
-        let unanswered = self.sent.split_off(self.answered);
-        let answered: Vec<RequestRecord> = self.sent.drain(..).map(|(_, record)| record).collect();
-        drop(self);
-        let left_at = Instant::now();
-        let (commands, left): (Vec<Command>, Vec<RequestRecord>) = unanswered
-            .into_iter()
-            .map(|(command, record)| {
-                (command, RequestRecord { end: RequestEnd::ClientLeft(left_at), ..record })
-            })
-            .unzip();
-        records.requests(answered.into_iter().chain(left));
-        commands
+    /// Closes or resets the connection as a client that leaves. Returns the commands without an answer.
+    pub fn leave(self, by_reset: bool, records: &SharedRecords) -> Vec<Command> {
+        let (answered, sent, left_at) =
+            (self.answered, Arc::clone(&self.sender.sent), Arc::clone(&self.sender.left_at));
+        let sender = self.sender;
+        drop(self.reader);
+        sender.leave(by_reset);
+        let left_at = left_at.lock().unwrap().unwrap_or_else(Instant::now);
+        hand_on(&sent, answered, RequestEnd::ClientLeft(left_at), records)
     }
 
     /// Hands the records on while the connection is open.
     pub fn finish(self, records: &SharedRecords) {
-        records.requests(self.sent.into_iter().map(|(_, record)| record));
+        hand_on(&self.sender.sent, self.answered, RequestEnd::Open, records);
     }
 
     fn closed(self, ended: Ended) -> Closed {
         Closed { connection: self, at: Instant::now(), is_reset: ended == Ended::Reset }
     }
 
+    /// When the client left by [`Sender::leave`], which goes on once the reader is dropped.
+    pub fn left_at(&self) -> Option<Instant> {
+        *self.sender.left_at.lock().unwrap()
+    }
+
+    /// Lets a client go that has left by [`Sender::leave`], and hands the records on.
+    pub fn let_go(self, records: &SharedRecords) {
+        let (sent, left_at) = (Arc::clone(&self.sender.sent), Arc::clone(&self.sender.left_at));
+        let (answered, stream) = (self.answered, Arc::downgrade(&self.sender.stream));
+        drop(self);
+        while stream.strong_count() > 0 {
+            std::thread::yield_now();
+        }
+        let left_at = left_at.lock().unwrap().unwrap_or_else(Instant::now);
+        hand_on(&sent, answered, RequestEnd::ClientLeft(left_at), records);
+    }
+
     /// Waits until it shows whether the program, which has closed this connection, had read everything, and hands the
     /// records on. Returns the commands to send once more.
     pub fn settle(self, ended: Ended, records: &SharedRecords) -> Vec<Command> {
@@ -297,24 +368,30 @@
     }
 }
 
-impl Closed {
-    /// The commands that were left unread. Of several commands some may have been read: of those, only the ones that may run
-    /// again.
-    fn commands_to_repeat(&self) -> Vec<Command> {
-        let unanswered = &self.connection.sent[self.connection.answered..];
-        let is_only = unanswered.len() == 1;
-        let may_repeat = |(command, record): &&(Command, RequestRecord)| {
-            let is_unread = matches!(record.end, RequestEnd::ClosedUnread(_)) && record.written_at.is_some();
-            is_unread && (is_only || command.class.effect == Effect::Idempotent)
-        };
-        unanswered.iter().filter(may_repeat).map(|(command, _)| command.clone()).collect()
-    }
+/// Hands the records of a connection on. Those without an answer have this end. Returns their commands.
+fn hand_on(
+    sent: &Mutex<Vec<(Command, RequestRecord)>>,
+    answered: usize,
+    end: RequestEnd,
+    records: &SharedRecords,
+) -> Vec<Command> {
+    let mut sent = std::mem::take(&mut *sent.lock().unwrap());
+    sent[answered..].iter_mut().for_each(|(_, record)| record.end = end);
+    records.requests(sent.iter().map(|(_, record)| record.clone()));
+    sent.into_iter()
+        .skip(answered)
+        .filter(|(_, record)| record.written_at.is_some())
+        .map(|(c, _)| c)
+        .collect()
+}
 
+impl Closed {
     fn is_due(&self) -> bool {
         self.at.elapsed() >= VERDICT_TIME
     }
 
-    /// Hands the records on. Returns the commands to send once more.
+    /// Hands the records on. Returns the commands to send once more: those that were left unread. Of several commands some may
+    /// have been read: of those, only the ones that may run again.
     fn settle(mut self, records: &SharedRecords) -> Vec<Command> {
         if self.connection.unanswered() > 0 && !self.is_reset {
             std::thread::sleep((self.at + VERDICT_TIME).saturating_duration_since(Instant::now()));
@@ -324,12 +401,9 @@
             true => RequestEnd::ClosedUnread(self.at),
             false => RequestEnd::ClosedRead(self.at),
         };
-        let answered = self.connection.answered;
-        for (_, record) in &mut self.connection.sent[answered..] {
-            record.end = end;
-        }
-        let commands = self.commands_to_repeat();
-        self.connection.finish(records);
+        let mut commands = hand_on(&self.connection.sender.sent, self.connection.answered, end, records);
+        let is_only = commands.len() == 1;
+        commands.retain(|command| self.is_reset && (is_only || command.class.effect == Effect::Idempotent));
         commands
     }
 }
@@ -470,7 +544,7 @@
 
     fn leave(&mut self, connection: RecordedConnection) -> Vec<Command> {
         self.random.sleep(MAX_STAY_MS);
-        let proxy = connection.proxy;
+        let proxy = connection.sender.proxy;
         let commands = connection.leave(self.random.chance(0.5), self.records);
         if self.random.chance(self.habits.repeat) {
             self.left_proxy = Some(proxy);
--- a/cli/tests/judge.rs
+++ b/cli/tests/judge.rs
@@ -202,7 +202,7 @@
         Reply::Bytes(exchange(cache, Protocol::Resp, command))
     });
     let proxy = setup.proxy_with(holding, setup.origin.endpoint);
-    let mut connection = setup.connect(proxy.listen);
+    let connection = setup.connect(proxy.listen);
     connection.send(&[read("a")], None).expect("sent");
     std::thread::sleep(Duration::from_millis(50));
     connection.leave(false, &setup.records);
--- a/proxy/src/net/calls.rs
+++ b/proxy/src/net/calls.rs
@@ -1,9 +1,11 @@
 //! Wraps the socket system calls, so that tests can inject failures.
 
-use super::SocketCall;
+use super::breakpoints::{around, ConnectionName};
+use super::{Peer, SocketCall};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use socket2::{Domain, Protocol, Socket, Type};
-use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 
 /// Creates a non-blocking TCP socket for the address family of `address`.
 pub(super) fn socket(address: SocketAddr) -> io::Result<Socket> {
@@ -11,16 +13,23 @@
     Socket::new(Domain::for_address(address), Type::STREAM.nonblocking(), Some(Protocol::TCP))
 }
 
-/// Starts connecting. On a non-blocking socket this usually fails with `EINPROGRESS`.
-pub(super) fn connect(socket: &Socket, address: SocketAddr) -> io::Result<()> {
+/// Starts connecting to this kind of peer. On a non-blocking socket this usually fails with `EINPROGRESS`.
+pub(super) fn connect(socket: &Socket, address: SocketAddr, peer: Peer) -> io::Result<()> {
     injected_failure(SocketCall::Connect)?;
-    socket.connect(&address.into())
+    around(
+        SocketCall::Connect,
+        ConnectionName::without_port(peer),
+        || socket.connect(&address.into()),
+        |()| 0,
+    )
 }
 
-/// Accepts a connection from the listener's queue.
-pub(super) fn accept(listener: &TcpListener) -> io::Result<TcpStream> {
+/// Accepts a connection of this kind of peer from the listener's queue.
+pub(super) fn accept(listener: &TcpListener, peer: Peer) -> io::Result<TcpStream> {
     injected_failure(SocketCall::Accept)?;
-    listener.accept().map(|(stream, _)| stream)
+    let accept = || listener.accept().map(|(stream, _)| stream);
+    let port = |stream: &TcpStream| stream.peer_addr().map_or(0, |address| usize::from(address.port()));
+    around(SocketCall::Accept, ConnectionName::without_port(peer), accept, port)
 }
 
 /// Sets `TCP_NODELAY`, so that small writes are sent without delay.
@@ -29,6 +38,46 @@
     stream.set_nodelay(true)
 }
 
+/// Reads from a connection.
+pub(super) fn read(mut stream: &TcpStream, name: ConnectionName, buffer: &mut [u8]) -> io::Result<usize> {
+    injected_failure(SocketCall::Read)?;
+    around(SocketCall::Read, name, || stream.read(buffer), |n| *n)
+}
+
+/// Writes to a connection.
+pub(super) fn write(mut stream: &TcpStream, name: ConnectionName, bytes: &[u8]) -> io::Result<usize> {
+    injected_failure(SocketCall::Write)?;
+    around(SocketCall::Write, name, || stream.write(bytes), |n| *n)
+}
+
+/// Looks for a byte of input without reading it. Returns 0 at the end of the connection.
+pub(super) fn peek(stream: &TcpStream, name: ConnectionName) -> io::Result<usize> {
+    injected_failure(SocketCall::Peek)?;
+    around(SocketCall::Peek, name, || stream.peek(&mut [0]), |n| *n)
+}
+
+/// Whether the peer has closed its side, or the connection is broken.
+pub(super) fn poll_closed(stream: &TcpStream, name: ConnectionName) -> io::Result<bool> {
+    injected_failure(SocketCall::Poll)?;
+    let poll_once = || {
+        let mut fds = [PollFd::new(stream, PollFlags::RDHUP)];
+        let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+        Ok(poll(&mut fds, Some(&at_once))? > 0)
+    };
+    around(SocketCall::Poll, name, poll_once, |closed| usize::from(*closed))
+}
+
+/// Shuts down the sending side of a connection.
+pub(super) fn shutdown_write(stream: &TcpStream, name: ConnectionName) -> io::Result<()> {
+    injected_failure(SocketCall::Shutdown)?;
+    around(SocketCall::Shutdown, name, || stream.shutdown(Shutdown::Write), |()| 0)
+}
+
+/// Called before a connection is closed.
+pub(super) fn before_close(name: ConnectionName) {
+    let _ = around(SocketCall::Close, name, || Ok(()), |()| 0);
+}
+
 #[cfg(not(test))]
 fn injected_failure(_: SocketCall) -> io::Result<()> {
     Ok(())
--- a/proxy/src/net/connect.rs
+++ b/proxy/src/net/connect.rs
@@ -1,7 +1,7 @@
 //! Establishes outgoing TCP connections.
 
 use super::fault::{connect_fault, lacks_descriptor};
-use super::{calls, Fault, SocketCall};
+use super::{calls, Fault, Peer, SocketCall, Stream};
 use async_io::Async;
 use rustix::io::Errno;
 use socket2::Socket;
@@ -30,11 +30,11 @@
     }
 }
 
-/// Connects to an address. There is no timeout other than the system's; the caller must set one.
-pub async fn connect(address: SocketAddr) -> Result<Async<TcpStream>, ConnectError> {
+/// Connects to an address of this kind of peer. There is no timeout other than the system's; the caller must set one.
+pub async fn connect(address: SocketAddr, peer: Peer) -> Result<Stream, ConnectError> {
     let connect_error = |call| move |source| ConnectError { call, source };
     let socket = calls::socket(address).map_err(connect_error(SocketCall::Socket))?;
-    start_connect(&socket, address).map_err(connect_error(SocketCall::Connect))?;
+    start_connect(&socket, address, peer).map_err(connect_error(SocketCall::Connect))?;
     let stream =
         Async::new_nonblocking(TcpStream::from(socket)).map_err(connect_error(SocketCall::Register))?;
     stream.writable().await.map_err(connect_error(SocketCall::Register))?;
@@ -43,13 +43,13 @@
         Ok(Some(e)) | Err(e) => return Err(connect_error(SocketCall::Connect)(e)),
     }
     disable_write_delay(&stream);
-    Ok(stream)
+    Ok(Stream::new(stream, peer))
 }
 
 /// Starts the TCP handshake, repeating an interrupted call.
-fn start_connect(socket: &Socket, address: SocketAddr) -> io::Result<()> {
+fn start_connect(socket: &Socket, address: SocketAddr, peer: Peer) -> io::Result<()> {
     loop {
-        let Err(error) = calls::connect(socket, address) else { return Ok(()) };
+        let Err(error) = calls::connect(socket, address, peer) else { return Ok(()) };
         match Errno::from_io_error(&error) {
             Some(Errno::INPROGRESS) => return Ok(()),
             // The repeated call reports that the interrupted one is still in progress or has succeeded.
--- a/proxy/src/net/fault.rs
+++ b/proxy/src/net/fault.rs
@@ -3,7 +3,7 @@
 use rustix::io::Errno;
 use std::io;
 
-/// A system call that creates a socket or prepares it for use.
+/// A system call on a socket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum SocketCall {
     /// Creating a socket.
@@ -16,6 +16,18 @@
     Accept,
     /// Registering the socket with the event queue (epoll).
     Register,
+    /// Reading.
+    Read,
+    /// Writing.
+    Write,
+    /// Looking for input without reading it.
+    Peek,
+    /// Asking whether the peer has closed its side.
+    Poll,
+    /// Shutting down the sending side.
+    Shutdown,
+    /// Closing.
+    Close,
 }
 
 impl SocketCall {
@@ -27,6 +39,12 @@
             SocketCall::Connect => "connect",
             SocketCall::Accept => "accept",
             SocketCall::Register => "register",
+            SocketCall::Read => "read",
+            SocketCall::Write => "write",
+            SocketCall::Peek => "peek",
+            SocketCall::Poll => "poll",
+            SocketCall::Shutdown => "shutdown",
+            SocketCall::Close => "close",
         }
     }
 }
@@ -49,10 +67,6 @@
 /// Unknown errors of `connect` count as [`Fault::Peer`], so that an endpoint with repeated failures is avoided.
 pub fn connect_fault(call: SocketCall, error: &io::Error) -> Fault {
     match call {
-        // No packet has been sent.
-        SocketCall::Socket | SocketCall::SetNoDelay | SocketCall::Register | SocketCall::Accept => {
-            Fault::Local
-        }
         SocketCall::Connect => match Errno::from_io_error(error) {
             Some(
                 Errno::MFILE
@@ -75,6 +89,8 @@
             Some(Errno::TIMEDOUT) => Fault::PeerTimedOut,
             _ => Fault::Peer,
         },
+        // No packet has been sent.
+        _ => Fault::Local,
     }
 }
 
--- a/proxy/src/net/listener.rs
+++ b/proxy/src/net/listener.rs
@@ -1,12 +1,12 @@
 //! Accepts connections, with the same error handling for every listener.
 
-use super::calls;
 use super::connect::disable_write_delay;
 use super::fault::{after_accept_error, AfterAcceptError};
+use super::{calls, Peer, Stream};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 /// Delay before accepting again after a resource shortage, which usually ends when another connection closes.
@@ -15,10 +15,9 @@
 const MAX_CONSECUTIVE_ERRORS: u32 = 64;
 
 /// The result of [`Listener::try_accept`].
-#[derive(Debug)]
 pub enum TryAccept {
     /// An accepted connection.
-    Connection(Async<TcpStream>),
+    Connection(Stream),
     /// The queue is empty.
     Empty,
     /// A queued connection was lost or the call was interrupted; another connection may be available at once.
@@ -30,22 +29,23 @@
 /// A listening TCP socket.
 pub struct Listener {
     io: Async<TcpListener>,
+    peer: Peer,
 }
 
 impl Listener {
-    /// Binds a new socket to an address and listens on it.
-    pub fn bind(address: SocketAddr) -> io::Result<Self> {
-        Ok(Listener { io: Async::<TcpListener>::bind(address)? })
+    /// Binds a new socket to an address and listens on it for this kind of peer.
+    pub fn bind(address: SocketAddr, peer: Peer) -> io::Result<Self> {
+        Ok(Listener { io: Async::<TcpListener>::bind(address)?, peer })
     }
 
-    /// Uses a socket that is already listening.
-    pub fn new(listener: TcpListener) -> io::Result<Self> {
-        Ok(Listener { io: Async::new(listener)? })
+    /// Uses a socket that is already listening for this kind of peer.
+    pub fn new(listener: TcpListener, peer: Peer) -> io::Result<Self> {
+        Ok(Listener { io: Async::new(listener)?, peer })
     }
 
     /// Waits for the next connection. Errors are passed to `on_error` and never returned: lost connections are skipped,
     /// and after a resource shortage the call is repeated with a delay.
-    pub async fn accept(&self, mut on_error: impl FnMut(&io::Error)) -> Async<TcpStream> {
+    pub async fn accept(&self, mut on_error: impl FnMut(&io::Error)) -> Stream {
         let mut consecutive_errors = 0;
         loop {
             match self.try_accept() {
@@ -77,11 +77,11 @@
 
     /// Accepts a connection without waiting.
     pub fn try_accept(&self) -> TryAccept {
-        let accepted = calls::accept(self.io.get_ref());
+        let accepted = calls::accept(self.io.get_ref(), self.peer);
         let error = match accepted.and_then(Async::new) {
             Ok(stream) => {
                 disable_write_delay(&stream);
-                return TryAccept::Connection(stream);
+                return TryAccept::Connection(Stream::new(stream, self.peer));
             }
             Err(error) => error,
         };
--- /dev/null
+++ b/proxy/src/net/stream.rs
@@ -0,0 +1,104 @@
+//! A TCP connection.
+
+use super::breakpoints::ConnectionName;
+use super::{calls, Peer};
+use async_io::Async;
+use std::io::{self, ErrorKind};
+use std::net::TcpStream;
+
+/// A TCP connection. Every system call on it is made by this module, so that tests can stop the program between two of them.
+pub struct Stream {
+    io: Async<TcpStream>,
+    name: ConnectionName,
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        calls::before_close(self.name);
+    }
+}
+
+impl Stream {
+    /// Wraps an open connection to this kind of peer.
+    pub fn new(io: Async<TcpStream>, peer: Peer) -> Self {
+        let name = ConnectionName::of(io.get_ref(), peer);
+        Stream { io, name }
+    }
+
+    /// Reads what the socket has, without waiting. Returns 0 at the end of the connection.
+    pub fn read(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        calls::read(self.io.get_ref(), self.name, buffer)
+    }
+
+    /// Writes what the socket can take, without waiting.
+    pub fn write(&self, bytes: &[u8]) -> io::Result<usize> {
+        calls::write(self.io.get_ref(), self.name, bytes)
+    }
+
+    /// Whether the socket has unread input. A failed call counts as none.
+    pub fn has_unread_input(&self) -> bool {
+        retry_interrupted(|| calls::peek(self.io.get_ref(), self.name)).is_ok_and(|n| n > 0)
+    }
+
+    /// Whether the connection is open and has no unread input. A failed call counts as not.
+    pub fn is_quiet(&self) -> bool {
+        let peeked = retry_interrupted(|| calls::peek(self.io.get_ref(), self.name));
+        matches!(peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Whether the peer has closed its side or the connection is broken, even if input is still unread. A failed call counts as
+    /// not.
+    pub fn peer_has_closed(&self) -> bool {
+        retry_interrupted(|| calls::poll_closed(self.io.get_ref(), self.name)).unwrap_or(false)
+    }
+
+    /// Shuts down the sending side. Fails if the connection is broken.
+    pub fn shutdown_write(&self) -> io::Result<()> {
+        calls::shutdown_write(self.io.get_ref(), self.name)
+    }
+
+    /// Waits until the socket has input or the connection has ended.
+    pub async fn readable(&self) -> io::Result<()> {
+        self.io.readable().await
+    }
+
+    /// Waits until the socket can take output or the connection has ended.
+    pub async fn writable(&self) -> io::Result<()> {
+        self.io.writable().await
+    }
+
+    /// Waits for input and reads it. Returns 0 at the end of the connection.
+    pub async fn read_some(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        loop {
+            match self.read(buffer) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => self.readable().await?,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                result => return result,
+            }
+        }
+    }
+
+    /// Writes all bytes.
+    pub async fn write_all(&self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            match self.write(bytes) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(n) => bytes = bytes.get(n..).unwrap_or_default(),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => self.writable().await?,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Repeats a call that a signal interrupted.
+fn retry_interrupted<T>(call: impl Fn() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match call() {
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            result => return result,
+        }
+    }
+}
--- a/proxy/src/net/tests.rs
+++ b/proxy/src/net/tests.rs
@@ -1,13 +1,12 @@
 use super::*;
 use rustix::io::Errno;
-use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 fn loopback_listener() -> (Listener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    (Listener::new(listener).unwrap(), address)
+    (Listener::new(listener, Peer::Client).unwrap(), address)
 }
 
 #[test]
@@ -118,12 +117,12 @@
 #[test]
 fn connect_returns_a_stream_or_the_failed_call_and_its_fault() {
     let (listener, address) = loopback_listener();
-    let connect = |address| async_io::block_on(connect(address));
+    let connect = |address| async_io::block_on(connect(address, Peer::Server));
     // A failure to set TCP_NODELAY does not fail the connection.
     injection::fail(SocketCall::SetNoDelay, Errno::NOBUFS, 1);
     let stream = connect(address).unwrap();
     assert_eq!(injection::left(SocketCall::SetNoDelay), 0);
-    stream.get_ref().write_all(b"x").unwrap();
+    assert_eq!(stream.write(b"x").unwrap(), 1);
     assert!(matches!(listener.try_accept(), TryAccept::Connection(_)));
     for (call, error, fault) in [
         (SocketCall::Socket, Errno::MFILE, Fault::Local),
@@ -133,15 +132,15 @@
         (SocketCall::Connect, Errno::CONNREFUSED, Fault::Peer),
     ] {
         injection::fail(call, error, 1);
-        let failed = connect(address).unwrap_err();
+        let failed = connect(address).err().unwrap();
         assert_eq!((failed.call, failed.fault()), (call, fault), "{failed}");
         assert_eq!(failed.lacks_descriptor(), error == Errno::MFILE);
     }
     // Connecting to a closed port is a peer fault; connecting to a broadcast address is not.
     drop(listener);
-    assert_eq!(connect(address).unwrap_err().fault(), Fault::Peer);
+    assert_eq!(connect(address).err().unwrap().fault(), Fault::Peer);
     let broadcast = SocketAddr::from(([127, 255, 255, 255], 9));
-    assert_ne!(connect(broadcast).unwrap_err().fault(), Fault::Peer);
+    assert_ne!(connect(broadcast).err().unwrap().fault(), Fault::Peer);
 }
 
 #[test]
--- a/proxy/src/wire/driver/admin.rs
+++ b/proxy/src/wire/driver/admin.rs
@@ -2,15 +2,15 @@
 //! executor that takes precedence over the one for clients.
 
 use super::Runtime;
-use crate::net::Listener;
+use crate::net::{Listener, Peer, Stream};
 use crate::state::hot_restart::{Change, HotRestartError, HotRestartState};
 use crate::wire::admin::{AdminRequest, Reply, RequestReader};
 use async_executor::Task;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use blocking::unblock;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use futures_lite::future;
 use std::cell::Cell;
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -30,7 +30,7 @@
 
 /// Binds the admin address.
 pub fn bind(address: SocketAddr) -> std::io::Result<Listener> {
-    Listener::bind(address)
+    Listener::bind(address, Peer::Admin)
 }
 
 /// Accepts admin connections until the task is dropped.
@@ -58,9 +58,9 @@
     future::or(work, timed_out).await
 }
 
-async fn serve(runtime: Rc<Runtime>, mut io: Async<TcpStream>, request_read: Rc<Cell<bool>>) {
+async fn serve(runtime: Rc<Runtime>, io: Stream, request_read: Rc<Cell<bool>>) {
     // A connection without a complete request is closed without a reply.
-    let Some(request) = with_timeout(REQUEST_TIMEOUT, read_request(&mut io)).await else { return };
+    let Some(request) = with_timeout(REQUEST_TIMEOUT, read_request(&io)).await else { return };
     request_read.set(true);
     let reply = match request {
         Ok(request) => handle(&runtime, request).await,
@@ -68,18 +68,16 @@
     };
     let bytes = reply.encode();
     let written = with_timeout(REQUEST_TIMEOUT, async { io.write_all(&bytes).await.ok() }).await;
-    if written.is_some() && io.get_ref().shutdown(Shutdown::Write).is_ok() {
-        with_timeout(LINGER_TIMEOUT, discard_input(&mut io)).await;
+    if written.is_some() && io.shutdown_write().is_ok() {
+        with_timeout(LINGER_TIMEOUT, discard_input(&io)).await;
     }
 }
 
 /// Reads one request; `None` if the connection ended before it was complete.
-async fn read_request(
-    io: &mut Async<TcpStream>,
-) -> Option<Result<AdminRequest, crate::wire::admin::RequestError>> {
+async fn read_request(io: &Stream) -> Option<Result<AdminRequest, crate::wire::admin::RequestError>> {
     let (mut reader, mut buffer) = (RequestReader::default(), [0; 2048]);
     loop {
-        match io.read(&mut buffer).await {
+        match io.read_some(&mut buffer).await {
             Ok(n) if n > 0 => {
                 if let Some(result) = reader.feed(buffer.get(..n).unwrap_or_default()) {
                     return Some(result);
@@ -90,10 +88,10 @@
     }
 }
 
-async fn discard_input(io: &mut Async<TcpStream>) -> Option<()> {
+async fn discard_input(io: &Stream) -> Option<()> {
     let (mut buffer, mut read) = ([0; 2048], 0);
     while read < MAX_LINGER_BYTES {
-        match io.read(&mut buffer).await {
+        match io.read_some(&mut buffer).await {
             Ok(n) if n > 0 => read += n,
             _ => break,
         }
--- a/proxy/src/wire/driver/attempt/reading.rs
+++ b/proxy/src/wire/driver/attempt/reading.rs
@@ -12,7 +12,7 @@
 use crate::wire::MAX_VALUE;
 use async_io::Timer;
 use futures_lite::future;
-use std::io::{self, ErrorKind, Read};
+use std::io::{self, ErrorKind};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,7 +28,7 @@
     decoder: &mut Decoder,
 ) -> io::Result<Option<(usize, Vec<ReplyPart>)>> {
     let mut buffer = runtime.read_buffer.borrow_mut();
-    match connection.io.get_ref().read(&mut buffer)? {
+    match connection.io.read(&mut buffer)? {
         0 => Ok(None),
         n => Ok(Some((n, decoder.feed(buffer.get(..n).unwrap_or_default())))),
     }
--- a/proxy/src/wire/driver/attempt/writing.rs
+++ b/proxy/src/wire/driver/attempt/writing.rs
@@ -7,7 +7,7 @@
 use async_io::Timer;
 use futures_lite::future;
 use std::cell::Cell;
-use std::io::{ErrorKind, Write};
+use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
 /// Pause after which a write is tried again, even if the socket is not reported as writable: the system does that only once
@@ -104,7 +104,7 @@
     on_progress: impl Fn(),
 ) -> Result<(), AttemptOutcome> {
     while !bytes.is_empty() {
-        match connection.io.get_ref().write(bytes) {
+        match connection.io.write(bytes) {
             Ok(0) => return Err(AttemptOutcome::BrokenUnsent),
             Ok(n) => {
                 bytes = bytes.get(n..).unwrap_or_default();
--- a/proxy/src/wire/driver/client/accept.rs
+++ b/proxy/src/wire/driver/client/accept.rs
@@ -1,13 +1,12 @@
 //! Accepts client connections within the descriptor budget.
 
 use super::{serve, Client};
-use crate::net::{lacks_descriptor, Listener};
+use crate::net::{lacks_descriptor, Listener, Stream};
 use crate::state::pool::Ticket;
 use crate::wire::driver::Runtime;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use notchdoor::Micros;
 use std::cell::{Cell, RefCell};
-use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -48,7 +47,7 @@
 }
 
 /// Starts serving an accepted connection.
-pub fn admit(runtime: &Rc<Runtime>, io: Async<TcpStream>, ticket: Ticket) {
+pub fn admit(runtime: &Rc<Runtime>, io: Stream, ticket: Ticket) {
     runtime.proxy.borrow_mut().counters.accepted += 1;
     let id = runtime.next_client.get();
     runtime.next_client.set(id + 1);
--- a/proxy/src/wire/driver/client/eviction.rs
+++ b/proxy/src/wire/driver/client/eviction.rs
@@ -52,7 +52,7 @@
             !c.retiring.get()
                 && !session.replies().busy()
                 && c.last_active.get() + min_idle <= now
-                && c.unread_bytes() == 0
+                && !c.io.has_unread_input()
         });
         let mut idle: Vec<_> =
             idle.map(|c| (c.session.borrow().commands_received().min(2), c.last_active.get(), c)).collect();
--- a/proxy/src/wire/driver/client/mod.rs
+++ b/proxy/src/wire/driver/client/mod.rs
@@ -8,23 +8,22 @@
 mod writer;
 
 use super::Runtime;
+use crate::net::Stream;
 use crate::outcome::ConnectionEnd;
 use crate::proxy::ReplySlot;
 use crate::state::pool::Ticket;
 use crate::wire::client_session::ClientSession;
 pub use accept::{accept, admit};
 use async_channel::{Receiver, Sender};
-use async_io::{Async, Timer};
+use async_io::Timer;
 use event_listener::Event;
 use futures_lite::future;
 use notchdoor::Micros;
 pub(super) use relay::RelayStart;
 use relay::MAX_UNSENT_RELAYED;
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
-use std::io::{ErrorKind, Write};
-use std::net::TcpStream;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 pub use writer::LINGER_TIMEOUT;
@@ -37,7 +36,7 @@
 
 /// One client connection.
 pub struct Client {
-    io: Async<TcpStream>,
+    io: Stream,
     session: RefCell<ClientSession>,
     /// Wakes the connection's task when there is output to write or the connection has ended.
     wake: (Sender<()>, Receiver<()>),
@@ -81,9 +80,7 @@
 impl Client {
     /// Whether the client has closed its side or the connection is broken, even if input is still unread.
     fn has_left(&self) -> bool {
-        let mut fds = [PollFd::new(&self.io, PollFlags::RDHUP)];
-        let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
-        self.broken.get() || poll(&mut fds, Some(&at_once)).is_ok_and(|n| n > 0)
+        self.broken.get() || self.io.peer_has_closed()
     }
 
     /// Waits for a future; `None` if the client disconnects before it completes.
@@ -134,7 +131,7 @@
             self.last_progress.set(now);
         }
         while !session.replies().output().is_empty() {
-            match self.io.get_ref().write(session.replies().output()) {
+            match self.io.write(session.replies().output()) {
                 Ok(0) => self.broken.set(true),
                 Ok(n) => {
                     session.replies_mut().mark_written(n);
@@ -162,11 +159,6 @@
         }
     }
 
-    /// Nonzero if the socket has unread input. Such a connection is not closed as idle.
-    fn unread_bytes(&self) -> usize {
-        self.io.get_ref().peek(&mut [0]).unwrap_or(0)
-    }
-
     /// Returns why the connection has ended, or `None` while it is open.
     fn end(&self) -> Option<ConnectionEnd> {
         let session = self.session.borrow();
@@ -184,7 +176,7 @@
         } else if self.retiring.get()
             && !session.replies().busy()
             && session.unparsed_bytes() == 0
-            && self.unread_bytes() == 0
+            && !self.io.has_unread_input()
         {
             Some(ConnectionEnd::ClosedIdle)
         } else {
--- a/proxy/src/wire/driver/client/reader.rs
+++ b/proxy/src/wire/driver/client/reader.rs
@@ -12,7 +12,7 @@
 use async_io::Timer;
 use futures_lite::future;
 use notchdoor::Micros;
-use std::io::{self, ErrorKind, Read};
+use std::io::{self, ErrorKind};
 use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::Duration;
@@ -184,7 +184,7 @@
     }
     let writable = client.unless_left(async {
         while runtime.has_too_many_unsent(client) {
-            if client.unread_bytes() > 0 {
+            if client.io.has_unread_input() {
                 client.partial_since.set(0);
             }
             client.replies_changed().await;
@@ -244,7 +244,7 @@
         };
         let mut buffer = self.read_buffer.borrow_mut();
         let max = client.session.borrow().max_read_bytes().min(most).min(buffer.len());
-        let n = client.io.get_ref().read(buffer.get_mut(..max).unwrap_or_default())?;
+        let n = client.io.read(buffer.get_mut(..max).unwrap_or_default())?;
         client.session.borrow_mut().feed(buffer.get(..n).unwrap_or_default());
         // At once: many clients may be read before the first of them gets its next turn.
         client.update_shares();
--- a/proxy/src/wire/driver/client/relay.rs
+++ b/proxy/src/wire/driver/client/relay.rs
@@ -38,7 +38,7 @@
             let session = self.session.borrow();
             session.replies().is_followed(sequence) || session.unparsed_bytes() > 0
         };
-        read || self.unread_bytes() > 0
+        read || self.io.has_unread_input()
     }
 
     fn relay_start(&self, sequence: u64) -> RelayStart {
--- a/proxy/src/wire/driver/client/writer.rs
+++ b/proxy/src/wire/driver/client/writer.rs
@@ -5,8 +5,7 @@
 use crate::wire::driver::Runtime;
 use async_io::Timer;
 use futures_lite::future;
-use std::io::Read;
-use std::net::{Shutdown, TcpStream};
+use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
 /// Limits of the lingering close: its duration, its duration while descriptors are short, and the bytes to discard.
@@ -52,7 +51,7 @@
             return false;
         }
         let mut buffer = vec![0; MAX_LATE_BYTES - *late_bytes];
-        let n = client.io.get_ref().read(&mut buffer).unwrap_or(0);
+        let n = client.io.read(&mut buffer).unwrap_or(0);
         *late_bytes += n;
         let refused = client.session.borrow_mut().refuse_late(buffer.get(..n).unwrap_or_default());
         self.proxy.borrow_mut().counters.rejected += refused as u64;
@@ -64,13 +63,20 @@
 /// Lingering close: shuts down the write side and discards input for a short time. Closing a socket with unread bytes
 /// resets it, and the client could lose its last replies. Discarded requests are not answered.
 pub(super) async fn linger(runtime: &Runtime, client: &Client) {
-    let _ = client.io.get_ref().shutdown(Shutdown::Write);
+    let _ = client.io.shutdown_write();
     let drain = async {
         let mut read = 0;
         while read < MAX_LINGER_BYTES {
-            let discard = |mut io: &TcpStream| io.read(&mut runtime.read_buffer.borrow_mut());
-            match client.io.read_with(discard).await {
+            // The buffer is shared, so it is not borrowed while this waits.
+            let discarded = client.io.read(&mut runtime.read_buffer.borrow_mut());
+            match discarded {
                 Ok(n) if n > 0 => read += n,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    if client.io.readable().await.is_err() {
+                        return;
+                    }
+                }
                 _ => return,
             }
         }
--- a/proxy/src/wire/driver/connection.rs
+++ b/proxy/src/wire/driver/connection.rs
@@ -2,14 +2,13 @@
 
 use super::reply_history::ReplyHistory;
 use super::Runtime;
-use crate::net::{self, ConnectError, Fault};
+use crate::net::{self, ConnectError, Fault, Peer, Stream};
 use crate::outcome::AttemptOutcome;
 use crate::state::pool::{ReplyOrder, Requirement, Ticket};
-use async_io::{Async, Timer};
+use async_io::Timer;
 use futures_lite::future;
 use notchdoor::{Micros, ServerId};
-use std::io::ErrorKind;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -27,7 +26,7 @@
     pub(super) id: u64,
     /// When it was established.
     opened_at: Micros,
-    pub(super) io: Async<TcpStream>,
+    pub(super) io: Stream,
     /// The replies received on it.
     pub(super) history: ReplyHistory,
     /// Whether a reply may be outstanding on it while it is idle.
@@ -41,7 +40,7 @@
     /// Whether an idle connection is open and has no unread input. Unexpected input would be taken for the reply to
     /// the next command.
     pub fn alive(&self) -> bool {
-        matches!(self.io.get_ref().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+        self.io.is_quiet()
     }
 }
 
@@ -102,7 +101,7 @@
     let mut retries = 0;
     let mut local_failure: Option<ConnectError> = None;
     loop {
-        let connected = async { Some(net::connect(endpoint).await) };
+        let connected = async { Some(net::connect(endpoint, Peer::Server).await) };
         let timed_out = async {
             Timer::at(deadline).await;
             None
--- a/proxy/src/wire/driver/hot_restart.rs
+++ b/proxy/src/wire/driver/hot_restart.rs
@@ -1,7 +1,7 @@
 //! Hot restart: shares the listen address and the drain state between the old and the new process.
 
 use super::{client, Runtime};
-use crate::net::{Listener, TryAccept};
+use crate::net::{Listener, Peer, TryAccept};
 use crate::state::endpoints::AdministrativeDrains;
 use crate::state::hot_restart::{HotRestart, OtherProcess};
 use crate::state::request_ids::IdDigest;
@@ -80,8 +80,10 @@
         while !self.can_serve() && !self.other_processes().is_empty() {
             Timer::after(READY_POLL_INTERVAL).await;
         }
-        let listener =
-            socket.listen(BACKLOG).and_then(|()| Listener::new(TcpListener::from(socket))).map(Rc::new);
+        let listener = socket
+            .listen(BACKLOG)
+            .and_then(|()| Listener::new(TcpListener::from(socket), Peer::Client))
+            .map(Rc::new);
         let listener = match listener {
             Ok(listener) => listener,
             Err(error) => return log::error!("acceptor: cannot listen: {error}"),
--- a/proxy/src/wire/driver/reply_proof.rs
+++ b/proxy/src/wire/driver/reply_proof.rs
@@ -12,7 +12,7 @@
 use crate::wire::fingerprint::Fingerprint;
 use crate::wire::resp::{write_command, Reader, Value};
 use async_io::Timer;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use futures_lite::future;
 use notchdoor::ServerId;
 use std::time::Duration;
 
@@ -151,7 +151,7 @@
         }
         let (mut reader, mut buffer) = (Reader::default(), [0; FENCE_BUFFER]);
         loop {
-            match self.io.read(&mut buffer).await {
+            match self.io.read_some(&mut buffer).await {
                 Ok(n) if n > 0 => reader.feed(buffer.get(..n).unwrap_or_default()),
                 _ => return false,
             }
--- a/proxy/src/wire/driver/watch.rs
+++ b/proxy/src/wire/driver/watch.rs
@@ -1,11 +1,11 @@
 //! Watches discovery for endpoint updates.
 
 use super::Runtime;
-use crate::net;
+use crate::net::{self, Peer};
 use crate::outcome::DiscoveryEnd;
 use crate::wire::discovery::{self, WatchEnded};
 use async_io::Timer;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use futures_lite::future;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -60,12 +60,12 @@
     let mut buffer = vec![0; 16 * 1024];
     let (mut lines, mut last_line_at) = (0, Instant::now());
     let response = async {
-        let mut io = net::connect(discovery).await.map_err(std::io::Error::other)?;
+        let io = net::connect(discovery, Peer::Discovery).await.map_err(std::io::Error::other)?;
         io.write_all(&discovery::encode(&discovery.to_string(), rev)).await?;
-        let n = io.read(&mut buffer).await?;
+        let n = io.read_some(&mut buffer).await?;
         Ok((io, n))
     };
-    let (mut io, mut n) = with_timeout(FIRST_RESPONSE_TIMEOUT, response).await?;
+    let (io, mut n) = with_timeout(FIRST_RESPONSE_TIMEOUT, response).await?;
     loop {
         if n == 0 {
             return Ok(());
@@ -86,7 +86,7 @@
         }
         n = with_timeout(
             READ_TIMEOUT.min(LINE_TIMEOUT.saturating_sub(last_line_at.elapsed())),
-            io.read(&mut buffer),
+            io.read_some(&mut buffer),
         )
         .await?;
     }
