--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod breakpoints;
+pub mod crossing;
 pub mod crowd;
 pub mod discovery_service;
 pub mod fault_proxy;
--- a/cli/tests/common/random_faults.rs
+++ b/cli/tests/common/random_faults.rs
@@ -166,6 +166,30 @@
         server
     }
 
+    /// The open connection from this port of the program.
+    pub fn connection(&self, port: u16) -> Option<Arc<TcpStream>> {
+        let connections = self.state.connections.lock().unwrap();
+        let is_from =
+            |stream: &&Arc<TcpStream>| stream.peer_addr().is_ok_and(|address| address.port() == port);
+        connections.values().find(is_from).map(Arc::clone)
+    }
+
+    /// Sends bytes on a connection, whatever it waits for.
+    pub fn send(&self, port: u16, bytes: &[u8]) {
+        if let Some(stream) = self.connection(port) {
+            let _ = (&*stream).write_all(bytes);
+        }
+    }
+
+    /// Closes or resets a connection.
+    pub fn close(&self, port: u16, by_reset: bool) {
+        let Some(stream) = self.connection(port) else { return };
+        match by_reset {
+            true => reset(&stream),
+            false => drop(stream.shutdown(Shutdown::Both)),
+        }
+    }
+
     /// Makes the server hang, or go on.
     pub fn set_hanging(&self, hangs: bool) {
         self.state.hangs.store(hangs, Ordering::SeqCst);
--- a/cli/tests/common/recorded_client.rs
+++ b/cli/tests/common/recorded_client.rs
@@ -106,6 +106,9 @@
     sent: Arc<Mutex<Vec<(Command, RequestRecord)>>>,
     number: u64,
     proxy: usize,
+    /// The rest of a command of which half was sent.
+    rest: Arc<Mutex<Vec<u8>>>,
+    /// When the client had left.
     left_at: Arc<Mutex<Option<Instant>>>,
 }
 
@@ -138,11 +141,12 @@
 impl Sender {
     fn new(stream: Arc<TcpStream>, proxy: usize) -> Sender {
         let number = NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed);
-        Sender { stream, sent: Arc::default(), number, proxy, left_at: Arc::default() }
+        Sender { stream, sent: Arc::default(), number, proxy, rest: Arc::default(), left_at: Arc::default() }
     }
 
     /// Sends commands, cut into pieces of at most this many bytes with pauses between them. `None` if the connection ended.
     pub fn send(&self, commands: &[Command], pieces: Option<(usize, &mut Random)>) -> Option<()> {
+        self.send_rest();
         let mut sent = self.sent.lock().unwrap();
         let (mut bytes, mut ends, first) = (Vec::new(), Vec::new(), sent.len());
         for command in commands {
@@ -172,24 +176,28 @@
         Some(())
     }
 
-    /// Sends the first half of a command. Nothing else may be sent before [`Sender::send_rest`].
+    /// Sends the first half of a command. Its rest is sent by [`Sender::send_rest`], or before the next command.
     pub fn send_half(&self, command: &Command) {
+        self.send_rest();
         let mut sent = self.sent.lock().unwrap();
         let record = self.record(command, sent.len());
         sent.push((command.clone(), record));
-        let bytes = command.encode();
-        let _ = (&*self.stream).write_all(&bytes[..bytes.len() / 2]);
+        let mut half = command.encode();
+        *self.rest.lock().unwrap() = half.split_off(half.len() / 2);
+        let _ = (&*self.stream).write_all(&half);
     }
 
-    /// Sends the rest of the command that was sent last.
+    /// Whether half of a command was sent, and not its rest.
+    pub fn has_rest(&self) -> bool {
+        !self.rest.lock().unwrap().is_empty()
+    }
+
+    /// Sends the rest of a command of which half was sent.
     pub fn send_rest(&self) {
         let mut sent = self.sent.lock().unwrap();
-        let Some((command, record)) = sent.last_mut().filter(|(_, record)| record.written_at.is_none())
-        else {
-            return;
-        };
-        let bytes = command.encode();
-        if (&*self.stream).write_all(&bytes[bytes.len() / 2..]).is_ok() {
+        let rest = std::mem::take(&mut *self.rest.lock().unwrap());
+        let Some((_, record)) = sent.last_mut().filter(|_| !rest.is_empty()) else { return };
+        if (&*self.stream).write_all(&rest).is_ok() {
             record.written_at = Some(Instant::now());
         }
     }
@@ -199,7 +207,6 @@
         if by_reset {
             let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
         }
-        *self.left_at.lock().unwrap() = Some(Instant::now());
         let _ = self.stream.shutdown(Shutdown::Read);
         let give_up = Instant::now() + TIMEOUT;
         while Arc::strong_count(&self.stream) > 1 && Instant::now() < give_up {
@@ -232,13 +239,17 @@
     /// Connects to a proxy.
     pub fn open(proxy: usize, address: SocketAddr) -> Option<RecordedConnection> {
         let stream = TcpStream::connect(address).ok()?;
-        stream.set_read_timeout(Some(TIMEOUT)).ok()?;
-        stream.set_write_timeout(Some(TIMEOUT)).ok()?;
-        stream.set_nodelay(true).ok()?;
-        let stream = Arc::new(stream);
+        Some(RecordedConnection::on(stream.into(), proxy))
+    }
+
+    /// Uses a socket that is going to be connected.
+    pub fn on(socket: socket2::Socket, proxy: usize) -> RecordedConnection {
+        let stream = Arc::new(TcpStream::from(socket));
+        let _ = stream.set_read_timeout(Some(TIMEOUT));
+        let _ = stream.set_write_timeout(Some(TIMEOUT));
+        let _ = stream.set_nodelay(true);
         let reader = BufReader::new(ReadHalf(Arc::clone(&stream)));
-        let sender = Sender::new(stream, proxy);
-        Some(RecordedConnection { reader, sender, answered: 0, last_answer_at: None })
+        RecordedConnection { reader, sender: Sender::new(stream, proxy), answered: 0, last_answer_at: None }
     }
 
     pub fn stream(&self) -> &TcpStream {
@@ -340,21 +351,19 @@
         Closed { connection: self, at: Instant::now(), is_reset: ended == Ended::Reset }
     }
 
-    /// When the client left by [`Sender::leave`], which goes on once the reader is dropped.
-    pub fn left_at(&self) -> Option<Instant> {
-        *self.sender.left_at.lock().unwrap()
-    }
-
     /// Lets a client go that has left by [`Sender::leave`], and hands the records on.
     pub fn let_go(self, records: &SharedRecords) {
         let (sent, left_at) = (Arc::clone(&self.sender.sent), Arc::clone(&self.sender.left_at));
-        let (answered, stream) = (self.answered, Arc::downgrade(&self.sender.stream));
+        let answered = self.answered;
         drop(self);
-        while stream.strong_count() > 0 {
+        loop {
+            let left_at = *left_at.lock().unwrap();
+            if let Some(left_at) = left_at {
+                hand_on(&sent, answered, RequestEnd::ClientLeft(left_at), records);
+                return;
+            }
             std::thread::yield_now();
         }
-        let left_at = left_at.lock().unwrap().unwrap_or_else(Instant::now);
-        hand_on(&sent, answered, RequestEnd::ClientLeft(left_at), records);
     }
 
     /// Waits until it shows whether the program, which has closed this connection, had read everything, and hands the
