Test of the deduplication window waits until the prepared connection is usable

retry_is_not_sent_after_the_deduplication_window failed once of four runs: it sent the write as soon as the origin had accepted the prepared connection. The proxy may read the write in the same turn in which it learns that the connection is up, and opens another one; the test then waited on the idle one. A PING that is answered in between shows that it has learnt it. The checks are the same.

--- a/cli/tests/crossings.rs
+++ b/cli/tests/crossings.rs
@@ -236,6 +236,8 @@
     assert_eq!(client.next(), Some(bulk("x")));
     // The proxy opens the connection for the next write ahead.
     let mut first = origin.accept();
+    // Once this is answered, the proxy has noticed that the connection is established.
+    assert_eq!(client.request(&["PING"]), Value::Simple(b"PONG".to_vec()));
     client.send(&["OBJ.SET", "k", "id1", "c=fix,t=acme,d=1900,k=5c", "v"]);
     assert!(read_request(&mut first).starts_with("PUT /k "));
     origin.fill_backlog();
