Requests that come at a connection that is being closed stay unread

Callers saw the end of a resting connection and no answer, and no reset: the lingering close read whatever came after the shutdown and dropped it, so that a request was read and never answered, and its client had no sign that it may send it again. The same for commands behind a value that broke off, and for connections closed for lack of descriptors or since they sent nothing.

What comes after the shutdown now stays unread; the close resets the connection, which is what tells a client that its request was not read. Where much was written just before (UndeliveredOutput), the input is still discarded at the end, since a reset would cut off a reply that is on its way. After malformed input all is discarded as before.

--- a/cli/tests/socket_calls.rs
+++ b/cli/tests/socket_calls.rs
@@ -55,14 +55,15 @@
         let (peer, name, is_after) = call;
         print!("| {peer} | {} {name} |", if *is_after { "after" } else { "before" });
         for event in Event::ALL {
-            match table.get(&(call.clone(), event)) {
-                Some(cell) if cell.impossible.is_some() => print!(" - |"),
+            let text = match table.get(&(call.clone(), event)) {
+                Some(cell) if cell.impossible.is_some() => "-".to_owned(),
                 Some(cell) if !cell.broken.is_empty() => {
-                    print!(" **{}** of {} |", cell.broken.len(), cell.played)
+                    format!("**{}** of {}", cell.broken.len(), cell.played)
                 }
-                Some(cell) => print!(" {} |", cell.played),
-                None => print!(" |"),
-            }
+                Some(cell) => cell.played.to_string(),
+                None => String::new(),
+            };
+            print!(" {text} |");
         }
         println!();
     }
--- a/proxy/src/wire/driver/client/accept.rs
+++ b/proxy/src/wire/driver/client/accept.rs
@@ -1,5 +1,6 @@
 //! Accepts client connections within the descriptor budget.
 
+use super::undelivered::UndeliveredOutput;
 use super::{serve, Client};
 use crate::net::{lacks_descriptor, Listener, Stream};
 use crate::state::pool::Ticket;
@@ -71,6 +72,8 @@
         output_blocked: Cell::new(false),
         blocked_since: Cell::new(0),
         last_progress: Cell::new(0),
+        undelivered: UndeliveredOutput::default(),
+        lingering: Cell::new(false),
     });
     runtime.clients.borrow_mut().insert(id, Rc::clone(&client));
     runtime.spawn(serve(Rc::clone(runtime), id, client, ticket));
--- a/proxy/src/wire/driver/client/mod.rs
+++ b/proxy/src/wire/driver/client/mod.rs
@@ -4,6 +4,7 @@
 mod eviction;
 mod reader;
 mod relay;
+mod undelivered;
 mod upload;
 mod writer;
 
@@ -26,6 +27,7 @@
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
+use undelivered::UndeliveredOutput;
 pub use writer::LINGER_TIMEOUT;
 
 /// How often the connection is polled for a disconnect while it is not read. No attempt may start for a client that
@@ -67,6 +69,10 @@
     blocked_since: Cell<Micros>,
     /// When the socket last took output, or when it first refused some.
     last_progress: Cell<Micros>,
+    /// What the socket took and the client may not have received.
+    undelivered: UndeliveredOutput,
+    /// The sending side is closed, and the client may still be receiving.
+    lingering: Cell<bool>,
 }
 
 impl Drop for Client {
@@ -135,6 +141,7 @@
                 Ok(0) => self.broken.set(true),
                 Ok(n) => {
                     session.replies_mut().mark_written(n);
+                    self.undelivered.written(now, n);
                     self.last_progress.set(now);
                     continue;
                 }
@@ -267,7 +274,7 @@
     runtime.cancel_requests(id, &client);
     // A client that has left or does not read cannot receive the end of its output.
     if !matches!(ending, ConnectionEnd::ClientLeft | ConnectionEnd::ClientStalled) {
-        writer::linger(&runtime, &client).await;
+        writer::linger(&runtime, &client, ending).await;
     }
     runtime.clients.borrow_mut().remove(&id);
     drop(client);
--- a/proxy/src/wire/driver/client/writer.rs
+++ b/proxy/src/wire/driver/client/writer.rs
@@ -1,6 +1,6 @@
 //! Writes a client's replies and closes its connection gracefully.
 
-use super::Client;
+use super::{Client, PRESENCE_CHECK_INTERVAL};
 use crate::outcome::ConnectionEnd;
 use crate::wire::driver::Runtime;
 use async_io::Timer;
@@ -8,8 +8,10 @@
 use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
-/// Limits of the lingering close: its duration, its duration while descriptors are short, and the bytes to discard.
+/// Limits of the lingering close: its duration, that of a client that may still have to receive much, that while descriptors are
+/// short, and the bytes to discard.
 pub const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+const LONG_LINGER_TIMEOUT: Duration = Duration::from_secs(3);
 const LINGER_TIMEOUT_CROWDED: Duration = Duration::from_millis(20);
 const MAX_LINGER_BYTES: usize = 1024 * 1024;
 /// Limit on the bytes of commands that arrive at a connection once it is to be closed for the end of the process.
@@ -44,6 +46,29 @@
 }
 
 impl Runtime {
+    /// Discards the input of a client that may still have to receive some of its replies. A reset would cut them off.
+    fn prevent_reset(&self, client: &Client) {
+        if !client.undelivered.is_likely(self.clock.now()) {
+            return;
+        }
+        let mut buffer = self.read_buffer.borrow_mut();
+        let mut read = 0;
+        while read < MAX_LINGER_BYTES {
+            match client.io.read(&mut buffer) {
+                Ok(n) if n > 0 => read += n,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                _ => return,
+            }
+        }
+    }
+
+    /// Prevents resets of clients that may still receive, before the process exits.
+    pub fn prevent_resets_at_exit(&self) {
+        for client in self.clients.borrow().values().filter(|client| client.lingering.get()) {
+            self.prevent_reset(client);
+        }
+    }
+
     /// Rejects the commands that arrived while the last replies before the end of the process were written. Their connection is
     /// open, so they need an answer. `late_bytes` counts their bytes. Returns whether there were any.
     fn refuse_late_commands(&self, client: &Client, late_bytes: &mut usize) -> bool {
@@ -60,37 +85,63 @@
     }
 }
 
-/// Lingering close: shuts down the write side and discards input for a short time. Closing a socket with unread bytes
-/// resets it, and the client could lose its last replies. Discarded requests are not answered.
-pub(super) async fn linger(runtime: &Runtime, client: &Client) {
+/// Closes the sending side and waits for the client to close its own, so that it receives its last replies.
+///
+/// Requests that arrive from now on cannot be answered. They stay unread: the system resets a connection that is closed with
+/// unread input, which tells the client to send them again. After malformed input nothing is a request, and all is discarded.
+pub(super) async fn linger(runtime: &Runtime, client: &Client, ending: ConnectionEnd) {
     let _ = client.io.shutdown_write();
-    let drain = async {
-        let mut read = 0;
-        while read < MAX_LINGER_BYTES {
-            // The buffer is shared, so it is not borrowed while this waits.
-            let discarded = client.io.read(&mut runtime.read_buffer.borrow_mut());
-            match discarded {
-                Ok(n) if n > 0 => read += n,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                    if client.io.readable().await.is_err() {
-                        return;
-                    }
+    if ending == ConnectionEnd::ClientMalformed {
+        return future::or(discard_input(runtime, client), wait_at_most(runtime, LINGER_TIMEOUT)).await;
+    }
+    client.lingering.set(true);
+    let timeout = match client.undelivered.is_likely(runtime.clock.now()) {
+        true => LONG_LINGER_TIMEOUT,
+        false => LINGER_TIMEOUT,
+    };
+    future::or(client.closed_by_peer(), wait_at_most(runtime, timeout)).await;
+    runtime.prevent_reset(client);
+}
+
+/// Reads and discards input until the client closes its side, or for ever once that is too much.
+async fn discard_input(runtime: &Runtime, client: &Client) {
+    let mut read = 0;
+    while read < MAX_LINGER_BYTES {
+        // The buffer is shared, so it is not borrowed while this waits.
+        let discarded = client.io.read(&mut runtime.read_buffer.borrow_mut());
+        match discarded {
+            Ok(n) if n > 0 => read += n,
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                if client.io.readable().await.is_err() {
+                    return;
                 }
-                _ => return,
             }
+            _ => return,
         }
-        // Further input stays in the socket until the timeout, so that the client can still read its replies.
-        future::pending::<()>().await;
-    };
-    let late = async {
-        let until = Instant::now() + LINGER_TIMEOUT;
-        while Instant::now() < until {
-            Timer::after(LINGER_TIMEOUT_CROWDED).await;
-            if runtime.descriptors_short.get() {
-                return;
-            }
+    }
+    // Further input stays in the socket until the timeout, so that the client can still read its replies.
+    future::pending::<()>().await;
+}
+
+/// Waits for this long, or a short time while descriptors are short.
+async fn wait_at_most(runtime: &Runtime, timeout: Duration) {
+    let until = Instant::now() + timeout;
+    while Instant::now() < until {
+        Timer::after(LINGER_TIMEOUT_CROWDED).await;
+        if runtime.descriptors_short.get() {
+            return;
         }
-    };
-    future::or(drain, late).await;
+    }
+}
+
+impl Client {
+    /// Waits until the client has closed its side.
+    async fn closed_by_peer(&self) {
+        // Also returns for input, which would not wake this again.
+        let _ = self.io.readable().await;
+        while !self.io.peer_has_closed() {
+            Timer::after(PRESENCE_CHECK_INTERVAL).await;
+        }
+    }
 }
