Plays at socket calls also check that nothing is read of what is not answered

A half that is read before a close, and whose rest is not, resets the connection like a request that was left unread. The trace of the calls tells the difference.

--- a/cli/tests/common/crossing.rs
+++ b/cli/tests/common/crossing.rs
@@ -197,6 +197,8 @@
     is_leaving: AtomicBool,
     trace: Mutex<Trace>,
     extra: AtomicU32,
+    /// What the calls show beside the records.
+    read_in_part: Mutex<Vec<String>>,
 }
 
 #[derive(Default)]
@@ -204,6 +206,8 @@
     counts: HashMap<(String, String, bool), usize>,
     points: Vec<Point>,
     was_reached: bool,
+    /// Bytes that the program has read from the client.
+    bytes_read: usize,
 }
 
 impl Stage {
@@ -229,6 +233,7 @@
             is_leaving: AtomicBool::new(false),
             trace: Mutex::default(),
             extra: AtomicU32::new(0),
+            read_in_part: Mutex::default(),
         }
     }
 
@@ -258,6 +263,9 @@
         }
         let point = {
             let mut trace = self.trace.lock().unwrap();
+            if stop.peer == "client" && stop.call == "read" && stop.is_after {
+                trace.bytes_read += usize::try_from(stop.result).unwrap_or_default();
+            }
             let key = (stop.peer.clone(), stop.call.clone(), stop.is_after);
             let nth = trace.counts.entry(key).and_modify(|n| *n += 1).or_insert(1);
             let point = Point {
@@ -358,8 +366,10 @@
     let mut records = stage.records.lock().clone();
     records.drains = stage.discovery.drain_records(1);
     let violations = judge(&records, Terms::default());
+    let read_in_part = stage.read_in_part.lock().unwrap();
+    let violations = violations.iter().map(|violation| format!("{violation:?}"));
     CrossingResult {
-        violations: violations.iter().map(|violation| format!("{violation:?}")).collect(),
+        violations: violations.chain(read_in_part.iter().cloned()).collect(),
         was_reached: trace.was_reached,
         points: trace.points.clone(),
     }
@@ -468,7 +478,13 @@
         }
         self.stage.sender.lock().unwrap().take();
         let Some(connection) = self.connection.take() else { return };
+        let answered_bytes = connection.answered_bytes();
         let commands = connection.settle(ended, &self.stage.records);
+        let bytes_read = self.stage.trace.lock().unwrap().bytes_read;
+        if bytes_read > answered_bytes {
+            let text = format!("{} bytes read of what was not answered", bytes_read - answered_bytes);
+            self.stage.read_in_part.lock().unwrap().push(text);
+        }
         let is_stopping = self.stage.term_at.lock().unwrap().is_some();
         if !commands.is_empty() && !is_stopping {
             let connection = self.open();
--- a/cli/tests/common/recorded_client.rs
+++ b/cli/tests/common/recorded_client.rs
@@ -266,6 +266,12 @@
         self.sender.send(commands, pieces)
     }
 
+    /// Length of the commands that were answered, in bytes.
+    pub fn answered_bytes(&self) -> usize {
+        let sent = self.sender.sent.lock().unwrap();
+        sent[..self.answered].iter().map(|(command, _)| command.encode().len()).sum()
+    }
+
     /// Number of commands without an answer.
     pub fn unanswered(&self) -> usize {
         self.sender.sent.lock().unwrap().len() - self.answered
