A request that arrives at the close of a resting connection is not read and dropped

What callers saw: after SIGTERM, a request on a resting connection got no answer, although it was read before the proxy closed its side.

Cause: Client::end finds no input by a peek and lets the resting connection end. Before the close, refuse_late_commands reads once more, for commands that came behind the last replies. It has an answer for them only if the session was closed by then; a session that rests is open, and refuse_late drops its input. A request that arrives between the peek and the read, some microseconds, is read, not answered and not forwarded.

Evidence: the program is stopped after the peek, and a request is sent: 75 bytes read, no answer. The new test failed before this change and passes with it. Why it works: an open session is only read by its reader, which answers what it reads; what comes after the peek stays unread, and the close resets the connection.

--- a/cli/tests/crossings.rs
+++ b/cli/tests/crossings.rs
@@ -2,6 +2,7 @@
 //! between. Each test blocks one side at that point. docs/audit-findings.md lists the races.
 
 mod common;
+use common::crossing::{play, Event, Point, Scenario};
 use common::*;
 use notchdoor_proxy::wire::resp::{Reader, Value};
 use socket2::{Domain, Socket, Type};
@@ -485,3 +486,14 @@
     let (exited_cleanly, log) = proxy.wait_for_exit();
     assert!(exited_cleanly && log.contains("stopped with every request answered"), "{log}");
 }
+
+/// Guards against a request that is read and dropped because it arrives between the look for input and the close of a resting
+/// connection at the stop (incident 3dbf5d).
+#[test]
+fn request_that_arrives_at_the_close_of_a_resting_connection_is_answered_or_left_unread() {
+    for is_after in [false, true] {
+        let point = Point { peer: "client".to_owned(), call: "peek".to_owned(), is_after, nth: 1 };
+        let result = play(Scenario::StopAtRest, Some((point.clone(), Event::Command)));
+        assert!(result.was_reached && result.violations.is_empty(), "{point:?}: {:?}", result.violations);
+    }
+}
--- a/proxy/src/wire/driver/client/writer.rs
+++ b/proxy/src/wire/driver/client/writer.rs
@@ -72,7 +72,9 @@
     /// Rejects the commands that arrived while the last replies before the end of the process were written. Their connection is
     /// open, so they need an answer. `late_bytes` counts their bytes. Returns whether there were any.
     fn refuse_late_commands(&self, client: &Client, late_bytes: &mut usize) -> bool {
-        if !self.stopping.get() || *late_bytes >= MAX_LATE_BYTES {
+        // An open session reads for itself; what is read here would be missing there.
+        let is_closed = !client.session.borrow().is_reading();
+        if !self.stopping.get() || !is_closed || *late_bytes >= MAX_LATE_BYTES {
             return false;
         }
         let mut buffer = vec![0; MAX_LATE_BYTES - *late_bytes];
