At the stop only whole commands are read, and a half is not lost in the close

What callers saw: a request that comes in pieces over the moment at which no more is read after SIGTERM got no answer.

Cause: refuse_late_commands read whatever had come, up to 64 KiB. The first half of a command, or what the 64 KiB cut, was kept for a next turn, and the connection ended in this one. Now the input is looked at first, and only whole commands are taken; the rest stays unread, so that the client sends it again. A command of which a part was read before the session was closed is rejected.

Tests of the session at every split are new.

--- a/proxy/src/net/calls.rs
+++ b/proxy/src/net/calls.rs
@@ -50,10 +50,10 @@
     around(SocketCall::Write, name, || stream.write(bytes), |n| *n)
 }
 
-/// Looks for a byte of input without reading it. Returns 0 at the end of the connection.
-pub(super) fn peek(stream: &TcpStream, name: ConnectionName) -> io::Result<usize> {
+/// Copies input without taking it from the socket. Returns 0 at the end of the connection.
+pub(super) fn peek(stream: &TcpStream, name: ConnectionName, buffer: &mut [u8]) -> io::Result<usize> {
     injected_failure(SocketCall::Peek)?;
-    around(SocketCall::Peek, name, || stream.peek(&mut [0]), |n| *n)
+    around(SocketCall::Peek, name, || stream.peek(buffer), |n| *n)
 }
 
 /// Whether the peer has closed its side, or the connection is broken.
--- a/proxy/src/net/stream.rs
+++ b/proxy/src/net/stream.rs
@@ -35,21 +35,35 @@
         calls::write(self.io.get_ref(), self.name, bytes)
     }
 
+    /// Copies input, without waiting, and leaves it unread. Returns 0 at the end of the connection.
+    pub fn peek(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        loop {
+            match calls::peek(self.io.get_ref(), self.name, buffer) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                result => return result,
+            }
+        }
+    }
+
     /// Whether the socket has unread input. A failed call counts as none.
     pub fn has_unread_input(&self) -> bool {
-        retry_interrupted(|| calls::peek(self.io.get_ref(), self.name)).is_ok_and(|n| n > 0)
+        self.peek(&mut [0]).is_ok_and(|n| n > 0)
     }
 
     /// Whether the connection is open and has no unread input. A failed call counts as not.
     pub fn is_quiet(&self) -> bool {
-        let peeked = retry_interrupted(|| calls::peek(self.io.get_ref(), self.name));
-        matches!(peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
+        matches!(self.peek(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock)
     }
 
     /// Whether the peer has closed its side or the connection is broken, even if input is still unread. A failed call counts as
     /// not.
     pub fn peer_has_closed(&self) -> bool {
-        retry_interrupted(|| calls::poll_closed(self.io.get_ref(), self.name)).unwrap_or(false)
+        loop {
+            match calls::poll_closed(self.io.get_ref(), self.name) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                result => return result.unwrap_or(false),
+            }
+        }
     }
 
     /// Shuts down the sending side. Fails if the connection is broken.
@@ -92,13 +106,3 @@
         Ok(())
     }
 }
-
-/// Repeats a call that a signal interrupted.
-fn retry_interrupted<T>(call: impl Fn() -> io::Result<T>) -> io::Result<T> {
-    loop {
-        match call() {
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            result => return result,
-        }
-    }
-}
--- a/proxy/src/wire/client_session.rs
+++ b/proxy/src/wire/client_session.rs
@@ -397,6 +397,28 @@
         sequences.len()
     }
 
+    /// Number of these bytes, which arrived after the session was closed for the end of the process, that belong to commands
+    /// which they complete.
+    pub fn late_command_bytes(&self, input: &[u8]) -> usize {
+        let Some(mut reader) = self.late_reader.clone() else { return 0 };
+        reader.feed(input);
+        let mut whole = 0;
+        while let Ok(Some(_)) = reader.next_value() {
+            whole = input.len().saturating_sub(reader.pending());
+        }
+        whole
+    }
+
+    /// Rejects a command that was read in part before the session was closed for the end of the process. Returns whether there
+    /// was one. No further command is accepted then.
+    pub fn refuse_late_part(&mut self) -> bool {
+        let Some(reader) = self.late_reader.take_if(|reader| reader.pending() > 0) else { return false };
+        drop(reader);
+        let sequence = self.replies.push();
+        self.answer(sequence, Answer::Rejected { retry_after: STOPPING_RETRY_AFTER_US });
+        true
+    }
+
     /// Rejects the commands that this input completes. It arrived after the session was closed for the end of the process.
     /// Returns the number of rejected commands. Ignored if it is not known where a command begins.
     pub fn refuse_late(&mut self, input: &[u8]) -> usize {
--- a/proxy/src/wire/driver/client/writer.rs
+++ b/proxy/src/wire/driver/client/writer.rs
@@ -78,9 +78,17 @@
             return false;
         }
         let mut buffer = vec![0; MAX_LATE_BYTES - *late_bytes];
-        let n = client.io.read(&mut buffer).unwrap_or(0);
+        let available = client.io.peek(&mut buffer).unwrap_or(0);
+        let input = buffer.get(..available).unwrap_or_default();
+        // A command that is not whole stays unread, so that its client sends it again.
+        let whole = client.session.borrow().late_command_bytes(input);
+        let n = match whole {
+            0 => 0,
+            _ => client.io.read(buffer.get_mut(..whole).unwrap_or_default()).unwrap_or(0),
+        };
         *late_bytes += n;
         let refused = client.session.borrow_mut().refuse_late(buffer.get(..n).unwrap_or_default());
+        let refused = refused + usize::from(client.session.borrow_mut().refuse_late_part());
         self.proxy.borrow_mut().counters.rejected += refused as u64;
         client.flush(self.clock.now());
         refused > 0
--- a/proxy/src/wire/resp.rs
+++ b/proxy/src/wire/resp.rs
@@ -50,6 +50,7 @@
 }
 
 /// Incremental parser of RESP2 values.
+#[derive(Clone)]
 pub struct Reader {
     /// Maximum length of a bulk string in bytes.
     max_bulk_bytes: usize,
--- a/proxy/tests/session_end.rs
+++ b/proxy/tests/session_end.rs
@@ -126,3 +126,37 @@
     session.refuse_rest();
     assert_eq!(session.refuse_late(&bytes[MAX_VALUE + 200..]), 0);
 }
+
+/// Guards against halves of commands that are read when their connection is closed (incident 3dbf5d).
+#[test]
+fn late_command_bytes_are_those_of_whole_commands_at_every_split() {
+    let (mut bytes, mut ends) = (Vec::new(), vec![0]);
+    for _ in 0..2 {
+        write_command(&mut bytes, GET);
+        ends.push(bytes.len());
+    }
+    for (read, available) in (0..bytes.len()).flat_map(|read| (read..=bytes.len()).map(move |to| (read, to)))
+    {
+        let mut session = ClientSession::default();
+        session.feed(&bytes[..read]);
+        session.refuse_rest();
+        let whole = ends.iter().rev().find(|end| **end <= available).unwrap();
+        let expected = whole.saturating_sub(read);
+        assert_eq!(session.late_command_bytes(&bytes[read..available]), expected, "{read} {available}");
+    }
+    let open = ClientSession::default();
+    assert_eq!(open.late_command_bytes(&bytes), 0, "an open session reads for itself");
+}
+
+/// Guards against a command that was read in part and gets no answer at the end of the process (incident 3dbf5d).
+#[test]
+fn command_that_was_read_in_part_is_rejected_once_when_its_connection_closes() {
+    let mut bytes = Vec::new();
+    write_command(&mut bytes, GET);
+    let mut session = ClientSession::default();
+    session.feed(&bytes[..bytes.len() / 2]);
+    assert_eq!(session.refuse_rest(), 0);
+    assert!(session.refuse_late_part() && !session.refuse_late_part());
+    assert_eq!(session.replies().output(), b"-BUSY 1\r\n");
+    assert_eq!(session.late_command_bytes(&bytes[bytes.len() / 2..]), 0);
+}
