A read or write that fails for lack of memory ends no client's connection

What callers saw, with failing system calls: a request that was under way got no answer, and its connection ended.

Cause: any error of a read or write on a client's connection but EAGAIN and EINTR counted as a client that has left; its requests were cancelled. ENOMEM and ENOBUFS say nothing of the connection. The same for servers' connections, where an attempt ended as broken. net::Stream now reports them as a call that would block, and waits 5 ms before the next one.

--- a/proxy/src/net/stream.rs
+++ b/proxy/src/net/stream.rs
@@ -2,14 +2,22 @@
 
 use super::breakpoints::ConnectionName;
 use super::{calls, Peer};
-use async_io::Async;
+use async_io::{Async, Timer};
+use rustix::io::Errno;
+use std::cell::Cell;
 use std::io::{self, ErrorKind};
 use std::net::TcpStream;
+use std::time::Duration;
+
+/// Pause after a call that failed for lack of memory, which says nothing about the connection.
+const SHORTAGE_PAUSE: Duration = Duration::from_millis(5);
 
 /// A TCP connection. Every system call on it is made by this module, so that tests can stop the program between two of them.
 pub struct Stream {
     io: Async<TcpStream>,
     name: ConnectionName,
+    /// The last read or write failed for lack of memory.
+    is_short: Cell<bool>,
 }
 
 impl Drop for Stream {
@@ -22,17 +30,25 @@
     /// Wraps an open connection to this kind of peer.
     pub fn new(io: Async<TcpStream>, peer: Peer) -> Self {
         let name = ConnectionName::of(io.get_ref(), peer);
-        Stream { io, name }
+        Stream { io, name, is_short: Cell::new(false) }
     }
 
-    /// Reads what the socket has, without waiting. Returns 0 at the end of the connection.
+    /// Reads what the socket has, without waiting. Returns 0 at the end of the connection. A shortage of memory is reported as
+    /// [`ErrorKind::WouldBlock`].
     pub fn read(&self, buffer: &mut [u8]) -> io::Result<usize> {
-        calls::read(self.io.get_ref(), self.name, buffer)
+        self.unless_short(calls::read(self.io.get_ref(), self.name, buffer))
     }
 
-    /// Writes what the socket can take, without waiting.
+    /// Writes what the socket can take, without waiting. A shortage of memory is reported as [`ErrorKind::WouldBlock`].
     pub fn write(&self, bytes: &[u8]) -> io::Result<usize> {
-        calls::write(self.io.get_ref(), self.name, bytes)
+        self.unless_short(calls::write(self.io.get_ref(), self.name, bytes))
+    }
+
+    fn unless_short(&self, result: io::Result<usize>) -> io::Result<usize> {
+        let Err(error) = result else { return result };
+        let is_short = matches!(Errno::from_io_error(&error), Some(Errno::NOMEM | Errno::NOBUFS));
+        self.is_short.set(is_short);
+        Err(if is_short { ErrorKind::WouldBlock.into() } else { error })
     }
 
     /// Copies input, without waiting, and leaves it unread. Returns 0 at the end of the connection.
@@ -71,16 +87,24 @@
         calls::shutdown_write(self.io.get_ref(), self.name)
     }
 
-    /// Waits until the socket has input or the connection has ended.
+    /// Waits until the socket has input or the connection has ended, or a shortage of memory may be over.
     pub async fn readable(&self) -> io::Result<()> {
+        self.pause_if_short().await;
         self.io.readable().await
     }
 
-    /// Waits until the socket can take output or the connection has ended.
+    /// Waits until the socket can take output or the connection has ended, or a shortage of memory may be over.
     pub async fn writable(&self) -> io::Result<()> {
+        self.pause_if_short().await;
         self.io.writable().await
     }
 
+    async fn pause_if_short(&self) {
+        if self.is_short.take() {
+            Timer::after(SHORTAGE_PAUSE).await;
+        }
+    }
+
     /// Waits for input and reads it. Returns 0 at the end of the connection.
     pub async fn read_some(&self, buffer: &mut [u8]) -> io::Result<usize> {
         loop {
--- a/proxy/src/net/tests.rs
+++ b/proxy/src/net/tests.rs
@@ -143,6 +143,25 @@
     assert_ne!(connect(broadcast).err().unwrap().fault(), Fault::Peer);
 }
 
+/// Guards against clients that are taken for gone, and lose their requests, for lack of memory (incident 3dbf5d).
+#[test]
+fn shortage_of_memory_is_waited_out_and_ends_no_connection() {
+    let (listener, address) = loopback_listener();
+    let stream = async_io::block_on(connect(address, Peer::Server)).unwrap();
+    let TryAccept::Connection(peer) = listener.try_accept() else { panic!("no connection") };
+    for error in [Errno::NOMEM, Errno::NOBUFS] {
+        injection::fail(SocketCall::Write, error, 2);
+        injection::fail(SocketCall::Read, error, 1);
+        let mut buffer = [0; 8];
+        let started = Instant::now();
+        async_io::block_on(stream.write_all(b"whole")).unwrap();
+        assert_eq!(async_io::block_on(peer.read_some(&mut buffer)).unwrap(), 5);
+        assert!(started.elapsed() >= Duration::from_millis(15), "{error:?}: no pause");
+    }
+    injection::fail(SocketCall::Read, Errno::CONNRESET, 1);
+    assert!(async_io::block_on(peer.read_some(&mut [0; 8])).is_err());
+}
+
 #[test]
 fn path_failure_counts_against_an_endpoint_only_if_others_were_reached() {
     let [a, b, c] = [1, 2, 3].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
