Half a command that gives way for lack of descriptors gets an error before the close

What callers saw: half of a request was read, and after 1 s, with descriptors short, its connection was closed without an answer. Its rest came to a closed connection.

Cause: retire_idle closed the session of any idle connection at once, which drops what was read, and its writer ended it later without another look at the socket. Now half a command is answered with an error, and a connection without one only ends once nothing of it is unread.

--- a/cli/tests/crossings.rs
+++ b/cli/tests/crossings.rs
@@ -497,3 +497,18 @@
         assert!(result.was_reached && result.violations.is_empty(), "{point:?}: {:?}", result.violations);
     }
 }
+
+/// Guards against a command that is dropped without an answer after part of it was read, for lack of descriptors (incident
+/// 3dbf5d).
+#[test]
+fn half_a_command_that_gives_way_to_other_clients_gets_an_error() {
+    let (discovery, backend, origin) = (FakeDiscovery::start(), ManualServer::start(), ManualServer::start());
+    let proxy =
+        Proxy::with_sockets(&discovery, &[backend.endpoint_entry("w"), origin.endpoint_entry("o")], 96);
+    let mut client = proxy.client();
+    client.stream.write_all(b"*4\r\n$7\r\nOBJ.GET\r\n$1\r\nk").unwrap();
+    std::thread::sleep(Duration::from_millis(1_200));
+    let _crowd: Vec<TcpStream> = (0..150).map(|_| TcpStream::connect(proxy.listen).unwrap()).collect();
+    let answer = client.next().expect("closed without an answer");
+    assert!(matches!(answer, Value::Error(_)), "{answer:?}");
+}
--- a/proxy/src/wire/driver/client/eviction.rs
+++ b/proxy/src/wire/driver/client/eviction.rs
@@ -58,8 +58,11 @@
             idle.map(|c| (c.session.borrow().commands_received().min(2), c.last_active.get(), c)).collect();
         idle.sort_unstable_by_key(|&(commands, used, _)| (commands, used));
         for (_, _, client) in idle.into_iter().take(MAX_RETIRED_AT_ONCE) {
-            // A command received in part is dropped; the client can send it again on another connection.
-            client.session.borrow_mut().close();
+            let has_part_of_command = client.session.borrow().unparsed_bytes() > 0;
+            if has_part_of_command {
+                client.session.borrow_mut().expire();
+                client.flush(now);
+            }
             client.retire();
         }
     }
