A reader looks whether its session is open after its last wait, not before it

By reading, not shown by a run: while a client takes too little of its replies, its reader waits in wait_to_read; if the session is closed meanwhile, at the stop, what it reads next is fed to a closed session, which drops it.

--- a/cli/tests/crossings.rs
+++ b/cli/tests/crossings.rs
@@ -4,7 +4,8 @@
 mod common;
 use common::crossing::{play, Event, Point, Scenario};
 use common::*;
-use notchdoor_proxy::wire::resp::{Reader, Value};
+use notchdoor_proxy::wire::resp::{write_command, Reader, Value};
+use notchdoor_proxy::wire::MAX_VALUE;
 use socket2::{Domain, Socket, Type};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -537,3 +538,51 @@
     proxy.child.wait().unwrap();
     assert!(is_busy(&client.next().expect("killed without an answer")));
 }
+
+/// The bytes of replies that wait in the proxy for their clients.
+fn unsent_bytes(proxy: &Proxy) -> usize {
+    proxy.signal("USR1");
+    std::thread::sleep(Duration::from_millis(20));
+    let log = proxy.log_and_status();
+    let last = log.rsplit("unsent_bytes=").next().and_then(|rest| rest.split_whitespace().next());
+    last.and_then(|number| number.parse().ok()).unwrap_or_default()
+}
+
+/// Guards against a request that is read and dropped when no more is read at the stop while its client takes its replies
+/// slowly (incident 3dbf5d).
+#[test]
+fn request_behind_replies_that_are_taken_late_is_answered_at_the_stop() {
+    let value = "v".repeat(64_000);
+    let backend = FakeServer::backend(Box::new(move |_| hit_response(&value)));
+    let (discovery, origin) = (FakeDiscovery::start(), ManualServer::start());
+    let list = [endpoint_entry("w", &backend, "in_service", 0), origin.endpoint_entry("o")];
+    let proxy = Proxy::start(&discovery, &list);
+    let mut client = small_buffer::connect(&proxy);
+    // More than the system takes, in batches that a server gets at once, until the replies wait for the client.
+    let mut reads = 0;
+    while unsent_bytes(&proxy) <= 4 * MAX_VALUE {
+        assert!(reads < 200, "the replies do not wait");
+        let mut batch = Vec::new();
+        for n in reads..reads + 8 {
+            let (key, id) = (format!("k{n}"), format!("id{n}"));
+            write_command(&mut batch, &["OBJ.GET", &key, &id, READ].map(str::as_bytes));
+        }
+        client.stream.write_all(&batch).unwrap();
+        reads += 8;
+        std::thread::sleep(Duration::from_millis(60));
+    }
+    client.send(&["OBJ.GET", "last", "last", READ]);
+    proxy.signal("TERM");
+    // Until nothing more is read.
+    std::thread::sleep(Duration::from_millis(800));
+    for n in 0..reads {
+        // Some may be rejected: the window of the server is small at first.
+        assert!(client.next().is_some(), "{n}: no answer");
+        // So slowly at first that the proxy has some left when it reads again.
+        if n < 4 {
+            std::thread::sleep(Duration::from_millis(300));
+        }
+    }
+    let answer = client.next().expect("read, and closed without an answer");
+    assert!(is_busy(&answer), "{answer:?}");
+}
--- a/proxy/src/wire/driver/client/reader.rs
+++ b/proxy/src/wire/driver/client/reader.rs
@@ -71,12 +71,13 @@
         client.update_partial_since(read_at);
         client.flush(runtime.clock.now());
         runtime.evict_partial_commands();
-        if !client.session.borrow().is_reading() {
-            return wait_for_disconnect(client).await;
-        }
         if let ControlFlow::Break(ending) = wait_to_read(runtime, client).await {
             return ending;
         }
+        // After all waits: what a closed session is fed is dropped.
+        if !client.session.borrow().is_reading() {
+            return wait_for_disconnect(client).await;
+        }
         match runtime.read_once(client) {
             Ok(Input::End) => return ConnectionEnd::ClientLeft,
             Ok(Input::All) => runtime.count_upload_time(id, client, TimeSpent::OnClient),
