--- a/cli/tests/common/crossing.rs
+++ b/cli/tests/common/crossing.rs
@@ -8,7 +8,7 @@
 use super::recorded_client::{Command, Ended, RecordedConnection, Sender};
 use super::recording_servers::{cache_handler, origin_handler, Kind, Runs};
 use super::records::{Class, Effect, ProcessRecord, SharedRecords};
-use super::{endpoint_entry_at, settings, unix_ms, FakeDiscovery, Proxy};
+use super::{endpoint_entry_at, send_signal, settings, unix_ms, FakeDiscovery, Proxy};
 use notchdoor_testbed::wire::frames::Protocol;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::HashMap;
@@ -243,9 +243,7 @@
     }
 
     fn signal(&self, name: &str) {
-        let process = self.process.load(Ordering::SeqCst).to_string();
-        let status = std::process::Command::new("kill").args(["-s", name, &process]).status();
-        assert!(status.unwrap().success());
+        send_signal(self.process.load(Ordering::SeqCst), name);
         if name == "TERM" {
             self.term_at.lock().unwrap().get_or_insert_with(Instant::now);
         }
@@ -364,7 +362,7 @@
     player.end();
     let trace = stage.trace.lock().unwrap();
     let mut records = stage.records.lock().clone();
-    records.drains = stage.discovery.drain_records(1);
+    records.drains = stage.discovery.drain_records(&records.processes);
     let violations = judge(&records, Terms::default());
     let read_in_part = stage.read_in_part.lock().unwrap();
     let violations = violations.iter().map(|violation| format!("{violation:?}"));
--- a/cli/tests/common/discovery_service.rs
+++ b/cli/tests/common/discovery_service.rs
@@ -1,7 +1,7 @@
 //! Discovery for several proxies: each has an address of its own, which can move, and all watches can fall silent. Records
 //! when each proxy was told of a change.
 
-use super::records::DrainRecord;
+use super::records::{DrainRecord, ProcessRecord};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -101,20 +101,26 @@
         self.shared.changed.notify_all();
     }
 
-    /// The servers that drain, with the time at which each of these proxies counted as told.
-    pub fn drain_records(&self, proxies: usize) -> Vec<DrainRecord> {
+    /// The servers that drain, with the time at which each of these processes counted as told.
+    pub fn drain_records(&self, processes: &[ProcessRecord]) -> Vec<DrainRecord> {
         let state = self.shared.state.lock().unwrap();
-        let record = |(uid, version, changed_at): &(String, u64, Instant)| {
-            let latest = *changed_at + TOLD_AT_THE_LATEST;
-            let told_at = |proxy: usize| {
-                let told = state.told.get(&proxy).into_iter().flatten();
-                let written = told.filter(|(told, _)| told >= version).map(|(_, at)| *at).min();
-                written.map_or(latest, |at| at.max(*changed_at).min(latest))
-            };
-            let told_at = (0..proxies).map(told_at).max().unwrap_or(latest);
-            DrainRecord { server: uid.clone(), told_at }
-        };
-        state.drains.iter().map(record).collect()
+        let mut records = Vec::new();
+        for (uid, version, changed_at) in &state.drains {
+            for process in processes {
+                // A process is told by its own watch.
+                let from = (*changed_at).max(process.started_at);
+                let latest = from + TOLD_AT_THE_LATEST;
+                let told = state.told.get(&process.proxy).into_iter().flatten();
+                let written =
+                    told.filter(|(told, at)| told >= version && *at >= from).map(|(_, at)| *at).min();
+                records.push(DrainRecord {
+                    server: uid.clone(),
+                    process_started_at: process.started_at,
+                    told_at: written.map_or(latest, |at| at.min(latest)),
+                });
+            }
+        }
+        records
     }
 }
 
--- a/cli/tests/common/fleet.rs
+++ b/cli/tests/common/fleet.rs
@@ -558,9 +558,8 @@
         for node in &self.nodes {
             node.server.in_progress.wait_until_idle();
         }
-        let drains = self.discovery.drain_records(self.plan.proxies);
         let mut records = self.records.lock().clone();
-        records.drains = drains;
+        records.drains = self.discovery.drain_records(&records.processes);
         // The crowd keeps no records of what it sends.
         records.attempts.retain(|attempt| !attempt.id.starts_with("crowd-"));
         let mut violations: Vec<String> =
--- a/cli/tests/common/judge.rs
+++ b/cli/tests/common/judge.rs
@@ -1,7 +1,9 @@
 //! Judges a run by what clients and servers saw: the rules of the protocol page on lost requests, effects and drains. Nothing
 //! that the program says of itself is used.
 
-use super::records::{AnswerForm, AttemptRecord, Effect, ProcessRecord, Records, RequestEnd, RequestRecord};
+use super::records::{
+    AnswerForm, AttemptRecord, DrainRecord, Effect, ProcessRecord, Records, RequestEnd, RequestRecord,
+};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -114,7 +116,11 @@
     match &answer.form {
         AnswerForm::Other(text) => Some(Violation::WrongAnswer(id(), text.clone())),
         AnswerForm::Busy(None) => Some(Violation::NoRetryAfter(id())),
-        _ if timed_at > due => Some(Violation::Late(id(), timed_at - deadline)),
+        _ if timed_at > due => {
+            let (class, told) = (request.class.name, request.deadline);
+            let text = format!("{}, {class}, place {}, told {told:?}", id(), request.position);
+            Some(Violation::Late(text, timed_at - deadline))
+        }
         _ => None,
     }
 }
@@ -227,16 +233,19 @@
     }
 }
 
-/// Commands that began at a draining server after its grace period.
+/// Commands that began at a draining server after its grace period, when no process was left that had not been told. Which
+/// process sent a command does not show.
 fn drain_violations(records: &Records) -> Vec<Violation> {
-    let mut told: HashMap<&str, Instant> = HashMap::new();
-    for drain in &records.drains {
-        let first = told.entry(&drain.server).or_insert(drain.told_at);
-        *first = (*first).min(drain.told_at);
-    }
     let late = |attempt: &AttemptRecord| {
-        let told_at = told.get(attempt.server.as_str())?;
-        let after = attempt.began_at.checked_duration_since(*told_at)?;
+        let began_at = attempt.began_at;
+        let mut told: HashMap<Instant, Instant> = HashMap::new();
+        let of_attempt =
+            |drain: &&DrainRecord| drain.server == attempt.server && drain.process_started_at <= began_at;
+        for drain in records.drains.iter().filter(of_attempt) {
+            let first = told.entry(drain.process_started_at).or_insert(drain.told_at);
+            *first = (*first).min(drain.told_at);
+        }
+        let after = began_at.checked_duration_since(told.into_values().max()?)?;
         (after > DRAIN_GRACE + SOCKET_SLACK)
             .then(|| Violation::SentToDraining(format!("{} at {}", attempt.id, attempt.server), after))
     };
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -24,6 +24,7 @@
 pub mod streaming_backend;
 
 use notchdoor_proxy::wire::resp::{write_command, Reader, Value};
+use rustix::process::{kill_process, Pid, Signal};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -466,8 +467,7 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let sent = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
-        assert!(sent.unwrap().success());
+        send_signal(self.child.id(), name);
     }
 
     /// Waits for the process to exit. Returns whether the exit code was 0, and the log.
@@ -555,6 +555,23 @@
     }
 }
 
+/// Sends a signal, by its name without `SIG`, to a process.
+pub fn send_signal(process: u32, name: &str) {
+    let signal = match name {
+        "TERM" => Signal::TERM,
+        "HUP" => Signal::HUP,
+        "USR1" => Signal::USR1,
+        "INT" => Signal::INT,
+        "STOP" => Signal::STOP,
+        "CONT" => Signal::CONT,
+        "KILL" => Signal::KILL,
+        "ABRT" => Signal::ABORT,
+        other => panic!("unknown signal {other}"),
+    };
+    let process = Pid::from_raw(process as i32).expect("a process id");
+    kill_process(process, signal).expect("the process exists");
+}
+
 pub fn bulk(text: &str) -> Value {
     Value::Bulk(Some(text.as_bytes().to_vec()))
 }
--- a/cli/tests/common/random_faults.rs
+++ b/cli/tests/common/random_faults.rs
@@ -372,8 +372,12 @@
             true => 1 + self.random.below(reply.len().max(2) / 2),
             false => reply.len().max(1),
         };
-        for piece in reply.chunks(length.max(reply.len() / 8 + 1)) {
-            self.writer.write(piece)?;
+        let length = length.max(reply.len() / 8 + 1);
+        let writer = self.writer.clone();
+        // A copy between two pieces would make another value of the same length.
+        let _in_use = writer.in_use.lock().unwrap();
+        for piece in reply.chunks(length) {
+            (&*writer.stream).write_all(piece).ok()?;
             if piece.len() < reply.len() {
                 self.random.sleep(MAX_PIECE_PAUSE_MS);
             }
--- a/cli/tests/common/records.rs
+++ b/cli/tests/common/records.rs
@@ -114,11 +114,12 @@
     pub ran: bool,
 }
 
-/// A server that discovery has said to drain or to be gone.
+/// A server that discovery has said to drain or to be gone, to one process of a proxy.
 #[derive(Clone, Debug)]
 pub struct DrainRecord {
     pub server: String,
-    /// When the last proxy counted as told.
+    pub process_started_at: Instant,
+    /// When the process counted as told.
     pub told_at: Instant,
 }
 
--- a/cli/tests/judge.rs
+++ b/cli/tests/judge.rs
@@ -256,7 +256,8 @@
     setup.ask(proxy.listen, &[read("a")]);
     assert_eq!(setup.violations(), []);
     // The stand-in is discovery: it says to the judge, and not to the program, that the server drains.
-    setup.records.lock().drains.push(DrainRecord { server: "w".to_owned(), told_at });
+    let drain = DrainRecord { server: "w".to_owned(), process_started_at: told_at, told_at };
+    setup.records.lock().drains.push(drain);
     assert_only!(setup.violations(), Violation::SentToDraining(..));
 }
 
