A connection is closed once its last replies are delivered, with late requests answered

What callers saw: a request that came at the stop right after a large value on its connection was read at the end of the lingering close, or only then shown to be unread. Cause: an estimate of undelivered output kept the connection half closed for 3 s, and its input was discarded so that no reset would cut the value off.

A connection whose client is still receiving is not idle yet: it stays open for up to 3 s, and requests that come meanwhile are answered, with a rejection once the session is closed. Whether the client's system has all output shows by a poll with the smallest send buffer. After the close all input stays unread.

--- a/cli/tests/common/judge.rs
+++ b/cli/tests/common/judge.rs
@@ -196,8 +196,21 @@
         return Some(Violation::NeverSent(attempt.id.clone()));
     };
     let late = attempt.began_at.checked_duration_since(last_end?)?;
-    (late > MAX_BEGIN_AFTER_END + SOCKET_SLACK)
-        .then(|| Violation::ForwardedAfterEnd(format!("{} at {}", attempt.id, attempt.server), late))
+    (late > MAX_BEGIN_AFTER_END + SOCKET_SLACK).then(|| {
+        let ends: Vec<String> = tries.iter().map(|request| describe_end(request)).collect();
+        let text = format!("{} at {}: {}", attempt.id, attempt.server, ends.join(", "));
+        Violation::ForwardedAfterEnd(text, late)
+    })
+}
+
+/// How a request ended, for a report.
+fn describe_end(request: &RequestRecord) -> String {
+    let after = |at: Instant| at.saturating_duration_since(request.began_at);
+    match (&request.answer, request.end) {
+        (_, RequestEnd::ClientLeft(at)) => format!("its client left after {:?}", after(at)),
+        (Some(answer), _) => format!("answered {:?} after {:?}", answer.form, after(answer.completed_at)),
+        (None, end) => format!("{end:?} after {:?}", request.over_at().map(after)),
+    }
 }
 
 /// The later of two ends; a try that never ended ends last.
--- a/cli/tests/common/random_faults.rs
+++ b/cli/tests/common/random_faults.rs
@@ -9,9 +9,10 @@
 use notchdoor_testbed::wire::frames::{Frames, Protocol};
 use socket2::SockRef;
 use std::collections::HashMap;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -233,7 +234,6 @@
 struct Connection {
     stream: Arc<TcpStream>,
     writer: ReplyWriter,
-    commands: Frames,
     earlier: Vec<Vec<u8>>,
     random: Random,
     shared: Shared,
@@ -294,8 +294,7 @@
     fn new(stream: Arc<TcpStream>, random: Random, shared: Shared) -> Self {
         let _ = stream.set_nodelay(true);
         let writer = ReplyWriter { stream: Arc::clone(&stream), in_use: Arc::default() };
-        let commands = Frames::new(shared.protocol);
-        Connection { stream, writer, commands, earlier: Vec::new(), random, shared }
+        Connection { stream, writer, earlier: Vec::new(), random, shared }
     }
 
     /// Replies to commands until the connection ends, or has been idle for a time that may be drawn.
@@ -304,23 +303,31 @@
             let idle_ms = MIN_IDLE_MS + self.random.below(MAX_IDLE_MS - MIN_IDLE_MS);
             Duration::from_millis(idle_ms as u64)
         });
-        loop {
-            let _ = self.stream.set_read_timeout(idle);
-            match self.stream.peek(&mut [0]) {
-                Ok(n) if n > 0 => {}
-                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
-                _ => break,
-            }
-            let _ = self.stream.set_read_timeout(None);
-            if self.serve_one().is_none() {
+        let commands = self.receive();
+        while let Ok(command) = commands.recv_timeout(idle.unwrap_or(SILENCE)) {
+            if self.serve_one(&command).is_none() {
                 break;
             }
         }
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 
-    fn serve_one(&mut self) -> Option<()> {
-        let (reply, faults) = (self.carry_out()?, self.shared.faults);
+    /// Reads commands on a thread of its own, so that the time at which each began is not that of the reply before it.
+    fn receive(&self) -> Receiver<Received> {
+        let (sender, commands) = channel();
+        let (stream, mut frames) = (Arc::clone(&self.stream), Frames::new(self.shared.protocol));
+        std::thread::spawn(move || {
+            while let Some(command) = read_message(&mut &*stream, &mut frames) {
+                if sender.send(command).is_err() {
+                    return;
+                }
+            }
+        });
+        commands
+    }
+
+    fn serve_one(&mut self, command: &Received) -> Option<()> {
+        let (reply, faults) = (self.carry_out(command)?, self.shared.faults);
         if self.shared.silent.load(Ordering::SeqCst) || self.random.chance(faults.silence) {
             std::thread::sleep(SILENCE);
             return None;
@@ -348,9 +355,8 @@
         Some(())
     }
 
-    /// Reads a command, carries it out and returns the reply.
-    fn carry_out(&mut self) -> Option<Vec<u8>> {
-        let command = read_message(&mut &*self.stream, &mut self.commands)?;
+    /// Carries a command out and returns the reply.
+    fn carry_out(&self, command: &Received) -> Option<Vec<u8>> {
         let _in_progress = self.shared.in_progress.begin();
         self.shared.state.wait_while_hanging();
         let words = words(self.shared.protocol, &command.bytes);
--- a/proxy/src/lifecycle/signals.rs
+++ b/proxy/src/lifecycle/signals.rs
@@ -169,7 +169,6 @@
         Timer::after(STOP_POLL_INTERVAL).await;
     }
     finish_replies(runtime, started + REPLIES_AFTER_SIGNAL).await;
-    runtime.prevent_resets_at_exit();
     let (clients, unanswered) = (runtime.clients_open(), runtime.requests_in_flight());
     if unanswered > 0 {
         log::error!(owed = unanswered, clients; "stopped with {unanswered} requests unanswered on {clients} connections");
--- a/proxy/src/net/calls.rs
+++ b/proxy/src/net/calls.rs
@@ -3,7 +3,7 @@
 use super::breakpoints::{around, ConnectionName};
 use super::{Peer, SocketCall};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 
@@ -58,13 +58,28 @@
 
 /// Whether the peer has closed its side, or the connection is broken.
 pub(super) fn poll_closed(stream: &TcpStream, name: ConnectionName) -> io::Result<bool> {
+    poll_once(stream, name, PollFlags::RDHUP)
+}
+
+/// Whether the socket can take output, or the connection is broken.
+pub(super) fn poll_writable(stream: &TcpStream, name: ConnectionName) -> io::Result<bool> {
+    poll_once(stream, name, PollFlags::OUT)
+}
+
+/// Whether any of these events, an error or the end of the connection has occurred.
+fn poll_once(stream: &TcpStream, name: ConnectionName, events: PollFlags) -> io::Result<bool> {
     injected_failure(SocketCall::Poll)?;
-    let poll_once = || {
-        let mut fds = [PollFd::new(stream, PollFlags::RDHUP)];
+    let poll_now = || {
+        let mut fds = [PollFd::new(stream, events)];
         let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
         Ok(poll(&mut fds, Some(&at_once))? > 0)
     };
-    around(SocketCall::Poll, name, poll_once, |closed| usize::from(*closed))
+    around(SocketCall::Poll, name, poll_now, |occurred| usize::from(*occurred))
+}
+
+/// Shrinks the send buffer to the system's minimum.
+pub(super) fn minimize_send_buffer(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_send_buffer_size(1)
 }
 
 /// Shuts down the sending side of a connection.
--- a/proxy/src/net/stream.rs
+++ b/proxy/src/net/stream.rs
@@ -82,6 +82,14 @@
         }
     }
 
+    /// Whether the peer's system may not have received all output yet, as far as this one tells. The socket is slow to write to
+    /// afterwards.
+    pub fn has_undelivered_output(&self) -> bool {
+        // With the smallest buffer, a socket can take output only if almost none is unacknowledged.
+        let minimized = calls::minimize_send_buffer(self.io.get_ref());
+        minimized.is_ok() && matches!(calls::poll_writable(self.io.get_ref(), self.name), Ok(false))
+    }
+
     /// Shuts down the sending side. Fails if the connection is broken.
     pub fn shutdown_write(&self) -> io::Result<()> {
         calls::shutdown_write(self.io.get_ref(), self.name)
--- a/proxy/src/wire/driver/client/accept.rs
+++ b/proxy/src/wire/driver/client/accept.rs
@@ -73,7 +73,6 @@
         blocked_since: Cell::new(0),
         last_progress: Cell::new(0),
         undelivered: UndeliveredOutput::default(),
-        lingering: Cell::new(false),
     });
     runtime.clients.borrow_mut().insert(id, Rc::clone(&client));
     runtime.spawn(serve(Rc::clone(runtime), id, client, ticket));
--- a/proxy/src/wire/driver/client/mod.rs
+++ b/proxy/src/wire/driver/client/mod.rs
@@ -71,8 +71,6 @@
     last_progress: Cell<Micros>,
     /// What the socket took and the client may not have received.
     undelivered: UndeliveredOutput,
-    /// The sending side is closed, and the client may still be receiving.
-    lingering: Cell<bool>,
 }
 
 impl Drop for Client {
--- a/proxy/src/wire/driver/client/writer.rs
+++ b/proxy/src/wire/driver/client/writer.rs
@@ -8,21 +8,31 @@
 use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
-/// Limits of the lingering close: its duration, that of a client that may still have to receive much, that while descriptors are
-/// short, and the bytes to discard.
+/// Limits of the lingering close: its duration, its duration while descriptors are short, and the bytes to discard.
 pub const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-const LONG_LINGER_TIMEOUT: Duration = Duration::from_secs(3);
 const LINGER_TIMEOUT_CROWDED: Duration = Duration::from_millis(20);
 const MAX_LINGER_BYTES: usize = 1024 * 1024;
+/// Maximum time that a connection stays open for its client to receive its last replies, and how often this is looked at.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(3);
+const DELIVERY_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Limit on the bytes of commands that arrive at a connection once it is to be closed for the end of the process.
 const MAX_LATE_BYTES: usize = 64 * 1024;
 
 /// Writes output that the socket did not accept immediately, until the connection ends.
 pub(super) async fn write(runtime: &Runtime, client: &Client) -> ConnectionEnd {
-    let mut late_bytes = 0;
+    let (mut late_bytes, mut ended_at) = (0, None);
     loop {
         if let Some(ending) = client.end() {
-            if ending == ConnectionEnd::ClosedIdle && runtime.refuse_late_commands(client, &mut late_bytes) {
+            if ending != ConnectionEnd::ClosedIdle {
+                return ending;
+            }
+            if runtime.refuse_late_commands(client, &mut late_bytes) {
+                continue;
+            }
+            // A reset because of input that comes at the close would cut off what is not delivered.
+            let waits_until = *ended_at.get_or_insert_with(Instant::now) + DELIVERY_TIMEOUT;
+            if Instant::now() < waits_until && runtime.is_delivering(client) {
+                Timer::after(DELIVERY_POLL_INTERVAL).await;
                 continue;
             }
             return ending;
@@ -46,27 +56,11 @@
 }
 
 impl Runtime {
-    /// Discards the input of a client that may still have to receive some of its replies. A reset would cut them off.
-    fn prevent_reset(&self, client: &Client) {
-        if !client.undelivered.is_likely(self.clock.now()) {
-            return;
-        }
-        let mut buffer = self.read_buffer.borrow_mut();
-        let mut read = 0;
-        while read < MAX_LINGER_BYTES {
-            match client.io.read(&mut buffer) {
-                Ok(n) if n > 0 => read += n,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                _ => return,
-            }
-        }
-    }
-
-    /// Prevents resets of clients that may still receive, before the process exits.
-    pub fn prevent_resets_at_exit(&self) {
-        for client in self.clients.borrow().values().filter(|client| client.lingering.get()) {
-            self.prevent_reset(client);
-        }
+    /// Whether a client is still receiving some of its replies.
+    fn is_delivering(&self, client: &Client) -> bool {
+        !self.descriptors_short.get()
+            && client.undelivered.is_likely(self.clock.now())
+            && client.io.has_undelivered_output()
     }
 
     /// Rejects the commands that arrived while the last replies before the end of the process were written. Their connection is
@@ -104,13 +98,7 @@
     if ending == ConnectionEnd::ClientMalformed {
         return future::or(discard_input(runtime, client), wait_at_most(runtime, LINGER_TIMEOUT)).await;
     }
-    client.lingering.set(true);
-    let timeout = match client.undelivered.is_likely(runtime.clock.now()) {
-        true => LONG_LINGER_TIMEOUT,
-        false => LINGER_TIMEOUT,
-    };
-    future::or(client.closed_by_peer(), wait_at_most(runtime, timeout)).await;
-    runtime.prevent_reset(client);
+    future::or(client.closed_by_peer(), wait_at_most(runtime, LINGER_TIMEOUT)).await;
 }
 
 /// Reads and discards input until the client closes its side, or for ever once that is too much.
