--- a/cli/tests/common/fleet.rs
+++ b/cli/tests/common/fleet.rs
@@ -1,27 +1,23 @@
 //! A handful of proxies with cache nodes, an origin, discovery and clients, under all faults at once; the run is judged by
 //! what clients and servers recorded.
 
-use super::crowd::{Crowd, Habit};
+use super::crowd::Crowd;
 use super::discovery_service::DiscoveryService;
+pub use super::fleet_plan::{FleetPlan, FleetResult, Stop, Trouble};
 use super::judge::{judge, Terms};
 use super::random::Random;
-use super::random_faults::{Faults, FaultyServer};
-use super::recorded_client::{Habits, RecordedClient};
+use super::random_faults::FaultyServer;
+use super::recorded_client::RecordedClient;
 use super::recording_servers::{cache_handler, origin_handler, Runs};
-use super::records::{
-    AnswerForm, AnswerRecord, Class, Effect, ProcessRecord, RequestEnd, RequestRecord, SharedRecords,
-};
-use super::small_buffer_origin::{Reading, SmallBufferOrigin};
-use super::soak::Played;
-use super::{counter, endpoint_entry_at, settings, unix_ms, FakeDiscovery, Handler, Proxy};
+use super::records::{AnswerForm, AnswerRecord, ProcessRecord, RequestEnd, RequestRecord, SharedRecords};
+use super::small_buffer_origin::SmallBufferOrigin;
+use super::{counter, endpoint_entry_at, unix_ms, FakeDiscovery, Handler, Proxy};
 use notchdoor_testbed::wire::frames::Protocol;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// SIGKILL comes this long after SIGTERM, besides the longest deadline.
-const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
 /// Cache nodes that are left at least.
 const MIN_CACHES: usize = 4;
 /// Cache nodes that join at most.
@@ -34,136 +30,6 @@
 const DRAIN_TIME: Duration = Duration::from_millis(1500);
 const POLL: Duration = Duration::from_millis(2);
 
-/// What happens to processes, servers and discovery while clients send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Trouble {
-    HangingNode,
-    DyingNode,
-    DrainingNode,
-    JoiningNode,
-    SilentDiscovery,
-    MovedDiscovery,
-    PausedProcess,
-    Signals,
-    /// SIGTERM, and a new process beside the old one.
-    Upgrade,
-    /// SIGTERM while nodes hang, and a new process after it.
-    RestartWhileHanging,
-    /// SIGKILL and a new process at once.
-    KilledProcess,
-}
-
-impl Trouble {
-    pub const ALL: [Trouble; 11] = [
-        Trouble::HangingNode,
-        Trouble::DyingNode,
-        Trouble::DrainingNode,
-        Trouble::JoiningNode,
-        Trouble::SilentDiscovery,
-        Trouble::MovedDiscovery,
-        Trouble::PausedProcess,
-        Trouble::Signals,
-        Trouble::Upgrade,
-        Trouble::RestartWhileHanging,
-        Trouble::KilledProcess,
-    ];
-}
-
-/// When a process that was told to end is killed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stop {
-    /// As early as the pages allow. Long values that are still read may go on until then.
-    KilledAtTheEarliest,
-    /// The same, but the process has to end by itself before.
-    EndsBeforeKill,
-    /// After this time, and the process has to end by itself before.
-    EndsWithin(Duration),
-}
-
-/// What a run has.
-#[derive(Clone, Debug)]
-pub struct FleetPlan {
-    pub seed: u64,
-    pub proxies: usize,
-    pub caches: usize,
-    pub clients: usize,
-    pub habits: Habits,
-    pub faults: Faults,
-    pub troubles: Vec<Trouble>,
-    /// The longest pause between two troubles in milliseconds.
-    pub trouble_pause_ms: f64,
-    /// Limits of each proxy: descriptors, and memory in MiB.
-    pub limits: (u32, u32),
-    /// Idle connections to each proxy.
-    pub idle_connections: usize,
-    /// Clients that hold or send much, at the first proxy.
-    pub crowd: Vec<(Habit, usize)>,
-    /// How the origin takes large writes; `None` for one that takes them at once, behind a link with faults.
-    pub slow_origin: Option<Reading>,
-    /// All servers fall silent with the last SIGTERM.
-    pub silent_stop: bool,
-    pub load_time: Duration,
-    pub stop: Stop,
-    /// Most memory of a proxy in KiB, without the pages of the program.
-    pub max_memory_kib: Option<usize>,
-}
-
-impl FleetPlan {
-    fn settings(&self) -> String {
-        let [read, fix, close] = self.habits.classes;
-        let dedup = r#""dedupScope":"all","dedupWindow":2000.0,"#;
-        let read_dedup = if read.effect == Effect::Deduplicated { dedup } else { "" };
-        let times = |class: Class| format!(r#""aim":150.0,"deadline":{}.0"#, class.deadline.as_millis());
-        settings()
-            .replace(r#""quotaPerS":100.0"#, r#""quotaPerS":5000.0"#)
-            .replace(
-                r#""aim":750.0,"deadline":2000.0,"effect":"idempotent","#,
-                &format!(r#"{},{read_dedup}"effect":"{}","#, times(read), read.effect.name()),
-            )
-            .replace(r#""aim":800.0,"deadline":2000.0"#, &times(fix))
-            .replace(r#""aim":300.0,"deadline":600.0"#, &times(close))
-    }
-
-    /// The longest deadline of a class.
-    pub fn longest_deadline(&self) -> Duration {
-        self.habits.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
-    }
-
-    /// The time from SIGTERM to SIGKILL.
-    fn stop_time(&self) -> Duration {
-        if let Stop::EndsWithin(limit) = self.stop {
-            return limit;
-        }
-        self.longest_deadline() + KILL_AFTER_DEADLINE
-    }
-}
-
-/// What a run showed.
-pub struct FleetResult {
-    pub violations: Vec<String>,
-    pub requests: usize,
-    pub served: usize,
-    pub left: usize,
-    pub attempts: usize,
-    pub peak_memory_kib: usize,
-}
-
-impl FleetResult {
-    /// What a soak shows of it, behind `text`.
-    pub fn played(self, text: &str) -> Played {
-        let summary = format!(
-            "{text}, {} requests, {} served, {} left, {} attempts, peak {} KiB, {} wrong",
-            self.requests,
-            self.served,
-            self.left,
-            self.attempts,
-            self.peak_memory_kib,
-            self.violations.len()
-        );
-        Played { wrong: self.violations, summary }
-    }
-}
-
 /// A cache node.
 struct Node {
     uid: String,
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -4,10 +4,12 @@
 
 pub mod breakpoints;
 pub mod crossing;
+pub mod crossing_points;
 pub mod crowd;
 pub mod discovery_service;
 pub mod fault_proxy;
 pub mod fleet;
+pub mod fleet_plan;
 pub mod in_progress;
 pub mod judge;
 pub mod ordinary_clients;
@@ -15,6 +17,7 @@
 pub mod random;
 pub mod random_faults;
 pub mod recorded_client;
+pub mod recorded_connection;
 pub mod recording_servers;
 pub mod records;
 pub mod small_buffer;
--- a/cli/tests/judge.rs
+++ b/cli/tests/judge.rs
@@ -4,7 +4,7 @@
 
 use common::judge::{judge, Terms, Violation, MAX_LATENESS};
 use common::random_faults::{Faults, FaultyServer};
-use common::recorded_client::{Command, RecordedConnection};
+use common::recorded_connection::{Command, RecordedConnection};
 use common::recording_servers::{cache_handler, origin_handler, Runs};
 use common::records::{Class, DrainRecord, Effect, ProcessRecord, RequestEnd, SharedRecords};
 use common::stand_in::{exchange, start, Reply};
