--- a/cli/tests/common/stand_in.rs
+++ b/cli/tests/common/stand_in.rs
@@ -1,8 +1,9 @@
 //! A program between two others that breaks a rule on purpose, to show that the judge reports it.
 
+use super::in_progress::read_message;
 use super::TIMEOUT;
 use notchdoor_testbed::wire::frames::{Frames, Protocol};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 
@@ -42,17 +43,6 @@
     }
 }
 
-fn read_message(stream: &mut TcpStream, frames: &mut Frames) -> Option<Vec<u8>> {
-    let (mut message, mut byte) = (Vec::new(), [0]);
-    loop {
-        stream.read_exact(&mut byte).ok()?;
-        message.push(byte[0]);
-        if frames.push(byte[0]) {
-            return Some(message);
-        }
-    }
-}
-
 /// Sends a command on a connection of its own and returns the reply; empty if there is none.
 pub fn exchange(target: SocketAddr, protocol: Protocol, command: &[u8]) -> Vec<u8> {
     let reply = || {
