--- a/cli/tests/common/breakpoints.rs
+++ b/cli/tests/common/breakpoints.rs
@@ -1,5 +1,6 @@
 //! Controls the program between its socket calls: it stops before and after each of them until the test has acted.
 
+use rustix::io::Errno;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
 
@@ -26,8 +27,8 @@
 pub enum GoOn {
     /// It makes the call.
     Call,
-    /// The call fails with this error number instead.
-    Fail(i32),
+    /// The call fails with this error instead.
+    Fail(Errno),
 }
 
 impl Stop {
@@ -54,7 +55,7 @@
             let go_on = Stop::parse(&line).map_or(GoOn::Call, |stop| act(&stop));
             let answer = match go_on {
                 GoOn::Call => "go\n".to_owned(),
-                GoOn::Fail(errno) => format!("fail {errno}\n"),
+                GoOn::Fail(errno) => format!("fail {}\n", errno.raw_os_error()),
             };
             if reader.get_mut().write_all(answer.as_bytes()).is_err() {
                 return;
--- a/cli/tests/common/crossing.rs
+++ b/cli/tests/common/crossing.rs
@@ -3,14 +3,16 @@
 
 use super::breakpoints::{self, control, GoOn, Stop};
 pub use super::crossing_points::{Event, Point, Scenario};
+use super::crossing_points::{CLOSE, FIX, READ};
 use super::discovery_service::DiscoveryService;
 use super::judge::{judge, Terms};
 use super::random_faults::{Faults, FaultyServer};
 use super::recorded_connection::{Command, Ended, RecordedConnection, Sender};
 use super::recording_servers::{cache_handler, origin_handler, Kind, Runs};
-use super::records::{Class, Effect, ProcessRecord, SharedRecords};
+use super::records::{Class, ProcessRecord, SharedRecords};
 use super::{endpoint_entry_at, send_signal, settings, unix_ms, FakeDiscovery, Proxy};
 use notchdoor_testbed::wire::frames::Protocol;
+use rustix::io::Errno;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
@@ -18,10 +20,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-const READ: Class = Class { name: "read", effect: Effect::Idempotent, deadline: Duration::from_millis(1000) };
-const FIX: Class = Class { name: "fix", effect: Effect::Deduplicated, deadline: Duration::from_millis(1000) };
-const CLOSE: Class =
-    Class { name: "close", effect: Effect::AtMostOnce, deadline: Duration::from_millis(600) };
 /// The longest pause that the pages allow for.
 const PAUSE: Duration = Duration::from_millis(150);
 /// The same, less what the test itself takes between the client's close and the end of the pause.
@@ -36,9 +34,6 @@
 /// Idle clients that make descriptors short, and the descriptors of the program then.
 const IDLE_CLIENTS: usize = 90;
 const FEW_DESCRIPTORS: u32 = 96;
-const EINTR: i32 = 4;
-const EAGAIN: i32 = 11;
-const ENOMEM: i32 = 12;
 
 /// What a play showed.
 pub struct CrossingResult {
@@ -190,9 +185,9 @@
                 self.discovery.set("w", entry);
             }
             Event::Pause => std::thread::sleep(PAUSE),
-            Event::Interrupted => return GoOn::Fail(EINTR),
-            Event::WouldBlock => return GoOn::Fail(EAGAIN),
-            Event::NoMemory => return GoOn::Fail(ENOMEM),
+            Event::Interrupted => return GoOn::Fail(Errno::INTR),
+            Event::WouldBlock => return GoOn::Fail(Errno::AGAIN),
+            Event::NoMemory => return GoOn::Fail(Errno::NOMEM),
         }
         GoOn::Call
     }
@@ -214,8 +209,7 @@
         move |stop| stage.at_stop(stop, wanted.as_ref().map(|(point, event)| (point, *event)))
     });
     let descriptors = if scenario == Scenario::Crowded { FEW_DESCRIPTORS } else { 1024 };
-    let address = address.to_string();
-    let started_at = Instant::now();
+    let (address, started_at) = (address.to_string(), Instant::now());
     let settings = settings()
         .replace("\"deadline\":2000.0", "\"deadline\":1000.0")
         .replace("\"quotaPerS\":100.0", "\"quotaPerS\":5000.0");
@@ -297,9 +291,13 @@
         if let Some(sender) = sender.filter(Sender::has_rest) {
             drop(sender);
             self.rest(REST_AFTER);
-            if let Some(sender) = &*self.stage.sender.lock().unwrap() {
-                sender.send_rest();
-            }
+            self.with_sender(Sender::send_rest);
+        }
+    }
+
+    fn with_sender(&self, act: impl FnOnce(&Sender)) {
+        if let Some(sender) = &*self.stage.sender.lock().unwrap() {
+            act(sender);
         }
     }
 
@@ -411,13 +409,9 @@
                 self.ask("a", READ, Kind::Value, false);
                 self.stage.signal("TERM");
                 self.rest_or_leave(Duration::from_millis(400));
-                if let Some(sender) = &*self.stage.sender.lock().unwrap() {
-                    sender.send_half(&Command::new("b", READ, false));
-                }
+                self.with_sender(|sender| sender.send_half(&Command::new("b", READ, false)));
                 self.rest_or_leave(Duration::from_millis(250));
-                if let Some(sender) = &*self.stage.sender.lock().unwrap() {
-                    sender.send_rest();
-                }
+                self.with_sender(Sender::send_rest);
                 self.read_answers();
                 self.wait_for_close();
             }
@@ -433,11 +427,11 @@
                 drop(more);
             }
         }
-        self.send_rest();
-        self.read_answers();
-        self.rest_or_leave(SHORT_REST);
-        self.send_rest();
-        self.read_answers();
+        for rest in [Duration::ZERO, SHORT_REST] {
+            self.rest_or_leave(rest);
+            self.send_rest();
+            self.read_answers();
+        }
     }
 
     /// Waits until the program closes the connection, and answers come of what events send meanwhile.
@@ -449,8 +443,7 @@
                 self.read_answers();
                 continue;
             }
-            let is_leaving = self.stage.is_leaving.load(Ordering::SeqCst);
-            if is_leaving {
+            if self.stage.is_leaving.load(Ordering::SeqCst) {
                 return self.let_go();
             }
             if Instant::now() > give_up {
--- a/cli/tests/common/crossing_points.rs
+++ b/cli/tests/common/crossing_points.rs
@@ -1,4 +1,14 @@
-//! The scenarios, events and points of the plays at socket calls.
+//! The scenarios, events and points of the plays at socket calls, and the classes of their requests.
+
+use super::records::{Class, Effect};
+use std::time::Duration;
+
+pub const READ: Class =
+    Class { name: "read", effect: Effect::Idempotent, deadline: Duration::from_millis(1000) };
+pub const FIX: Class =
+    Class { name: "fix", effect: Effect::Deduplicated, deadline: Duration::from_millis(1000) };
+pub const CLOSE: Class =
+    Class { name: "close", effect: Effect::AtMostOnce, deadline: Duration::from_millis(600) };
 
 /// What a client does, and what happens to the program, without an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -12,6 +12,7 @@
 pub mod fleet_plan;
 pub mod in_progress;
 pub mod judge;
+pub mod manual_server;
 pub mod ordinary_clients;
 pub mod peak_memory;
 pub mod random;
--- a/cli/tests/crossings.rs
+++ b/cli/tests/crossings.rs
@@ -2,79 +2,19 @@
 //! between. Each test blocks one side at that point. docs/audit-findings.md lists the races.
 
 mod common;
-use common::crossing::{play, Event, Point, Scenario};
+use common::manual_server::{read_request, ManualServer};
 use common::*;
-use notchdoor_proxy::wire::resp::{write_command, Reader, Value};
-use notchdoor_proxy::wire::MAX_VALUE;
+use notchdoor_proxy::wire::resp::Value;
 use socket2::{Domain, Socket, Type};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::{channel, Receiver};
+use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
 const READ: &str = "c=read,t=acme,d=2000";
 /// Upper bound for cancelling an attempt after its client has disconnected; well below any request's deadline.
 const MAX_CANCEL_DELAY: Duration = Duration::from_millis(900);
 
-/// A backend or an origin whose responses the test writes itself. `requests` receives the first request of each connection
-/// and the connection.
-struct ManualServer {
-    endpoint: SocketAddr,
-    requests: Receiver<(String, TcpStream)>,
-}
-
-/// Returns whether these bytes contain a whole backend command or the whole head of an HTTP request.
-fn is_complete(bytes: &[u8]) -> bool {
-    let mut reader = Reader::default();
-    reader.feed(bytes);
-    bytes.windows(4).any(|w| w == b"\r\n\r\n")
-        || bytes.starts_with(b"*") && matches!(reader.next_value(), Ok(Some(_)))
-}
-
-/// Reads the first request of a connection; empty if the connection ends before it.
-fn read_request(stream: &mut TcpStream) -> String {
-    let (mut bytes, mut buffer) = (Vec::new(), [0; 4096]);
-    while !is_complete(&bytes) {
-        match stream.read(&mut buffer) {
-            Ok(n) if n > 0 => bytes.extend(&buffer[..n]),
-            _ => break,
-        }
-    }
-    String::from_utf8_lossy(&bytes).into_owned()
-}
-
-impl ManualServer {
-    fn start() -> ManualServer {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let endpoint = listener.local_addr().unwrap();
-        let (sender, requests) = channel();
-        std::thread::spawn(move || {
-            for mut stream in listener.incoming().flatten() {
-                let sender = sender.clone();
-                std::thread::spawn(move || {
-                    let text = read_request(&mut stream);
-                    if !text.is_empty() {
-                        let _ = sender.send((text, stream));
-                    }
-                });
-            }
-        });
-        ManualServer { endpoint, requests }
-    }
-
-    fn endpoint_entry(&self, uid: &str) -> String {
-        endpoint_entry_at(uid, self.endpoint, "in_service", 0)
-    }
-
-    fn next(&self) -> (String, TcpStream) {
-        self.requests.recv_timeout(TIMEOUT).expect("no request received")
-    }
-
-    fn received_nothing_more(&self) -> bool {
-        self.requests.recv_timeout(Duration::from_millis(150)).is_err()
-    }
-}
-
 /// A server whose accept backlog is full: a new connection is established about a second later, once there is room.
 struct FullBacklogServer {
     listener: Socket,
@@ -487,102 +427,3 @@
     let (exited_cleanly, log) = proxy.wait_for_exit();
     assert!(exited_cleanly && log.contains("stopped with every request answered"), "{log}");
 }
-
-/// Guards against a request that is read and dropped because it arrives between the look for input and the close of a resting
-/// connection at the stop (incident 3dbf5d).
-#[test]
-fn request_that_arrives_at_the_close_of_a_resting_connection_is_answered_or_left_unread() {
-    for is_after in [false, true] {
-        let point = Point { peer: "client".to_owned(), call: "peek".to_owned(), is_after, nth: 1 };
-        let result = play(Scenario::StopAtRest, Some((point.clone(), Event::Command)));
-        assert!(result.was_reached && result.violations.is_empty(), "{point:?}: {:?}", result.violations);
-    }
-}
-
-/// Guards against a command that is dropped without an answer after part of it was read, for lack of descriptors (incident
-/// 3dbf5d).
-#[test]
-fn half_a_command_that_gives_way_to_other_clients_gets_an_error() {
-    let (discovery, backend, origin) = (FakeDiscovery::start(), ManualServer::start(), ManualServer::start());
-    let proxy =
-        Proxy::with_sockets(&discovery, &[backend.endpoint_entry("w"), origin.endpoint_entry("o")], 96);
-    let mut client = proxy.client();
-    client.stream.write_all(b"*4\r\n$7\r\nOBJ.GET\r\n$1\r\nk").unwrap();
-    std::thread::sleep(Duration::from_millis(1_200));
-    let _crowd: Vec<TcpStream> = (0..150).map(|_| TcpStream::connect(proxy.listen).unwrap()).collect();
-    let answer = client.next().expect("closed without an answer");
-    assert!(matches!(answer, Value::Error(_)), "{answer:?}");
-}
-
-/// Guards against requests that a process leaves to SIGKILL because it is held up for 0.15 s shortly before (incident 3dbf5d).
-#[test]
-fn final_answers_come_before_the_kill_although_the_process_is_held_up() {
-    let (discovery, backend, origin) = (FakeDiscovery::start(), ManualServer::start(), ManualServer::start());
-    let long = settings().replace("\"deadline\":2000.0", "\"deadline\":30000.0");
-    let mut proxy =
-        with_settings(&discovery, &[backend.endpoint_entry("w"), origin.endpoint_entry("o")], &long);
-    let mut client = proxy.client();
-    client.send(&["OBJ.GET", "k", "id1", "c=read,t=acme,d=30000"]);
-    let _held = backend.next();
-    proxy.signal("TERM");
-    let term_at = Instant::now();
-    let until = |ms| {
-        let at = term_at + Duration::from_millis(ms);
-        std::thread::sleep(at.saturating_duration_since(Instant::now()));
-    };
-    // The longest deadline counts as 3 s, and SIGKILL comes 0.7 s after it.
-    until(3_555);
-    proxy.signal("STOP");
-    until(3_700);
-    proxy.signal("KILL");
-    proxy.child.wait().unwrap();
-    assert!(is_busy(&client.next().expect("killed without an answer")));
-}
-
-/// The bytes of replies that wait in the proxy for their clients.
-fn unsent_bytes(proxy: &Proxy) -> usize {
-    proxy.signal("USR1");
-    std::thread::sleep(Duration::from_millis(20));
-    let log = proxy.log_and_status();
-    let last = log.rsplit("unsent_bytes=").next().and_then(|rest| rest.split_whitespace().next());
-    last.and_then(|number| number.parse().ok()).unwrap_or_default()
-}
-
-/// Guards against a request that is read and dropped when no more is read at the stop while its client takes its replies
-/// slowly (incident 3dbf5d).
-#[test]
-fn request_behind_replies_that_are_taken_late_is_answered_at_the_stop() {
-    let value = "v".repeat(64_000);
-    let backend = FakeServer::backend(Box::new(move |_| hit_response(&value)));
-    let (discovery, origin) = (FakeDiscovery::start(), ManualServer::start());
-    let list = [endpoint_entry("w", &backend, "in_service", 0), origin.endpoint_entry("o")];
-    let proxy = Proxy::start(&discovery, &list);
-    let mut client = small_buffer::connect(&proxy);
-    // More than the system takes, in batches that a server gets at once, until the replies wait for the client.
-    let mut reads = 0;
-    while unsent_bytes(&proxy) <= 4 * MAX_VALUE {
-        assert!(reads < 200, "the replies do not wait");
-        let mut batch = Vec::new();
-        for n in reads..reads + 8 {
-            let (key, id) = (format!("k{n}"), format!("id{n}"));
-            write_command(&mut batch, &["OBJ.GET", &key, &id, READ].map(str::as_bytes));
-        }
-        client.stream.write_all(&batch).unwrap();
-        reads += 8;
-        std::thread::sleep(Duration::from_millis(60));
-    }
-    client.send(&["OBJ.GET", "last", "last", READ]);
-    proxy.signal("TERM");
-    // Until nothing more is read.
-    std::thread::sleep(Duration::from_millis(800));
-    for n in 0..reads {
-        // Some may be rejected: the window of the server is small at first.
-        assert!(client.next().is_some(), "{n}: no answer");
-        // So slowly at first that the proxy has some left when it reads again.
-        if n < 4 {
-            std::thread::sleep(Duration::from_millis(300));
-        }
-    }
-    let answer = client.next().expect("read, and closed without an answer");
-    assert!(is_busy(&answer), "{answer:?}");
-}
