The fleet ends its processes in one place; plays share the entry and the sender

Seen on rereading the change: stop_all and watch_stopping each had the loop that kills or records a process that was told to end, one of them with a push and a pop around it; the list entry of a server and the lock of the sender stood twice in crossing.rs.

--- a/cli/tests/common/crossing.rs
+++ b/cli/tests/common/crossing.rs
@@ -72,6 +72,11 @@
     bytes_read: usize,
 }
 
+/// The entry of a server in the list.
+fn entry(server: &FaultyServer) -> String {
+    endpoint_entry_at(&server.name, server.endpoint, "in_service", 0)
+}
+
 impl Stage {
     fn start() -> Stage {
         let (records, runs) = (SharedRecords::default(), Runs::default());
@@ -80,7 +85,6 @@
         };
         let cache = start("w", Protocol::Resp, cache_handler(&runs), 1);
         let origin = start("o", Protocol::Http, origin_handler(&runs), 3);
-        let entry = |server: &FaultyServer| endpoint_entry_at(&server.name, server.endpoint, "in_service", 0);
         let entries = [&cache, &origin].map(|server| (server.name.clone(), entry(server)));
         let discovery = DiscoveryService::start(entries);
         Stage {
@@ -100,7 +104,6 @@
     }
 
     fn list(&self) -> Vec<String> {
-        let entry = |server: &FaultyServer| endpoint_entry_at(&server.name, server.endpoint, "in_service", 0);
         vec![entry(&self.cache), entry(&self.origin)]
     }
 
@@ -154,16 +157,10 @@
     fn act(&self, event: Event, stop: &Stop) -> GoOn {
         let server = if self.cache.connection(stop.port).is_some() { &self.cache } else { &self.origin };
         match event {
-            Event::Command => {
-                if let Some(sender) = &*self.sender.lock().unwrap() {
-                    sender.send(&[self.extra_command()], None);
-                }
-            }
-            Event::HalfCommand => {
-                if let Some(sender) = &*self.sender.lock().unwrap() {
-                    sender.send_half(&self.extra_command());
-                }
-            }
+            Event::Command => self.with_sender(|sender| {
+                sender.send(&[self.extra_command()], None);
+            }),
+            Event::HalfCommand => self.with_sender(|sender| sender.send_half(&self.extra_command())),
             Event::ClientCloses => self.leave(false),
             Event::ClientResets => self.leave(true),
             Event::ClientClosesInPause => {
@@ -192,6 +189,12 @@
         GoOn::Call
     }
 
+    fn with_sender(&self, act: impl FnOnce(&Sender)) {
+        if let Some(sender) = &*self.sender.lock().unwrap() {
+            act(sender);
+        }
+    }
+
     fn leave(&self, by_reset: bool) {
         let sender = self.sender.lock().unwrap().take();
         if let Some(sender) = sender {
@@ -291,13 +294,7 @@
         if let Some(sender) = sender.filter(Sender::has_rest) {
             drop(sender);
             self.rest(REST_AFTER);
-            self.with_sender(Sender::send_rest);
-        }
-    }
-
-    fn with_sender(&self, act: impl FnOnce(&Sender)) {
-        if let Some(sender) = &*self.stage.sender.lock().unwrap() {
-            act(sender);
+            self.stage.with_sender(Sender::send_rest);
         }
     }
 
@@ -409,9 +406,9 @@
                 self.ask("a", READ, Kind::Value, false);
                 self.stage.signal("TERM");
                 self.rest_or_leave(Duration::from_millis(400));
-                self.with_sender(|sender| sender.send_half(&Command::new("b", READ, false)));
+                self.stage.with_sender(|sender| sender.send_half(&Command::new("b", READ, false)));
                 self.rest_or_leave(Duration::from_millis(250));
-                self.with_sender(Sender::send_rest);
+                self.stage.with_sender(Sender::send_rest);
                 self.read_answers();
                 self.wait_for_close();
             }
--- a/cli/tests/common/fleet.rs
+++ b/cli/tests/common/fleet.rs
@@ -197,7 +197,8 @@
             self.heard_at = None;
             self.discovery.set_silent(false);
         }
-        self.watch_stopping();
+        self.end_stopping();
+        self.replace_crashed();
         if self.plan.max_memory_kib.is_some() {
             let of_seats = self.seats.iter().map(|seat| self.memory_kib(seat)).max();
             self.peak_memory_kib = self.peak_memory_kib.max(of_seats.unwrap_or_default());
@@ -213,16 +214,8 @@
         stopping + seat.process.anonymous_memory_kib()
     }
 
-    /// Ends the processes whose time is over, and records those that have ended.
-    fn watch_stopping(&mut self) {
-        for (record, mut process, kill_at) in std::mem::take(&mut self.stopping) {
-            match process.child.try_wait().unwrap() {
-                Some(status) if status.success() => {}
-                Some(status) => self.crashed(record, format!("ended with {status}")),
-                None if Instant::now() >= kill_at => self.kill(record, &mut process),
-                None => self.stopping.push((record, process, kill_at)),
-            }
-        }
+    /// Records the processes that ended although nobody told them to, and starts others in their place.
+    fn replace_crashed(&mut self) {
         for seat in 0..self.seats.len() {
             let exited = self.seats[seat].process.child.try_wait().unwrap();
             if let Some(status) = exited {
@@ -390,34 +383,28 @@
         }
         let mut logs = Vec::new();
         while !self.stopping.is_empty() {
-            for (record, mut process, kill_at) in std::mem::take(&mut self.stopping) {
-                if process.child.try_wait().unwrap().is_none() && Instant::now() < kill_at {
-                    self.stopping.push((record, process, kill_at));
-                    continue;
-                }
-                self.stopping.push((record, process, kill_at));
-                let ended = self.stopping.pop();
-                logs.extend(ended.and_then(|(record, process, _)| self.end(record, process)));
-            }
+            logs.extend(self.end_stopping());
             std::thread::sleep(POLL);
         }
         logs
     }
 
-    /// Kills a process that has not ended; returns the log of one that has.
-    fn end(&mut self, record: usize, mut process: Proxy) -> Option<String> {
-        match process.child.try_wait().unwrap() {
-            None => {
-                self.kill(record, &mut process);
-                None
-            }
-            Some(status) => {
-                if !status.success() {
-                    self.crashed(record, format!("ended with {status}"));
+    /// Kills the processes whose time is over. Returns the logs of those that have ended by themselves.
+    fn end_stopping(&mut self) -> Vec<String> {
+        let mut logs = Vec::new();
+        for (record, mut process, kill_at) in std::mem::take(&mut self.stopping) {
+            match process.child.try_wait().unwrap() {
+                None if Instant::now() < kill_at => self.stopping.push((record, process, kill_at)),
+                None => self.kill(record, &mut process),
+                Some(status) => {
+                    if !status.success() {
+                        self.crashed(record, format!("ended with {status}"));
+                    }
+                    logs.push(process.wait_for_exit().1);
                 }
-                Some(process.wait_for_exit().1)
             }
         }
+        logs
     }
 
     fn judge(self, logs: &[String]) -> FleetResult {
