Soaks: a request that a server got counts as read; clients do not send it once more

Cause: a client sends several commands in pieces; its proxy is killed after it had read and forwarded the first, with a piece of the second unread. The reset makes the client send the first once more, since it counted whole commands only, and a command that may run once ran twice by the client's doing.

The regression test failed before.

The judge took the same reset as proof that nothing had been read. It now frees a request that is closed unread only if no server got a command for it; a stand-in shows it, by a test that failed before. Reports of RanTwice tell the tries and the attempts.

--- a/cli/tests/common/judge.rs
+++ b/cli/tests/common/judge.rs
@@ -73,7 +73,12 @@
         attempts.entry(&attempt.id).or_default().push(attempt);
     }
     let mut violations = Vec::new();
-    violations.extend(records.requests.iter().filter_map(|request| answer_violation(request, records)));
+    violations.extend(records.requests.iter().filter_map(|request| {
+        let id = request.id.as_str();
+        let tries = tries.get(id).map_or(&[][..], Vec::as_slice);
+        let attempts = attempts.get(id).map_or(&[][..], Vec::as_slice);
+        answer_violation(request, has_reached_server(request, tries, attempts), records)
+    }));
     violations.extend(truncations(records));
     violations.extend(
         records
@@ -92,8 +97,22 @@
     violations
 }
 
+/// Whether a server got a command for the first try of a request before that try was over: the program had read it, whatever
+/// else was left unread on its connection.
+fn has_reached_server(
+    request: &RequestRecord,
+    tries: &[&RequestRecord],
+    attempts: &[&AttemptRecord],
+) -> bool {
+    let is_first = tries.iter().all(|other| other.began_at >= request.began_at);
+    let is_of_try = |attempt: &&AttemptRecord| {
+        attempt.began_at >= request.began_at && request.over_at().is_none_or(|at| attempt.began_at <= at)
+    };
+    is_first && attempts.iter().any(is_of_try)
+}
+
 /// What is wrong with the answer to one try, or with the lack of it.
-fn answer_violation(request: &RequestRecord, records: &Records) -> Option<Violation> {
+fn answer_violation(request: &RequestRecord, was_read: bool, records: &Records) -> Option<Violation> {
     let written_at = request.written_at?;
     let id =
         || format!("{} on connection {}{}", request.id, request.connection, circumstances(request, records));
@@ -104,8 +123,9 @@
     let turn_came = request.position == 0 || request.turn_at.is_some();
     let Some(answer) = &request.answer else {
         let freed = match request.end {
-            RequestEnd::ClientLeft(_) | RequestEnd::ClosedUnread(_) => true,
-            RequestEnd::ClosedRead(at) => {
+            RequestEnd::ClientLeft(_) => true,
+            RequestEnd::ClosedUnread(_) if !was_read => true,
+            RequestEnd::ClosedUnread(at) | RequestEnd::ClosedRead(at) => {
                 was_killed(request, written_at, turn_came.then_some(due), Some(at), records)
             }
             RequestEnd::Open => was_killed(request, written_at, turn_came.then_some(due), None, records),
@@ -213,6 +233,23 @@
     }
 }
 
+/// The tries of a request and its attempts, for a report. Times are those since the first try began.
+fn describe_runs(id: &str, tries: &[&RequestRecord], attempts: &[&AttemptRecord]) -> String {
+    let origin = tries.iter().map(|request| request.began_at).min();
+    let since = |at: Instant| origin.map_or(Duration::ZERO, |origin| at.saturating_duration_since(origin));
+    let mut text = format!("{id}:");
+    for request in tries {
+        let (connection, place) = (request.connection, request.position);
+        text += &format!(" tried at {:?} as {place} of connection {connection}", since(request.began_at));
+        text += &format!(", written at {:?}, {};", request.written_at.map(since), describe_end(request));
+    }
+    for attempt in attempts {
+        let (server, ran) = (&attempt.server, attempt.ran);
+        text += &format!(" attempt at {:?} at {server}, ran {ran};", since(attempt.began_at));
+    }
+    text
+}
+
 /// The later of two ends; a try that never ended ends last.
 fn latest_end(a: Option<Instant>, b: Option<Instant>) -> Option<Instant> {
     Some(a?.max(b?))
@@ -229,7 +266,9 @@
     runs.sort_unstable();
     match request.class.effect {
         Effect::Idempotent => None,
-        Effect::AtMostOnce if runs.len() > 1 => Some(Violation::RanTwice(request.id.clone(), runs.len())),
+        Effect::AtMostOnce if runs.len() > 1 => {
+            Some(Violation::RanTwice(describe_runs(&request.id, tries, attempts), runs.len()))
+        }
         Effect::AtMostOnce => {
             let first = *runs.first()?;
             let rejected = |request: &&&RequestRecord| {
--- a/cli/tests/common/recorded_connection.rs
+++ b/cli/tests/common/recorded_connection.rs
@@ -366,8 +366,8 @@
         self.at.elapsed() >= VERDICT_TIME
     }
 
-    /// Hands the records on. Returns the commands to send once more: those that were left unread. Of several commands some may
-    /// have been read: of those, only the ones that may run again.
+    /// Hands the records on. Returns the commands to send once more: those that were left unread. Of several commands, whole
+    /// or in part, some may have been read: of those, only the ones that may run again.
     pub fn settle(mut self, records: &SharedRecords) -> Vec<Command> {
         if self.connection.unanswered() > 0 && !self.is_reset {
             std::thread::sleep((self.at + VERDICT_TIME).saturating_duration_since(Instant::now()));
@@ -377,8 +377,8 @@
             true => RequestEnd::ClosedUnread(self.at),
             false => RequestEnd::ClosedRead(self.at),
         };
+        let is_only = self.connection.unanswered() == 1;
         let mut commands = hand_on(&self.connection.sender.sent, self.connection.answered, end, records);
-        let is_only = commands.len() == 1;
         commands.retain(|command| self.is_reset && (is_only || command.class.effect == Effect::Idempotent));
         commands
     }
--- a/cli/tests/common/stand_in.rs
+++ b/cli/tests/common/stand_in.rs
@@ -3,9 +3,11 @@
 use super::in_progress::read_message;
 use super::TIMEOUT;
 use notchdoor_testbed::wire::frames::{Frames, Protocol};
+use socket2::SockRef;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// What a stand-in does after a command.
 pub enum Reply {
@@ -13,6 +15,8 @@
     Bytes(Vec<u8>),
     /// Sends these bytes and closes the connection.
     ThenClose(Vec<u8>),
+    /// Resets the connection, as a system does that has unread bytes of the client.
+    Reset,
     /// Nothing; the connection stays open.
     Nothing,
 }
@@ -38,6 +42,7 @@
         match answer(&command) {
             Reply::Bytes(bytes) => stream.write_all(&bytes).ok()?,
             Reply::ThenClose(bytes) => return stream.write_all(&bytes).ok(),
+            Reply::Reset => return SockRef::from(&stream).set_linger(Some(Duration::ZERO)).ok(),
             Reply::Nothing => {}
         }
     }
--- a/cli/tests/judge.rs
+++ b/cli/tests/judge.rs
@@ -10,6 +10,7 @@
 use common::stand_in::{exchange, start, Reply};
 use common::*;
 use notchdoor_testbed::wire::frames::Protocol;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -118,6 +119,11 @@
     assert_only!(violations_with(&[read("a")], |_| Reply::ThenClose(Vec::new())), Violation::Unanswered(_));
 }
 
+#[test]
+fn judge_reports_a_request_that_a_server_got_and_whose_connection_is_reset() {
+    assert_only!(violations_with(&[read("a")], |_| Reply::Reset), Violation::Unanswered(_));
+}
+
 #[test]
 fn judge_reports_a_request_that_is_never_answered() {
     assert_only!(violations_with(&[read("a")], |_| Reply::Nothing), Violation::Unanswered(_));
@@ -296,6 +302,34 @@
     assert_only!(violations_of_a_kill(false), Violation::Unanswered(_));
 }
 
+/// Sends a command and half of another one to a program that reads the first and closes the connection over the half. Returns
+/// how many commands the client sends once more.
+fn repeats_behind_half_a_command(class: Class) -> usize {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (first, second) = (Command::new("a", class, true), Command::new("b", class, true));
+    let first_bytes = first.encode().len();
+    let reader = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.read_exact(&mut vec![0; first_bytes]).unwrap();
+        stream.peek(&mut [0; 64]).unwrap();
+    });
+    let mut connection = RecordedConnection::open(0, address).expect("a connection");
+    connection.send(&[first], None).expect("sent");
+    connection.sender().send_half(&second);
+    reader.join().unwrap();
+    let ended = connection.read_answer(0).expect_err("no answer");
+    connection.settle(ended, &SharedRecords::default()).len()
+}
+
+/// A client that sent it again had it run twice, and the judge blamed the program.
+#[test]
+fn command_before_half_a_command_is_not_sent_once_more_unless_it_may_run_again() {
+    assert_eq!(repeats_behind_half_a_command(CLOSE), 0);
+    assert_eq!(repeats_behind_half_a_command(FIX), 0);
+    assert_eq!(repeats_behind_half_a_command(READ), 1);
+}
+
 #[test]
 fn judge_frees_a_request_that_is_closed_unread() {
     let setup = Setup::new();
