Clients of the soaks read answers while they send, and after a failed write

Cause: the clients read nothing until they had sent all pieces; when a write failed they did not look at the answers that had come before. The same made answers late: a client that took 0.5 s to send its pieces found the first answer only then.

Change: a client sends on a thread of its own and records each answer when it comes. The sending side has its own file.

Two tests of the client; the records that they check did not exist before.

--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -19,6 +19,7 @@
 pub mod random_faults;
 pub mod recorded_client;
 pub mod recorded_connection;
+pub mod recorded_sender;
 pub mod recording_servers;
 pub mod records;
 pub mod small_buffer;
--- a/cli/tests/common/recorded_client.rs
+++ b/cli/tests/common/recorded_client.rs
@@ -114,14 +114,16 @@
             let longest = commands.iter().map(|command| command.encode().len()).max().unwrap_or_default();
             let in_pieces = self.random.chance(self.habits.pieces);
             let piece_bytes = 1 + self.random.below(longest.max(2));
-            let pieces = in_pieces.then_some((piece_bytes.max(longest / 20), &mut self.random));
-            let ended = match connection.send(&commands, pieces) {
-                Some(()) if !is_repeat && self.random.chance(self.habits.leave) => {
-                    return self.leave(connection);
-                }
-                Some(()) => self.read_answers(&mut connection),
-                None => Err(Ended::Reset),
-            };
+            let mut random = self.random.fork();
+            let pieces = in_pieces.then_some((piece_bytes.max(longest / 20), &mut random));
+            let leaves = !is_repeat && self.random.chance(self.habits.leave);
+            let mut ended = connection.send_and_read(&commands, pieces, self.pace);
+            if ended.is_ok() && leaves {
+                return self.leave(connection);
+            }
+            if ended.is_ok() {
+                ended = connection.read_answers(self.pace);
+            }
             if let Err(ended) = ended {
                 if ended == Ended::Silent {
                     connection.finish(self.records);
@@ -142,13 +144,6 @@
         }
     }
 
-    fn read_answers(&mut self, connection: &mut RecordedConnection) -> Result<(), Ended> {
-        while connection.unanswered() > 0 {
-            connection.read_answer(self.pace)?;
-        }
-        Ok(())
-    }
-
     fn leave(&mut self, connection: RecordedConnection) -> Vec<Command> {
         self.random.sleep(MAX_STAY_MS);
         let proxy = connection.sender.proxy;
--- a/cli/tests/common/recorded_connection.rs
+++ b/cli/tests/common/recorded_connection.rs
@@ -1,26 +1,23 @@
 //! A client's connection that records each command that it sends and how that ended.
 
 use super::random::Random;
+use super::recorded_sender::Sender;
 use super::recording_servers::{value_of, Kind};
 use super::records::{AnswerForm, AnswerRecord, Class, Effect, RequestEnd, RequestRecord, SharedRecords};
 use super::TIMEOUT;
 use notchdoor_proxy::wire::resp::write_command;
-use notchdoor_proxy::wire::MAX_VALUE;
-use socket2::SockRef;
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::io::{BufRead, BufReader, ErrorKind, Read};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-const MAX_PIECE_PAUSE_MS: f64 = 8.0;
+/// How long a client that sends waits for input before it looks whether all is sent.
+const INPUT_WAIT: Duration = Duration::from_millis(2);
 /// How long after the end of a connection its system has said whether bytes were left unread.
 const VERDICT_TIME: Duration = Duration::from_millis(900);
 /// Bytes of a large value that are read between two looks at the pace.
 const PACED_BYTES: usize = 32 * 1024;
 
-static NEXT_CONNECTION: AtomicU64 = AtomicU64::new(1);
-
 /// A command as a client sends it.
 #[derive(Clone)]
 pub struct Command {
@@ -54,25 +51,11 @@
         bytes
     }
 
-    fn expected(&self) -> Vec<u8> {
+    pub(super) fn expected(&self) -> Vec<u8> {
         value_of(&self.key, &self.id)
     }
 }
 
-/// The sending side of a connection, for any thread.
-#[derive(Clone)]
-pub struct Sender {
-    stream: Arc<TcpStream>,
-    /// What was sent, the oldest first. Locked while it is written.
-    sent: Arc<Mutex<Vec<(Command, RequestRecord)>>>,
-    number: u64,
-    pub(super) proxy: usize,
-    /// The rest of a command of which half was sent.
-    rest: Arc<Mutex<Vec<u8>>>,
-    /// When the client had left.
-    left_at: Arc<Mutex<Option<Instant>>>,
-}
-
 /// A connection of a client, with the records of what it sent.
 pub struct RecordedConnection {
     reader: BufReader<ReadHalf>,
@@ -99,103 +82,6 @@
     is_reset: bool,
 }
 
-impl Sender {
-    fn new(stream: Arc<TcpStream>, proxy: usize) -> Sender {
-        let number = NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed);
-        Sender { stream, sent: Arc::default(), number, proxy, rest: Arc::default(), left_at: Arc::default() }
-    }
-
-    /// Sends commands, cut into pieces of at most this many bytes with pauses between them. `None` if the connection ended.
-    pub fn send(&self, commands: &[Command], pieces: Option<(usize, &mut Random)>) -> Option<()> {
-        self.send_rest();
-        let mut sent = self.sent.lock().unwrap();
-        let (mut bytes, mut ends, first) = (Vec::new(), Vec::new(), sent.len());
-        for command in commands {
-            bytes.extend(command.encode());
-            ends.push(bytes.len());
-            let record = self.record(command, sent.len());
-            sent.push((command.clone(), record));
-        }
-        let (piece_bytes, mut random) = match pieces {
-            Some((piece_bytes, random)) => (piece_bytes.max(1), Some(random)),
-            None => (bytes.len().max(1), None),
-        };
-        let mut written = 0;
-        for piece in bytes.chunks(piece_bytes) {
-            (&*self.stream).write_all(piece).ok()?;
-            written += piece.len();
-            let now = Instant::now();
-            for (end, (_, record)) in ends.iter().zip(&mut sent[first..]) {
-                if *end <= written && record.written_at.is_none() {
-                    record.written_at = Some(now);
-                }
-            }
-            if let Some(random) = random.as_mut().filter(|_| written < bytes.len()) {
-                random.sleep(MAX_PIECE_PAUSE_MS);
-            }
-        }
-        Some(())
-    }
-
-    /// Sends the first half of a command. Its rest is sent by [`Sender::send_rest`], or before the next command.
-    pub fn send_half(&self, command: &Command) {
-        self.send_rest();
-        let mut sent = self.sent.lock().unwrap();
-        let record = self.record(command, sent.len());
-        sent.push((command.clone(), record));
-        let mut half = command.encode();
-        *self.rest.lock().unwrap() = half.split_off(half.len() / 2);
-        let _ = (&*self.stream).write_all(&half);
-    }
-
-    /// Whether half of a command was sent, and not its rest.
-    pub fn has_rest(&self) -> bool {
-        !self.rest.lock().unwrap().is_empty()
-    }
-
-    /// Sends the rest of a command of which half was sent.
-    pub fn send_rest(&self) {
-        let mut sent = self.sent.lock().unwrap();
-        let rest = std::mem::take(&mut *self.rest.lock().unwrap());
-        let Some((_, record)) = sent.last_mut().filter(|_| !rest.is_empty()) else { return };
-        if (&*self.stream).write_all(&rest).is_ok() {
-            record.written_at = Some(Instant::now());
-        }
-    }
-
-    /// Has the client leave. Returns once its reader has let go of the connection, which is then closed or reset.
-    pub fn leave(self, by_reset: bool) {
-        if by_reset {
-            let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
-        }
-        let _ = self.stream.shutdown(Shutdown::Read);
-        let give_up = Instant::now() + TIMEOUT;
-        while Arc::strong_count(&self.stream) > 1 && Instant::now() < give_up {
-            std::thread::yield_now();
-        }
-        let left_at = Arc::clone(&self.left_at);
-        drop(self);
-        *left_at.lock().unwrap() = Some(Instant::now());
-    }
-
-    fn record(&self, command: &Command, position: usize) -> RequestRecord {
-        RequestRecord {
-            id: command.id.clone(),
-            class: command.class,
-            deadline: command.deadline,
-            proxy: self.proxy,
-            connection: self.number,
-            position,
-            began_at: Instant::now(),
-            written_at: None,
-            turn_at: None,
-            is_large: command.value.is_none() && command.expected().len() > MAX_VALUE,
-            answer: None,
-            end: RequestEnd::Open,
-        }
-    }
-}
-
 impl RecordedConnection {
     /// Connects to a proxy.
     pub fn open(proxy: usize, address: SocketAddr) -> Option<RecordedConnection> {
@@ -227,6 +113,59 @@
         self.sender.send(commands, pieces)
     }
 
+    /// Sends commands and reads the answers that come meanwhile, at a pace.
+    pub fn send_and_read(
+        &mut self,
+        commands: &[Command],
+        pieces: Option<(usize, &mut Random)>,
+        pace: usize,
+    ) -> Result<(), Ended> {
+        let sender = self.sender();
+        let first = sender.record_all(commands);
+        let (sent, read) = std::thread::scope(|scope| {
+            let sending = scope.spawn(move || sender.write_all(first, commands, pieces));
+            let mut read = Ok(());
+            while read.is_ok() && !sending.is_finished() {
+                read = self.read_answer_that_came(pace);
+            }
+            (sending.join().expect("the sending thread panicked"), read)
+        });
+        if sent.is_some() {
+            return read;
+        }
+        // The write has taken the error of the socket, so that a read sees the end only.
+        match read.and_then(|()| self.read_answers(pace)) {
+            Err(Ended::Closed) => Err(Ended::Reset),
+            other => other,
+        }
+    }
+
+    /// Reads the answers to all commands that were sent, at a pace.
+    pub fn read_answers(&mut self, pace: usize) -> Result<(), Ended> {
+        while self.unanswered() > 0 {
+            self.read_answer(pace)?;
+        }
+        Ok(())
+    }
+
+    /// Reads an answer if its first bytes come within a short time.
+    fn read_answer_that_came(&mut self, pace: usize) -> Result<(), Ended> {
+        if self.unanswered() == 0 {
+            return Ok(());
+        }
+        if self.reader.buffer().is_empty() {
+            let _ = self.stream().set_read_timeout(Some(INPUT_WAIT));
+            let peeked = self.stream().peek(&mut [0]);
+            let _ = self.stream().set_read_timeout(Some(TIMEOUT));
+            match peeked {
+                Ok(_) => {}
+                Err(error) if is_timeout(&error) => return Ok(()),
+                Err(_) => return Err(Ended::Reset),
+            }
+        }
+        self.read_answer(pace)
+    }
+
     /// Length of the commands that were answered, in bytes.
     pub fn answered_bytes(&self) -> usize {
         let sent = self.sender.sent.lock().unwrap();
--- a/cli/tests/judge.rs
+++ b/cli/tests/judge.rs
@@ -3,14 +3,17 @@
 mod common;
 
 use common::judge::{judge, Terms, Violation, MAX_LATENESS};
+use common::random::Random;
 use common::random_faults::{Faults, FaultyServer};
 use common::recorded_connection::{Command, RecordedConnection};
-use common::recording_servers::{cache_handler, origin_handler, Runs};
-use common::records::{Class, DrainRecord, Effect, ProcessRecord, RequestEnd, SharedRecords};
+use common::recording_servers::{cache_handler, origin_handler, value_of, Runs};
+use common::records::{
+    AnswerForm, Class, DrainRecord, Effect, ProcessRecord, RequestEnd, RequestRecord, SharedRecords,
+};
 use common::stand_in::{exchange, start, Reply};
 use common::*;
 use notchdoor_testbed::wire::frames::Protocol;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -330,6 +333,54 @@
     assert_eq!(repeats_behind_half_a_command(READ), 1);
 }
 
+/// Sends two commands in pieces of one byte to a program that answers the first as soon as it has come. It then answers the
+/// second, or closes the connection over half of it. Returns the records.
+fn records_of_sending_in_pieces(is_second_answered: bool) -> Vec<RequestRecord> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let commands = [read("a"), read("b")];
+    let program = commands.clone();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        for (command, is_answered) in program.iter().zip([true, is_second_answered]) {
+            if !is_answered {
+                stream.peek(&mut [0; 64]).unwrap();
+                return;
+            }
+            stream.read_exact(&mut vec![0; command.encode().len()]).unwrap();
+            let value = value_of(&command.key, &command.id);
+            let head = format!("${}\r\n", value.len());
+            stream.write_all(&[head.as_bytes(), &value, b"\r\n"].concat()).unwrap();
+        }
+    });
+    let mut connection = RecordedConnection::open(0, address).expect("a connection");
+    let records = SharedRecords::default();
+    let sent = connection.send_and_read(&commands, Some((1, &mut Random::new(1))), 0);
+    match sent.and_then(|()| connection.read_answers(0)) {
+        Ok(()) => connection.finish(&records),
+        Err(ended) => drop(connection.settle(ended, &records)),
+    }
+    let records = records.lock();
+    records.requests.clone()
+}
+
+/// A client that read nothing until it had sent everything took the answer for late.
+#[test]
+fn client_that_sends_in_pieces_records_an_answer_when_it_comes() {
+    let records = records_of_sending_in_pieces(true);
+    let answered_at = records[0].answer.as_ref().expect("an answer").completed_at;
+    assert!(answered_at < records[1].written_at.expect("written"));
+    assert!(records.iter().all(|r| r.answer.as_ref().is_some_and(|a| a.form == AnswerForm::MadeForIt)));
+}
+
+/// A client whose write failed did not look at the answers that had come.
+#[test]
+fn client_that_sends_in_pieces_records_the_answer_that_came_before_a_reset() {
+    let records = records_of_sending_in_pieces(false);
+    assert_eq!(records[0].answer.as_ref().expect("an answer").form, AnswerForm::MadeForIt);
+    assert!(matches!(records[1].end, RequestEnd::ClosedUnread(_)), "{:?}", records[1].end);
+}
+
 #[test]
 fn judge_frees_a_request_that_is_closed_unread() {
     let setup = Setup::new();
