A large value is passed on only once its first bytes show that it is no copy

Callers saw: a server sends a second copy of a large value when the next command is on its way; the client of that command, a read of 16 bytes, got up to 200,009 bytes of the other client's value and then a close, or, with a copy that was cut off, nothing for 3 s. Cause: bytes of a streamed value were passed on before the proof that short values have.

A value is now passed on at once only if it is the first reply of its connection, or if no earlier large value there had its length and its first 256 bytes, and no other reply begins within them. Any other one is kept, as values with commands behind them are, until its reply is proven; it has the stall timeout of a buffered reply. A large value that is no copy by its start is no longer refused at its end for what looks like a reply inside of it. A resumed value that may be a copy is not continued.

--- a/cli/tests/soak_values.rs
+++ b/cli/tests/soak_values.rs
@@ -31,6 +31,8 @@
         idle_close: likely(0.3),
         unframed: likely(0.2),
         chunked: likely(0.3),
+        copy: likely(0.2),
+        part: likely(0.5),
         ..Faults::default()
     };
     let class = |name, effect, ms| Class { name, effect, deadline: Duration::from_millis(ms) };
--- a/proxy/src/wire/backend.rs
+++ b/proxy/src/wire/backend.rs
@@ -1,7 +1,7 @@
 //! Encodes commands to backends and decodes their replies.
 
 use super::command::BackendCommand;
-use super::fingerprint::{Fingerprint, Fingerprinter, RESP_REPLY_STARTS};
+use super::fingerprint::{Fingerprint, Fingerprinter, ValueStart, RESP_REPLY_STARTS};
 use super::resp::{write_command, write_command_head, Head, Malformed, Reader, Value};
 use super::{MAX_STREAMED_VALUE, MAX_VALUE};
 use crate::outcome::AttemptOutcome;
@@ -96,6 +96,11 @@
         self.fingerprint
     }
 
+    /// How a streamed value begins; `None` before enough of it was received.
+    pub fn value_start(&self) -> Option<ValueStart> {
+        self.fingerprinter.value_start()
+    }
+
     /// Feeds received bytes and returns the parts of the reply that they complete.
     pub fn feed(&mut self, bytes: &[u8]) -> Vec<ReplyPart> {
         let mut parts = Vec::new();
@@ -130,6 +135,7 @@
                     return Err(Malformed("too large"))
                 }
                 Head::Bulk { length, at } => {
+                    self.fingerprinter.begin_large_value(length);
                     parts.push(ReplyPart::ValueStart(length));
                     self.reader.skip(at);
                     let data = self.reader.take_bytes(length);
--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -28,6 +28,8 @@
 use std::time::Duration;
 use writing::Message;
 
+/// Maximum pause within a buffered reply. A stalled attempt ends early enough for a retry before the client's deadline.
+const BUFFERED_STALL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum pause while a value is relayed in either direction. A relayed transfer cannot be retried.
 const RELAY_STALL_TIMEOUT: Duration = Duration::from_secs(3);
 
--- a/proxy/src/wire/driver/attempt/decoder.rs
+++ b/proxy/src/wire/driver/attempt/decoder.rs
@@ -2,7 +2,7 @@
 
 use crate::outcome::AttemptOutcome;
 use crate::wire::backend::{self, Reply, ReplyPart};
-use crate::wire::fingerprint::Fingerprint;
+use crate::wire::fingerprint::{Fingerprint, ValueStart};
 use crate::wire::origin;
 
 /// Decoder of the reply of a cache or the origin.
@@ -28,6 +28,14 @@
         }
     }
 
+    /// How a streamed value begins; `None` before enough of it was received.
+    pub(super) fn value_start(&self) -> Option<ValueStart> {
+        match self {
+            Decoder::Backend(decoder) => decoder.value_start(),
+            Decoder::Origin(decoder) => decoder.value_start(),
+        }
+    }
+
     /// Fingerprint of a complete reply.
     pub(super) fn fingerprint(&self) -> Option<Fingerprint> {
         match self {
--- a/proxy/src/wire/driver/attempt/reading.rs
+++ b/proxy/src/wire/driver/attempt/reading.rs
@@ -2,7 +2,8 @@
 
 use super::decoder::Decoder;
 use super::progress::AttemptTimings;
-use super::relaying::RelayedValue;
+use super::relaying::{RelayedValue, ValueOrigin};
+use super::BUFFERED_STALL_TIMEOUT;
 use crate::outcome::AttemptOutcome;
 use crate::state::pool::ReplyOrder;
 use crate::wire::backend::{Reply, ReplyPart};
@@ -14,11 +15,6 @@
 use futures_lite::future;
 use std::io::{self, ErrorKind};
 use std::rc::Rc;
-use std::time::Duration;
-
-/// Maximum pause within a buffered reply. A stalled attempt ends early enough for a retry before the client's
-/// deadline.
-const STALL_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Reads what the socket has, up to the size of a read. Returns the number of bytes and the parts of the reply that they
 /// complete; `None` at the end of the connection.
@@ -34,6 +30,18 @@
     }
 }
 
+/// Whether the large value of a reply was made for its request; `None` before enough of it was received.
+fn value_origin(connection: &Connection, decoder: &Decoder) -> Option<ValueOrigin> {
+    if connection.history.is_empty() {
+        return Some(ValueOrigin::Own);
+    }
+    let start = decoder.value_start()?;
+    Some(match connection.history.may_be_copy(&start) {
+        true => ValueOrigin::MayBeCopy,
+        false => ValueOrigin::Own,
+    })
+}
+
 /// Reads a reply to its end. Returns why it could not be read otherwise.
 pub(super) async fn read(
     runtime: &Rc<Runtime>,
@@ -61,13 +69,20 @@
                         ReplyPart::ValueStart(_) if connection.order == ReplyOrder::Doubtful => {
                             Err(AttemptOutcome::Garbled)
                         }
-                        ReplyPart::ValueStart(length) => value.start(length, timings.response_time()).await,
+                        ReplyPart::ValueStart(length) => {
+                            value.announce(length);
+                            Ok(())
+                        }
                         ReplyPart::ValueData(data) => value.push(data),
                         ReplyPart::Complete(reply) => return reply,
                     };
                     if let Err(outcome) = taken {
                         return Reply::without_value(outcome);
                     }
+                    let origin = value_origin(connection, decoder);
+                    if let Err(outcome) = value.start_if_known(origin, timings.response_time()).await {
+                        return Reply::without_value(outcome);
+                    }
                 }
                 value.ready().await;
             }
@@ -76,7 +91,8 @@
                 let stalled = async {
                     match decoder.has_partial_reply() {
                         _ if value.has_started() => Timer::after(value.stall_timeout()).await,
-                        true => Timer::after(STALL_TIMEOUT).await,
+                        true => Timer::after(BUFFERED_STALL_TIMEOUT).await,
+                        false if value.is_announced() => Timer::after(BUFFERED_STALL_TIMEOUT).await,
                         false => future::pending().await,
                     };
                     Some(AttemptOutcome::Garbled)
--- a/proxy/src/wire/driver/attempt/relaying.rs
+++ b/proxy/src/wire/driver/attempt/relaying.rs
@@ -5,10 +5,13 @@
 //! while nothing stands behind it; else it is kept in the [`ValueStore`] first. Commands can also arrive once it is under
 //! way: after a break, a further attempt of a class that allows one continues the value, if its own begins with the same
 //! bytes.
+//!
+//! What was passed on cannot be taken back, so a value that may be a copy of an earlier one on its connection is kept as well,
+//! until its whole reply is proven.
 
 use super::held_value::{bytes_to_reserve, HeldValue};
 use super::progress::Progress;
-use super::{Attempt, RELAY_STALL_TIMEOUT};
+use super::{Attempt, BUFFERED_STALL_TIMEOUT, RELAY_STALL_TIMEOUT};
 use crate::outcome::AttemptOutcome;
 use crate::proxy::ReplySlot;
 use crate::state::pool::Ticket;
@@ -26,10 +29,21 @@
 /// [`RELAY_STALL_TIMEOUT`] already if that one fell silent.
 const RESUME_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Whether a value was made for the request, as far as its first bytes tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ValueOrigin {
+    /// No earlier value on the connection begins like it.
+    Own,
+    /// It may be a copy of an earlier value, or begin with a part of one.
+    MayBeCopy,
+}
+
 /// What happens to the bytes of the value.
 enum Stage {
     /// No value has begun.
     NotStarted,
+    /// The first bytes are kept until they show the origin of the value.
+    Announced { length: usize, data: Vec<Vec<u8>> },
     /// Nobody waits for it; the bytes are discarded.
     Discarding,
     /// The bytes are compared with those that an earlier attempt has passed on.
@@ -37,7 +51,7 @@
     /// The bytes are passed on as they come.
     PassingOn(ReplySlot),
     /// The bytes are kept until the value is complete.
-    Holding { slot: ReplySlot, length: usize, held: HeldValue },
+    Holding { slot: ReplySlot, length: usize, origin: ValueOrigin, held: HeldValue },
 }
 
 /// The large value in the reply to an attempt.
@@ -57,22 +71,48 @@
 
     /// Whether a value has begun, so that its length is known and its memory accounted for.
     pub(super) fn has_started(&self) -> bool {
-        !matches!(self.stage, Stage::NotStarted)
+        !matches!(self.stage, Stage::NotStarted) && !self.is_announced()
+    }
+
+    /// Whether the first bytes of a value are awaited.
+    pub(super) fn is_announced(&self) -> bool {
+        matches!(self.stage, Stage::Announced { .. })
+    }
+
+    /// A value of this length follows. It begins with [`RelayedValue::start_if_known`].
+    pub(super) fn announce(&mut self, length: usize) {
+        self.stage = Stage::Announced { length, data: Vec::new() };
+    }
+
+    /// Begins a value that was announced, once its origin is known. `response_time` is the time until the first byte of the
+    /// reply. Returns the outcome of the attempt if the value cannot be used.
+    pub(super) async fn start_if_known(
+        &mut self,
+        origin: Option<ValueOrigin>,
+        response_time: Option<Micros>,
+    ) -> Result<(), AttemptOutcome> {
+        let (Stage::Announced { length, data }, Some(origin)) = (&mut self.stage, origin) else {
+            return Ok(());
+        };
+        let (length, data) = (*length, std::mem::take(data));
+        self.start(length, origin, response_time).await?;
+        data.into_iter().try_for_each(|piece| self.push(piece))
     }
 
     /// Maximum pause within the value.
     pub(super) fn stall_timeout(&self) -> Duration {
         match self.stage {
             Stage::Resuming { .. } => RESUME_STALL_TIMEOUT,
+            // A copy that was cut off ends in silence.
+            Stage::Holding { origin: ValueOrigin::MayBeCopy, .. } => BUFFERED_STALL_TIMEOUT,
             _ => RELAY_STALL_TIMEOUT,
         }
     }
 
-    /// Begins the value. `response_time` is the time until the first byte of the reply. Returns the outcome of the attempt
-    /// if the value cannot be used.
-    pub(super) async fn start(
+    async fn start(
         &mut self,
         length: usize,
+        origin: ValueOrigin,
         response_time: Option<Micros>,
     ) -> Result<(), AttemptOutcome> {
         let attempt_id = self.attempt.id;
@@ -82,6 +122,7 @@
         self.stage = match slot {
             None => Stage::Discarding,
             Some(slot) => match self.runtime.relayed_prefix(slot) {
+                Some(_) if origin == ValueOrigin::MayBeCopy => return Err(AttemptOutcome::Garbled),
                 Some(prefix) => {
                     // It was admitted when it began.
                     self.place = Some(self.runtime.relay_budget.overdraw());
@@ -93,7 +134,7 @@
                     if !self.runtime.can_relay_one_more() {
                         return Err(AttemptOutcome::NoCapacity);
                     }
-                    self.begin(slot, length).await?
+                    self.begin(slot, length, origin).await?
                 }
             },
         };
@@ -107,11 +148,19 @@
         Ok(Stage::Resuming { slot, prefix, compared: 0, hasher: DefaultHasher::new() })
     }
 
-    async fn begin(&self, slot: ReplySlot, length: usize) -> Result<Stage, AttemptOutcome> {
+    async fn begin(
+        &self,
+        slot: ReplySlot,
+        length: usize,
+        origin: ValueOrigin,
+    ) -> Result<Stage, AttemptOutcome> {
         loop {
             match self.runtime.relay_start(slot) {
                 RelayStart::ClientGone => return Ok(Stage::Discarding),
-                RelayStart::CommandsBehind => return self.hold(slot, length).await,
+                RelayStart::CommandsBehind => return self.hold(slot, length, origin).await,
+                RelayStart::Ready | RelayStart::Waiting(_) if origin == ValueOrigin::MayBeCopy => {
+                    return self.hold(slot, length, origin).await;
+                }
                 RelayStart::Ready => {
                     self.runtime.begin_relay(self.attempt.id, slot, length);
                     return Ok(Stage::PassingOn(slot));
@@ -122,7 +171,12 @@
     }
 
     /// Waits for memory to keep the value in. The attempt has until its deadline for this and to receive the value.
-    async fn hold(&self, slot: ReplySlot, length: usize) -> Result<Stage, AttemptOutcome> {
+    async fn hold(
+        &self,
+        slot: ReplySlot,
+        length: usize,
+        origin: ValueOrigin,
+    ) -> Result<Stage, AttemptOutcome> {
         if self.runtime.clock.now() >= self.attempt.deadlines.give_up_at {
             return Err(AttemptOutcome::TimedOutSent);
         }
@@ -134,13 +188,14 @@
         let mut reservation = Reservation::new(&self.runtime.value_store);
         reservation.wait_for(bytes).await;
         self.runtime.proxy.borrow_mut().counters.values_held += 1;
-        Ok(Stage::Holding { slot, length, held: HeldValue::new(length, reservation) })
+        Ok(Stage::Holding { slot, length, origin, held: HeldValue::new(length, reservation) })
     }
 
     /// Takes the next bytes of the value. Returns the outcome of the attempt if they show that it cannot be used.
     pub(super) fn push(&mut self, data: Vec<u8>) -> Result<(), AttemptOutcome> {
         match &mut self.stage {
             Stage::NotStarted | Stage::Discarding => {}
+            Stage::Announced { data: first, .. } => first.push(data),
             Stage::PassingOn(slot) => self.runtime.relay(*slot, &data),
             Stage::Holding { held, .. } => held.push(data),
             Stage::Resuming { slot, prefix, compared, hasher } => {
@@ -183,7 +238,7 @@
 
     /// Passes on a value that was kept, after its reply was received completely and proven.
     pub(super) async fn pass_on_held(&mut self) {
-        let Stage::Holding { slot, length, held } = &mut self.stage else { return };
+        let Stage::Holding { slot, length, held, .. } = &mut self.stage else { return };
         let slot = *slot;
         self.progress.deadline_suspended.set(true);
         if !self.runtime.relay_ready(slot).await {
--- a/proxy/src/wire/driver/reply_history.rs
+++ b/proxy/src/wire/driver/reply_history.rs
@@ -8,7 +8,7 @@
 //! so a reply that is followed by the reply to a fence is the only one so far, and thus the real one. A fence decides
 //! nothing about a reply in which another one may begin: the two were read as one.
 
-use crate::wire::fingerprint::{Fingerprint, ValuePrefix};
+use crate::wire::fingerprint::{Fingerprint, ValuePrefix, ValueStart};
 use std::collections::HashSet;
 
 /// Replies that are remembered for each connection. A connection with as many is not used again.
@@ -20,6 +20,8 @@
     digests: HashSet<u64>,
     /// The starts of their values.
     prefixes: HashSet<ValuePrefix>,
+    /// How their large values began.
+    value_starts: HashSet<ValueStart>,
 }
 
 /// How a reply compares with the earlier ones on its connection.
@@ -41,9 +43,22 @@
         let comparison = self.compare(fingerprint);
         self.digests.insert(fingerprint.digest);
         self.prefixes.extend(fingerprint.prefix);
+        self.value_starts.extend(fingerprint.value_start);
         comparison
     }
 
+    /// Whether no reply was received before.
+    pub fn is_empty(&self) -> bool {
+        self.digests.is_empty()
+    }
+
+    /// Whether a large value may be a copy of an earlier one, or a part of such a copy into which another reply ran. Either
+    /// announces the length of the earlier one.
+    pub fn may_be_copy(&self, start: &ValueStart) -> bool {
+        let mut same_length = self.value_starts.iter().filter(|earlier| earlier.length == start.length);
+        same_length.any(|earlier| start.contains_reply || earlier.digest == start.digest)
+    }
+
     fn compare(&self, fingerprint: &Fingerprint) -> Comparison {
         if self.digests.is_empty() {
             return Comparison::First;
@@ -52,7 +67,9 @@
             let prefix = fingerprint.prefix.unwrap_or_default();
             self.prefixes.iter().any(|earlier| prefix.may_share(earlier, at))
         };
-        if fingerprint.reply_elsewhere || fingerprint.reply_in_value.is_some_and(starts_like_earlier) {
+        let is_new = fingerprint.value_start.is_some_and(|start| !self.may_be_copy(&start));
+        let reply_in_value = fingerprint.reply_in_value.filter(|_| !is_new);
+        if fingerprint.reply_elsewhere || reply_in_value.is_some_and(starts_like_earlier) {
             return Comparison::MayContainCopy;
         }
         match self.digests.contains(&fingerprint.digest) {
--- a/proxy/src/wire/fingerprint.rs
+++ b/proxy/src/wire/fingerprint.rs
@@ -71,6 +71,20 @@
     }
 }
 
+/// Length in bytes of the start by which large values of the same length are told apart.
+const START_BYTES: usize = 256;
+
+/// How a large value begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ValueStart {
+    /// Length of the value in bytes, as its reply announces it.
+    pub length: usize,
+    /// Digest of its first [`START_BYTES`] bytes.
+    pub digest: u64,
+    /// Whether another reply may begin within them.
+    pub contains_reply: bool,
+}
+
 /// The fingerprint of a complete reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Fingerprint {
@@ -82,6 +96,8 @@
     pub reply_in_value: Option<usize>,
     /// Whether another reply may begin outside of the value.
     pub reply_elsewhere: bool,
+    /// How its value begins; `None` unless the value is large.
+    pub value_start: Option<ValueStart>,
 }
 
 /// Computes the fingerprint of a reply while it is received.
@@ -94,6 +110,10 @@
     value_bytes: usize,
     reply_in_value: Option<usize>,
     reply_elsewhere: bool,
+    /// Length of the value in bytes, if it is large.
+    large_length: Option<usize>,
+    /// Digest of the first bytes of a large value, [`START_BYTES`] at most.
+    start_hasher: DefaultHasher,
 }
 
 impl Fingerprinter {
@@ -107,13 +127,35 @@
             value_bytes: 0,
             reply_in_value: None,
             reply_elsewhere: false,
+            large_length: None,
+            start_hasher: DefaultHasher::new(),
         }
     }
 
+    /// Records that a large value of this length in bytes follows.
+    pub fn begin_large_value(&mut self, length: usize) {
+        self.large_length = Some(length);
+    }
+
+    /// How the large value begins; `None` before enough of it was received.
+    pub fn value_start(&self) -> Option<ValueStart> {
+        let length = self.large_length?;
+        // A reply that begins at the end of the start must have been received far enough to be recognized.
+        (self.value_bytes >= START_BYTES + MAX_OVERLAP).then(|| ValueStart {
+            length,
+            digest: self.start_hasher.finish(),
+            contains_reply: self.reply_in_value.is_some_and(|at| at < START_BYTES),
+        })
+    }
+
     /// Adds the next bytes of the value.
     pub fn push_value(&mut self, data: &[u8]) {
         self.hasher.write(data);
         self.prefix.get_or_insert_default().push(data);
+        if self.large_length.is_some() {
+            let missing = START_BYTES.saturating_sub(self.value_bytes);
+            self.start_hasher.write(data.get(..missing).unwrap_or(data));
+        }
         if self.reply_in_value.is_none() {
             self.reply_in_value = self.find_reply(data);
         }
@@ -161,6 +203,7 @@
             prefix: self.prefix,
             reply_in_value: self.reply_in_value.or_else(at_end),
             reply_elsewhere: self.reply_elsewhere,
+            value_start: self.value_start(),
         }
     }
 }
--- a/proxy/src/wire/fingerprint/tests.rs
+++ b/proxy/src/wire/fingerprint/tests.rs
@@ -87,3 +87,27 @@
         assert!(!RESP_REPLY_STARTS.may_begin_in(text), "{text:?}");
     }
 }
+
+#[test]
+fn start_of_a_large_value_is_known_once_a_reply_within_it_would_be_recognized() {
+    let start_of = |value: &[u8]| {
+        let mut fingerprinter = Fingerprinter::new(HTTP_REPLY_STARTS);
+        fingerprinter.begin_large_value(100_000);
+        for (n, byte) in value.iter().enumerate() {
+            assert_eq!(fingerprinter.value_start().is_some(), n >= START_BYTES + MAX_OVERLAP, "{n}");
+            fingerprinter.push_value(&[*byte]);
+        }
+        fingerprinter.value_start().expect("enough bytes")
+    };
+    let value = vec![b'v'; START_BYTES + MAX_OVERLAP];
+    let with_reply_at = |at: usize| {
+        let mut value = vec![b'v'; START_BYTES + 2 * MAX_OVERLAP];
+        value[at..at + 7].copy_from_slice(b"HTTP/1.");
+        start_of(&value)
+    };
+    assert!(!start_of(&value).contains_reply);
+    assert!(with_reply_at(0).contains_reply && with_reply_at(START_BYTES - 1).contains_reply);
+    assert!(!with_reply_at(START_BYTES).contains_reply);
+    assert_eq!(with_reply_at(START_BYTES).digest, start_of(&value).digest);
+    assert_ne!(with_reply_at(START_BYTES - 1).digest, start_of(&value).digest);
+}
--- a/proxy/src/wire/origin.rs
+++ b/proxy/src/wire/origin.rs
@@ -2,7 +2,7 @@
 
 use super::backend::{Reply, ReplyPart};
 use super::command::BackendCommand;
-use super::fingerprint::{Fingerprint, Fingerprinter, HTTP_REPLY_STARTS};
+use super::fingerprint::{Fingerprint, Fingerprinter, ValueStart, HTTP_REPLY_STARTS};
 use super::http::{self, Part};
 use super::{MAX_STREAMED_VALUE, MAX_UNDELIMITED_BODY, MAX_VALUE};
 use crate::outcome::AttemptOutcome;
@@ -75,6 +75,11 @@
         self.fingerprint
     }
 
+    /// How a streamed value begins; `None` before enough of it was received.
+    pub fn value_start(&self) -> Option<ValueStart> {
+        self.fingerprinter.value_start()
+    }
+
     /// Feeds received bytes and returns the parts of the reply that they complete.
     pub fn feed(&mut self, bytes: &[u8]) -> Vec<ReplyPart> {
         match self.http.feed(bytes) {
@@ -113,6 +118,7 @@
                     Some(length) if length > MAX_STREAMED_VALUE as u64 => garbled(),
                     Some(length) if length > MAX_VALUE as u64 && status == 200 => {
                         self.streaming = true;
+                        self.fingerprinter.begin_large_value(length as usize);
                         Some(ReplyPart::ValueStart(length as usize))
                     }
                     _ => None,
