--- a/proxy/src/wire/fingerprint.rs
+++ b/proxy/src/wire/fingerprint.rs
@@ -79,7 +79,7 @@
 pub struct ValueStart {
     /// Length of the value in bytes, as its reply announces it.
     pub length: usize,
-    /// Digest of its first [`START_BYTES`] bytes.
+    /// Digest of its first 256 bytes.
     pub digest: u64,
     /// Whether another reply may begin within them.
     pub contains_reply: bool,
