Tests share the servers that force the order of bytes, and one allowed lateness

On rereading the whole change: value_copies.rs wrote again what surplus_replies.rs had (a server with a thread for each connection, the wait for the next command, reading an HTTP request, a value of a length), the faulty servers had a twin of in_progress::read_message, and the allowed lateness stood four times. They are called from one place each; bounds, checks and bytes sent are the same but for the origin's value, which is read by its path as before.

--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod breakpoints;
+pub mod connection_server;
 pub mod crossing;
 pub mod crossing_points;
 pub mod crowd;
--- a/cli/tests/common/ordinary_clients.rs
+++ b/cli/tests/common/ordinary_clients.rs
@@ -1,5 +1,6 @@
 //! Clients that behave: each asks for small values and sends small writes, one after the other, and notes what it waited for.
 
+use super::judge::MAX_LATENESS;
 use super::{Client, TIMEOUT};
 use notchdoor_proxy::wire::resp::Value;
 use std::net::{SocketAddr, TcpStream};
@@ -8,8 +9,6 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-/// An answer that is later than this after its deadline counts as lost.
-pub const MAX_LATENESS: Duration = Duration::from_millis(500);
 /// Deadlines of reads and of writes that run at most once.
 const READ_DEADLINE: Duration = Duration::from_millis(1500);
 const WRITE_DEADLINE: Duration = Duration::from_millis(600);
--- a/cli/tests/common/random_faults.rs
+++ b/cli/tests/common/random_faults.rs
@@ -1,7 +1,8 @@
 //! A server that does random things to its replies and to its connections, and records each command with the time at which it
 //! began.
 
-use super::in_progress::InProgress;
+use super::connection_server::wait_for_next_command;
+use super::in_progress::{read_message, InProgress};
 use super::random::Random;
 use super::records::{AttemptRecord, SharedRecords};
 use super::Handler;
@@ -9,7 +10,7 @@
 use notchdoor_testbed::wire::frames::{Frames, Protocol};
 use socket2::SockRef;
 use std::collections::HashMap;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver};
@@ -245,17 +246,11 @@
     bytes: Vec<u8>,
 }
 
-/// Reads one message a byte at a time; `None` if the connection ends before.
-fn read_message(stream: &mut impl Read, frames: &mut Frames) -> Option<Received> {
-    let (mut bytes, mut byte, mut began_at) = (Vec::new(), [0], None);
-    loop {
-        stream.read_exact(&mut byte).ok()?;
-        began_at.get_or_insert_with(Instant::now);
-        bytes.push(byte[0]);
-        if frames.push(byte[0]) {
-            return Some(Received { began_at: began_at?, bytes });
-        }
-    }
+/// Receives one command; `None` if the connection ends before.
+fn receive(mut stream: &TcpStream, frames: &mut Frames) -> Option<Received> {
+    wait_for_next_command(stream)?;
+    let began_at = Instant::now();
+    Some(Received { began_at, bytes: read_message(&mut stream, frames)? })
 }
 
 /// The words of a backend command, or method, path and call id of an HTTP request.
@@ -317,7 +312,7 @@
         let (sender, commands) = channel();
         let (stream, mut frames) = (Arc::clone(&self.stream), Frames::new(self.shared.protocol));
         std::thread::spawn(move || {
-            while let Some(command) = read_message(&mut &*stream, &mut frames) {
+            while let Some(command) = receive(&stream, &mut frames) {
                 if sender.send(command).is_err() {
                     return;
                 }
--- a/cli/tests/common/recording_servers.rs
+++ b/cli/tests/common/recording_servers.rs
@@ -1,5 +1,6 @@
 //! Caches and an origin that make a value of its own for each request and record how often each one ran.
 
+use super::connection_server::value_of_length;
 use super::{hit_response, http_response, FakeServer, Handler};
 use notchdoor_proxy::wire::resp::Value;
 use std::collections::HashMap;
@@ -54,7 +55,7 @@
 /// The value or receipt that a server makes for a request, by its key.
 pub fn value_of(key: &str, id: &str) -> Vec<u8> {
     match large_value_bytes(key) {
-        Some(length) => id.bytes().cycle().take(length).collect(),
+        Some(length) => value_of_length(id, length),
         None => value_for(id, Kind::of(key)).into_bytes(),
     }
 }
--- a/cli/tests/surplus_replies.rs
+++ b/cli/tests/surplus_replies.rs
@@ -1,10 +1,11 @@
 //! Backends that send a reply twice, the second copy at any time: no client gets what was made for another request.
 
 mod common;
+use common::connection_server::{read_http_request, start_server, value_of_length, wait_for_next_command};
 use common::*;
-use notchdoor_proxy::wire::resp::{write_bulk, Reader, Value};
-use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use notchdoor_proxy::wire::resp::{Reader, Value};
+use std::io::{Read, Write};
+use std::net::TcpStream;
 
 /// Sizes of values: one that the proxy buffers and one that it streams.
 const VALUE_BYTES: [usize; 2] = [16, 200_000];
@@ -29,22 +30,8 @@
     Miss,
 }
 
-/// The value that a server makes for a request.
-fn value_for(id: &str, length: usize) -> Vec<u8> {
-    id.bytes().cycle().take(length).collect()
-}
-
 fn hit(id: &str, length: usize) -> Vec<u8> {
-    let mut reply = b"*3\r\n".to_vec();
-    write_bulk(&mut reply, &value_for(id, length));
-    reply.extend(b"$3\r\nhit\r\n$-1\r\n");
-    reply
-}
-
-/// Waits for the first byte of the next command: from then on the proxy cannot see what is sent before it has written the
-/// command. `None` if the connection ends.
-fn wait_for_next_command(stream: &TcpStream) -> Option<()> {
-    stream.peek(&mut [0]).ok().filter(|n| *n > 0).map(drop)
+    hit_response(&text(&value_of_length(id, length))).expect("a reply")
 }
 
 /// Serves one connection. Every second reply is followed by a copy of the one before it.
@@ -74,43 +61,16 @@
     }
 }
 
-/// Starts a server that handles each connection on its own thread.
-fn start_server(serve: impl Fn(TcpStream) -> Option<()> + Copy + Send + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let endpoint = listener.local_addr().unwrap();
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            std::thread::spawn(move || serve(stream));
-        }
-    });
-    endpoint
-}
-
 /// Serves one connection to an origin. A copy of every second response is sent while the next request is on its way.
-fn serve_origin(stream: TcpStream) -> Option<()> {
-    let mut reader = BufReader::new(stream);
+fn serve_origin(mut stream: TcpStream) -> Option<()> {
     loop {
-        let response = http_response("200 OK", &read_http_request(&mut reader)?)?;
-        reader.get_mut().write_all(&response).ok()?;
-        wait_for_next_command(reader.get_ref())?;
-        reader.get_mut().write_all(&response).ok()?;
-        let id = read_http_request(&mut reader)?;
-        reader.get_mut().write_all(&http_response("200 OK", &id)?).ok()?;
-    }
-}
-
-/// Reads a request with a body of one byte at most, byte by byte, and returns its id.
-fn read_http_request(reader: &mut BufReader<TcpStream>) -> Option<String> {
-    let (mut head, mut byte) = (Vec::new(), [0]);
-    while !head.ends_with(b"\r\n\r\n") {
-        reader.get_mut().read_exact(&mut byte).ok()?;
-        head.extend(byte);
-    }
-    let head = String::from_utf8(head).unwrap();
-    if head.starts_with("PUT") {
-        reader.get_mut().read_exact(&mut byte).ok()?;
+        let response = http_response("200 OK", &read_http_request(&mut stream)?.1)?;
+        stream.write_all(&response).ok()?;
+        wait_for_next_command(&stream)?;
+        stream.write_all(&response).ok()?;
+        let (_, id) = read_http_request(&mut stream)?;
+        stream.write_all(&http_response("200 OK", &id)?).ok()?;
     }
-    head.lines().find_map(|line| line.strip_prefix("X-Call-Id: ")).map(str::to_owned)
 }
 
 /// Sends a read on a connection of its own and returns its answer; `None` if the answer is cut off.
@@ -147,7 +107,7 @@
                 let context = format!("{length} bytes, {first:?}, {copy:?}");
                 let backend = start_server(move |stream| serve(stream, (first, copy, length)));
                 let origin = FakeServer::origin(Box::new(move |request| {
-                    let value = value_for(&request[2], length);
+                    let value = value_of_length(&request[2], length);
                     http_response("200 OK", std::str::from_utf8(&value).unwrap())
                 }));
                 let discovery = FakeDiscovery::start();
@@ -162,7 +122,7 @@
                     match read(&proxy, &id) {
                         Some(Value::Bulk(Some(value))) => {
                             assert!(
-                                value == value_for(&id, length),
+                                value == value_of_length(&id, length),
                                 "{context}, {id}: got {:.20}",
                                 text(&value)
                             );
@@ -275,7 +235,7 @@
         for id in ["same".to_owned(), "same".to_owned(), format!("own-{n}")] {
             match read(&proxy, &id) {
                 Some(Value::Bulk(Some(value))) => {
-                    assert_eq!(text(&value), text(&value_for(&id, VALUE_BYTES[0])), "round {n}");
+                    assert_eq!(text(&value), text(&value_of_length(&id, VALUE_BYTES[0])), "round {n}");
                 }
                 Some(Value::Error(_)) => {}
                 other => panic!("{id}: {other:?}"),
--- a/cli/tests/value_copies.rs
+++ b/cli/tests/value_copies.rs
@@ -2,10 +2,12 @@
 //! reaches another client, and that client gets its answer in time.
 
 mod common;
+use common::connection_server::{read_http_request, start_server, value_of_length, wait_for_next_command};
+use common::judge::MAX_LATENESS;
 use common::*;
-use notchdoor_proxy::wire::resp::{write_bulk, Reader, Value};
+use notchdoor_proxy::wire::resp::{Reader, Value};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 const LARGE_BYTES: usize = 200_000;
@@ -13,8 +15,6 @@
 /// Reads of each kind in a play.
 const READS: usize = 6;
 const DEADLINE_MS: u64 = 600;
-/// An answer that is later than this after its deadline counts as lost.
-const MAX_LATENESS: Duration = Duration::from_millis(500);
 /// How long a client waits for more of an answer.
 const PATIENCE: Duration = Duration::from_secs(3);
 /// Pause between the two parts of a copy that is split.
@@ -36,10 +36,6 @@
     split_at: usize,
 }
 
-fn value_for(id: &str, length: usize) -> Vec<u8> {
-    id.bytes().cycle().take(length).collect()
-}
-
 /// The length of the value of a key.
 fn length_of(key: &str) -> usize {
     if key.contains("large") {
@@ -50,36 +46,20 @@
 }
 
 impl Form {
-    fn reply(self, key: &str, id: &str) -> Vec<u8> {
-        let value = value_for(id, length_of(key));
+    fn reply(self, key: &str, id: &str) -> Option<Vec<u8>> {
+        let value = String::from_utf8(value_of_length(id, length_of(key))).unwrap();
         match self {
-            Form::Resp => {
-                let mut reply = b"*3\r\n".to_vec();
-                write_bulk(&mut reply, &value);
-                reply.extend(b"$3\r\nhit\r\n$-1\r\n");
-                reply
-            }
-            Form::Http => {
-                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", value.len());
-                [head.as_bytes(), &value].concat()
-            }
+            Form::Resp => hit_response(&value),
+            Form::Http => http_response("200 OK", &value),
         }
     }
 
     /// Reads a command and returns its key and id.
     fn read(self, stream: &mut TcpStream) -> Option<(String, String)> {
-        if let Form::Resp = self {
-            let words = read_command(stream)?;
-            return Some((words[1].clone(), words[2].clone()));
-        }
-        let (mut head, mut byte) = (Vec::new(), [0]);
-        while !head.ends_with(b"\r\n\r\n") {
-            stream.read_exact(&mut byte).ok()?;
-            head.extend(byte);
+        match self {
+            Form::Resp => read_command(stream).map(|words| (words[1].clone(), words[2].clone())),
+            Form::Http => read_http_request(stream),
         }
-        let head = String::from_utf8(head).unwrap();
-        let id = head.lines().find_map(|line| line.strip_prefix("X-Call-Id: "))?;
-        Some((head.split(' ').nth(1)?.to_owned(), id.to_owned()))
     }
 }
 
@@ -87,12 +67,12 @@
 fn serve(mut stream: TcpStream, form: Form, copied: Copied) -> Option<()> {
     loop {
         let (key, id) = form.read(&mut stream)?;
-        let reply = form.reply(&key, &id);
+        let reply = form.reply(&key, &id)?;
         stream.write_all(&reply).ok()?;
         if !key.contains("large") {
             continue;
         }
-        stream.peek(&mut [0]).ok().filter(|n| *n > 0)?;
+        wait_for_next_command(&stream)?;
         let copy = &reply[..copied.bytes.min(reply.len())];
         let (first, second) = copy.split_at(copied.split_at.min(copy.len()));
         stream.write_all(first).ok()?;
@@ -103,17 +83,6 @@
     }
 }
 
-fn start_server(form: Form, copied: Copied) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let endpoint = listener.local_addr().unwrap();
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            std::thread::spawn(move || serve(stream, form, copied));
-        }
-    });
-    endpoint
-}
-
 /// What a client got for a read.
 #[derive(Debug, PartialEq)]
 enum Got {
@@ -133,7 +102,9 @@
     loop {
         let got = match reader.next_value() {
             Ok(None) => None,
-            Ok(Some(Value::Bulk(Some(value)))) if value == value_for(id, length_of(key)) => Some(Got::Own),
+            Ok(Some(Value::Bulk(Some(value)))) if value == value_of_length(id, length_of(key)) => {
+                Some(Got::Own)
+            }
             Ok(Some(Value::Error(line))) => Some(Got::Error(String::from_utf8_lossy(&line).into_owned())),
             other => Some(Got::Other(format!("{other:.60?}"))),
         };
@@ -152,7 +123,7 @@
 
 /// Reads large and small values in turn from a server that sends such copies. Returns how many reads of each were served.
 fn play(form: Form, copied: Copied, large_ids: fn(usize) -> String) -> [usize; 2] {
-    let server = start_server(form, copied);
+    let server = start_server(move |stream| serve(stream, form, copied));
     let missing = FakeServer::backend(Box::new(|_| Some(b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_vec())));
     let other_origin = FakeServer::origin(Box::new(|_| None));
     let list = match form {
--- a/cli/tests/write_deadlines.rs
+++ b/cli/tests/write_deadlines.rs
@@ -2,14 +2,13 @@
 //! send it does not.
 
 mod common;
+use common::judge::MAX_LATENESS;
 use common::small_buffer_origin::{Reading, SmallBufferOrigin};
 use common::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-/// An answer that is later than this after its deadline counts as lost.
-const MAX_LATENESS: Duration = Duration::from_millis(500);
 /// More than the buffers of the system take.
 const LARGE_BYTES: usize = 4 * 1024 * 1024;
 /// Bytes that a slow client sends at once, and its pause between them.
