What is known of a large value is one field; breakpoints look for a test once

The length and the digest of a large value's start go together: one optional field in place of two, and no second hasher for each short reply. A stop of a debug build looked twice whether a test is there. A taken reader was bound only to be dropped. Behaviour is the same.

--- a/proxy/src/net/breakpoints.rs
+++ b/proxy/src/net/breakpoints.rs
@@ -86,22 +86,19 @@
     }
 
     /// Tells the test of a stop and waits for its answer; empty if there is no test.
-    fn stop(line: &str) -> String {
+    fn stop(line: impl FnOnce() -> String) -> String {
         let Some(mut control) = control().and_then(|control| control.lock().ok()) else {
             return String::new();
         };
         let mut answer = String::new();
-        if control.get_mut().write_all(line.as_bytes()).is_ok() {
+        if control.get_mut().write_all(line().as_bytes()).is_ok() {
             let _ = control.read_line(&mut answer);
         }
         answer
     }
 
     pub(super) fn before(call: SocketCall, connection: ConnectionName) -> io::Result<()> {
-        if control().is_none() {
-            return Ok(());
-        }
-        let answer = stop(&format!("before {} {connection}\n", call.name()));
+        let answer = stop(|| format!("before {} {connection}\n", call.name()));
         match answer.trim().strip_prefix("fail ").and_then(|errno| errno.parse().ok()) {
             Some(errno) => Err(io::Error::from_raw_os_error(errno)),
             None => Ok(()),
@@ -109,13 +106,10 @@
     }
 
     pub(super) fn after(call: SocketCall, connection: ConnectionName, result: Result<usize, &io::Error>) {
-        if control().is_none() {
-            return;
-        }
         let result = match result {
             Ok(n) => n as i64,
             Err(error) => -i64::from(error.raw_os_error().unwrap_or(i32::MAX)),
         };
-        stop(&format!("after {} {connection} {result}\n", call.name()));
+        stop(|| format!("after {} {connection} {result}\n", call.name()));
     }
 }
--- a/proxy/src/wire/client_session.rs
+++ b/proxy/src/wire/client_session.rs
@@ -412,8 +412,9 @@
     /// Rejects a command that was read in part before the session was closed for the end of the process. Returns whether there
     /// was one. No further command is accepted then.
     pub fn refuse_late_part(&mut self) -> bool {
-        let Some(reader) = self.late_reader.take_if(|reader| reader.pending() > 0) else { return false };
-        drop(reader);
+        if self.late_reader.take_if(|reader| reader.pending() > 0).is_none() {
+            return false;
+        }
         let sequence = self.replies.push();
         self.answer(sequence, Answer::Rejected { retry_after: STOPPING_RETRY_AFTER_US });
         true
--- a/proxy/src/wire/driver/attempt/relaying.rs
+++ b/proxy/src/wire/driver/attempt/relaying.rs
@@ -71,7 +71,7 @@
 
     /// Whether a value has begun, so that its length is known and its memory accounted for.
     pub(super) fn has_started(&self) -> bool {
-        !matches!(self.stage, Stage::NotStarted) && !self.is_announced()
+        !matches!(self.stage, Stage::NotStarted | Stage::Announced { .. })
     }
 
     /// Whether the first bytes of a value are awaited.
--- a/proxy/src/wire/fingerprint.rs
+++ b/proxy/src/wire/fingerprint.rs
@@ -110,10 +110,15 @@
     value_bytes: usize,
     reply_in_value: Option<usize>,
     reply_elsewhere: bool,
-    /// Length of the value in bytes, if it is large.
-    large_length: Option<usize>,
-    /// Digest of the first bytes of a large value, [`START_BYTES`] at most.
-    start_hasher: DefaultHasher,
+    large_value: Option<LargeValue>,
+}
+
+/// What is computed of a large value besides.
+struct LargeValue {
+    /// Its length in bytes, as its reply announces it.
+    length: usize,
+    /// Digest of its first bytes, [`START_BYTES`] at most.
+    start: DefaultHasher,
 }
 
 impl Fingerprinter {
@@ -127,23 +132,22 @@
             value_bytes: 0,
             reply_in_value: None,
             reply_elsewhere: false,
-            large_length: None,
-            start_hasher: DefaultHasher::new(),
+            large_value: None,
         }
     }
 
     /// Records that a large value of this length in bytes follows.
     pub fn begin_large_value(&mut self, length: usize) {
-        self.large_length = Some(length);
+        self.large_value = Some(LargeValue { length, start: DefaultHasher::new() });
     }
 
     /// How the large value begins; `None` before enough of it was received.
     pub fn value_start(&self) -> Option<ValueStart> {
-        let length = self.large_length?;
+        let value = self.large_value.as_ref()?;
         // A reply that begins at the end of the start must have been received far enough to be recognized.
         (self.value_bytes >= START_BYTES + MAX_OVERLAP).then(|| ValueStart {
-            length,
-            digest: self.start_hasher.finish(),
+            length: value.length,
+            digest: value.start.finish(),
             contains_reply: self.reply_in_value.is_some_and(|at| at < START_BYTES),
         })
     }
@@ -152,9 +156,9 @@
     pub fn push_value(&mut self, data: &[u8]) {
         self.hasher.write(data);
         self.prefix.get_or_insert_default().push(data);
-        if self.large_length.is_some() {
+        if let Some(value) = &mut self.large_value {
             let missing = START_BYTES.saturating_sub(self.value_bytes);
-            self.start_hasher.write(data.get(..missing).unwrap_or(data));
+            value.start.write(data.get(..missing).unwrap_or(data));
         }
         if self.reply_in_value.is_none() {
             self.reply_in_value = self.find_reply(data);
