Failing tests: sound servers that pause or are slow, for each time limit that cuts them

Cause: a time limit of the program is taken for a proof about the peer; the postmortem lists the limits. Change: servers that pause at any byte and always give a whole answer, on connections that were used before; caches and origin, with a length, in chunks and without one, equal values before, commands behind, short values; fences, values under way, large writes, connections of doubtful order.

--- a/cli/tests/common/connection_server.rs
+++ b/cli/tests/common/connection_server.rs
@@ -4,11 +4,12 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
 /// Starts a server that handles each connection on its own thread. Returns its address.
-pub fn start_server(serve: impl Fn(TcpStream) -> Option<()> + Copy + Send + 'static) -> SocketAddr {
+pub fn start_server(serve: impl Fn(TcpStream) -> Option<()> + Clone + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let endpoint = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
             std::thread::spawn(move || serve(stream));
         }
     });
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -15,6 +15,8 @@
 pub mod judge;
 pub mod manual_server;
 pub mod ordinary_clients;
+pub mod paced_reads;
+pub mod paced_server;
 pub mod peak_memory;
 pub mod random;
 pub mod random_faults;
