A pause within a reply starts another attempt beside it and no longer ends its own

Cause: a pause of 0.1 s within a reply that is kept (a short one, the first 256 bytes of a large one, one that may be a copy) ended the attempt as malformed, one attempt after another. A pause shows neither that a server is dead nor that its bytes are a copy. Change: after the same 0.1 s the router is told (ReplyBegun, ReplyStalled). A class that may be repeated gets a further attempt beside the first, under the same limits of attempts, windows, slow start and sockets, on a connection that carried nothing, so that its reply is no copy; the first whole and proven answer wins. Other classes wait until their time. A kept value no longer keeps other attempts from answering. In the limits layer such an attempt is a retry, not a hedge. Cost: two attempts beside the first at most, so three descriptors and, for kept values, three places in the value store for one request, until its time instead of 0.1 s each; all count against the same budgets.

--- a/lab/src/baselines.rs
+++ b/lab/src/baselines.rs
@@ -321,7 +321,11 @@
                     self.finish(id, actions);
                 }
             }
-            Event::ReplyStarted { .. } | Event::ReplyInterrupted { .. } | Event::HedgeGranted(_) => {}
+            Event::ReplyStarted { .. }
+            | Event::ReplyBegun { .. }
+            | Event::ReplyStalled { .. }
+            | Event::ReplyInterrupted { .. }
+            | Event::HedgeGranted(_) => {}
         }
     }
 }
--- a/lab/src/day/proxies.rs
+++ b/lab/src/day/proxies.rs
@@ -43,6 +43,8 @@
         Event::HedgeGranted(id) => (18, *id, 0),
         Event::AnswerNow(id) => (19, *id, 0),
         Event::ReplyInterrupted { id, attempt, .. } => (20, *id, u64::from(*attempt)),
+        Event::ReplyBegun { id, attempt, .. } => (60, *id, u64::from(*attempt)),
+        Event::ReplyStalled { id, attempt, .. } => (61, *id, u64::from(*attempt)),
     }
 }
 
@@ -81,6 +83,8 @@
             Event::ClientLeft(id) => (Some(*id), "its client left".to_owned()),
             // Timers say little, and there are many.
             Event::ReplyStarted { .. }
+            | Event::ReplyBegun { .. }
+            | Event::ReplyStalled { .. }
             | Event::ReplyInterrupted { .. }
             | Event::Timer(_)
             | Event::HedgeGranted(_)
--- a/limits/src/layer/attempts.rs
+++ b/limits/src/layer/attempts.rs
@@ -72,6 +72,7 @@
             state: AttemptState::Delayed,
             sent_at: now,
             probe: admitted == Ok(Admission::Probe),
+            stalled: false,
         });
         let too_late = delay > 0 && now.saturating_add(delay) >= request.deadline.min(begin_by);
         match admitted {
--- a/limits/src/layer/mod.rs
+++ b/limits/src/layer/mod.rs
@@ -235,6 +235,18 @@
                 let attempt = self.router_number(id, attempt);
                 self.forward_to_router(now, Event::ReplyStarted { id, attempt, took }, actions);
             }
+            Event::ReplyBegun { id, attempt, took } => {
+                let attempt = self.router_number(id, attempt);
+                self.forward_to_router(now, Event::ReplyBegun { id, attempt, took }, actions);
+            }
+            Event::ReplyStalled { id, attempt, may_be_copy, keep_last_attempt } => {
+                let attempt = self.router_number(id, attempt);
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.record_stall(attempt as usize);
+                }
+                let stalled = Event::ReplyStalled { id, attempt, may_be_copy, keep_last_attempt };
+                self.forward_to_router(now, stalled, actions);
+            }
             Event::ReplyInterrupted { id, attempt, begun } => {
                 let attempt = self.router_number(id, attempt);
                 if let Some(request) = self.requests.get_mut(&id).filter(|_| begun) {
--- a/limits/src/layer/request.rs
+++ b/limits/src/layer/request.rs
@@ -32,6 +32,8 @@
     pub(super) sent_at: Micros,
     /// Whether the attempt is the probe of a half-open breaker.
     pub(super) probe: bool,
+    /// Whether its reply has begun and pauses.
+    pub(super) stalled: bool,
 }
 
 pub(super) struct InFlightRequest {
@@ -59,9 +61,17 @@
 }
 
 impl InFlightRequest {
-    /// Whether the next attempt would be a hedged request, because another attempt is in flight.
+    /// Whether the next attempt would be a hedged request, because another attempt is in flight whose reply does not stall.
     pub(super) fn is_hedge(&self) -> bool {
-        self.attempts_in_flight > 0
+        self.attempts.iter().any(|attempt| attempt.state == AttemptState::InFlight && !attempt.stalled)
+    }
+
+    /// Records that the reply to an attempt pauses. Another attempt beside it counts as a retry.
+    pub(super) fn record_stall(&mut self, index: usize) {
+        let Some(attempt) = self.attempts.get_mut(index) else { return };
+        attempt.stalled = true;
+        self.last_attempt_failed = true;
+        self.may_have_run_since.get_or_insert(attempt.sent_at);
     }
 
     /// Checks whether the route's limits, apart from breakers and retry budgets, allow another attempt now.
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -10,7 +10,9 @@
 use crate::state::time::ClockReading;
 use crate::state::timers::{TimerKey, Timers};
 use crate::state::versions::VersionInForce;
-use notchdoor::{Action, Decide, Effect, Event, Micros, Outcome, RequestId, ServerId, Settings};
+use notchdoor::{
+    continuation_deadline, Action, Decide, Effect, Event, Micros, Outcome, RequestId, ServerId, Settings,
+};
 use notchdoor_limits::policy::Policy;
 use notchdoor_limits::stack::Stack;
 use notchdoor_settings::DeploymentNames;
@@ -20,11 +22,13 @@
 use std::sync::Arc;
 
 mod arrivals;
+mod begun_replies;
 mod inspect;
 mod overrides;
 mod repeated_ids;
 mod request;
 
+pub use begun_replies::Stall;
 pub use request::{Answer, AttemptId, AttemptReply, ClientRequest, Command, ReplySlot, RequestError};
 
 struct Attempt {
@@ -33,6 +37,8 @@
     sent: Micros,
     /// It repeats an earlier one that may have run at the same server, whose process has to be the same.
     is_repeat: bool,
+    /// Its reply has begun and paused.
+    stalled: bool,
     /// How it ended; `None` while it is outstanding.
     outcome: Option<AttemptOutcome>,
 }
@@ -41,6 +47,8 @@
     client_id: Vec<u8>,
     class: u32,
     reply_slot: ReplySlot,
+    /// Until when a reply that has begun may be awaited.
+    deadline: Micros,
     call: Rc<C>,
     attempts: Vec<Attempt>,
     timers: Vec<TimerKey>,
@@ -58,13 +66,29 @@
         self.outcome.is_none_or(|outcome| !outcome.outcome().never_ran())
     }
 
+    /// Whether its reply may have been a copy of an earlier one on its connection.
+    fn is_doubtful(&self) -> bool {
+        self.stalled || self.outcome == Some(AttemptOutcome::Garbled)
+    }
+
     /// How it ended, for the log.
     fn outcome_name(&self) -> &'static str {
-        self.outcome.map_or("outstanding", AttemptOutcome::name)
+        let outstanding = if self.stalled { "stalled" } else { "outstanding" };
+        self.outcome.map_or(outstanding, AttemptOutcome::name)
     }
 }
 
 impl<C> InFlightRequest<C> {
+    /// Lets another attempt stream its reply. Returns whether the client has part of a value, which that attempt has to
+    /// continue.
+    fn interrupt(&mut self, now: Micros) -> bool {
+        self.streaming = None;
+        if self.value_begun {
+            self.deadline = continuation_deadline(now, self.deadline);
+        }
+        self.value_begun
+    }
+
     /// Whether a repeat found no connection to the process that may have run the request.
     fn has_lost_process(&self) -> bool {
         self.attempts.iter().any(|a| a.is_repeat && a.outcome == Some(AttemptOutcome::NotSent))
@@ -169,33 +193,6 @@
         self.in_flight.get(id).filter(|request| !request.finished).map(|request| request.reply_slot)
     }
 
-    /// Starts streaming the reply of an attempt to the client. Returns the reply slot, or `None` if the request is already
-    /// answered or another attempt is being streamed. `took` is as in [`AttemptReply::took`].
-    pub fn start_streaming(
-        &mut self,
-        now: Micros,
-        attempt_id: AttemptId,
-        took: Option<Micros>,
-    ) -> Option<ReplySlot> {
-        let &(id, attempt) = self.outstanding.get(&attempt_id)?;
-        let request = self.in_flight.get_mut(&id)?;
-        if request.finished || request.streaming.is_some() {
-            return None;
-        }
-        request.streaming = Some(attempt);
-        let reply_slot = request.reply_slot;
-        self.process_event(now, Event::ReplyStarted { id, attempt, took });
-        Some(reply_slot)
-    }
-
-    /// Records that the client has been sent the first bytes of the value that this attempt streams.
-    pub fn value_begun(&mut self, attempt_id: AttemptId) {
-        let request = self.outstanding.get(&attempt_id).and_then(|(id, _)| self.in_flight.get_mut(id));
-        if let Some(request) = request {
-            request.value_begun = true;
-        }
-    }
-
     /// Records the end of an attempt and answers its request if this decides it.
     pub fn attempt_ended(
         &mut self,
@@ -229,8 +226,7 @@
             // Another attempt may continue the value.
             interrupted = streamed && answer.is_none() && !request.finished;
             if interrupted {
-                request.streaming = None;
-                begun = request.value_begun;
+                begun = request.interrupt(now);
             }
             if let Some(answer) = answer {
                 self.answer(id, answer);
@@ -368,8 +364,11 @@
         let earlier = request.attempts.iter().find(|a| a.server == server && a.may_have_run());
         let process_of = earlier.filter(|_| !idempotent).map(|attempt| attempt.sent);
         let is_repeat = process_of.is_some();
-        request.attempts.push(Attempt { attempt_id, server, sent: now, is_repeat, outcome: None });
-        let call = Rc::clone(&request.call);
+        // A connection without an earlier reply has none that could be copied once more.
+        let on_unused_connection = idempotent && request.attempts.iter().any(Attempt::is_doubtful);
+        let attempt = Attempt { attempt_id, server, sent: now, is_repeat, stalled: false, outcome: None };
+        request.attempts.push(attempt);
+        let (call, deadline) = (Rc::clone(&request.call), request.deadline);
         self.commands.push(Command::StartAttempt {
             attempt_id,
             server,
@@ -377,7 +376,9 @@
             idempotent,
             give_up_at,
             begin_by,
+            deadline,
             process_of,
+            on_unused_connection,
         });
     }
 
--- a/proxy/src/proxy/arrivals.rs
+++ b/proxy/src/proxy/arrivals.rs
@@ -41,6 +41,7 @@
             client_id: request.id,
             class,
             reply_slot: request.reply_slot,
+            deadline: request.deadline,
             call: Rc::new(request.call),
             attempts: Vec::new(),
             timers: Vec::new(),
--- /dev/null
+++ b/proxy/src/proxy/begun_replies.rs
@@ -0,0 +1,74 @@
+//! Replies that have begun and are not complete: streamed to the client, kept, or paused.
+
+use super::{AttemptId, Proxy, ReplySlot};
+use notchdoor::{Event, Micros};
+
+/// A pause within a reply, or another reason for a further attempt beside the one that gives it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stall {
+    /// Whether the reply may be a copy of an earlier one on its connection.
+    pub may_be_copy: bool,
+    /// Whether the last attempt is kept, to continue the reply if it breaks off.
+    pub keep_last_attempt: bool,
+}
+
+impl<C> Proxy<C> {
+    /// The reply slot of an attempt whose reply can be streamed; `None` if the request is already answered or another attempt
+    /// is being streamed.
+    pub fn streamable_slot(&self, attempt_id: AttemptId) -> Option<ReplySlot> {
+        let (id, attempt) = self.outstanding.get(&attempt_id)?;
+        let request = self.in_flight.get(id).filter(|request| !request.finished)?;
+        request.streaming.is_none_or(|streaming| streaming == *attempt).then_some(request.reply_slot)
+    }
+
+    /// Starts streaming the reply of an attempt to the client. Returns the reply slot, or `None` if the request is already
+    /// answered or another attempt is being streamed. `took` is as in [`super::AttemptReply::took`].
+    pub fn start_streaming(
+        &mut self,
+        now: Micros,
+        attempt_id: AttemptId,
+        took: Option<Micros>,
+    ) -> Option<ReplySlot> {
+        let reply_slot = self.streamable_slot(attempt_id)?;
+        let &(id, attempt) = self.outstanding.get(&attempt_id)?;
+        self.in_flight.get_mut(&id)?.streaming = Some(attempt);
+        self.process_event(now, Event::ReplyStarted { id, attempt, took });
+        Some(reply_slot)
+    }
+
+    /// Records that the client has been sent the first bytes of the value that this attempt streams.
+    pub fn value_begun(&mut self, attempt_id: AttemptId) {
+        let request = self.outstanding.get(&attempt_id).and_then(|(id, _)| self.in_flight.get_mut(id));
+        if let Some(request) = request {
+            request.value_begun = true;
+        }
+    }
+
+    /// Lets other attempts answer the request of an attempt that is being streamed, and goes on.
+    pub fn release_stream(&mut self, now: Micros, attempt_id: AttemptId) {
+        let Some(&(id, attempt)) = self.outstanding.get(&attempt_id) else { return };
+        let Some(request) = self.in_flight.get_mut(&id) else { return };
+        if request.streaming == Some(attempt) && !request.finished {
+            let begun = request.interrupt(now);
+            self.process_event(now, Event::ReplyInterrupted { id, attempt, begun });
+        }
+    }
+
+    /// Records that a server has begun a reply that is kept for now. `took` is as in [`super::AttemptReply::took`].
+    pub fn reply_begun(&mut self, now: Micros, attempt_id: AttemptId, took: Option<Micros>) {
+        if let Some(&(id, attempt)) = self.outstanding.get(&attempt_id) {
+            self.process_event(now, Event::ReplyBegun { id, attempt, took });
+        }
+    }
+
+    /// Records that a reply pauses or is in doubt, so that another attempt may be sent beside it.
+    pub fn reply_stalled(&mut self, now: Micros, attempt_id: AttemptId, stall: Stall) {
+        let Some(&(id, n)) = self.outstanding.get(&attempt_id) else { return };
+        let request = self.in_flight.get_mut(&id);
+        let Some(attempt) = request.and_then(|request| request.attempts.get_mut(n as usize)) else { return };
+        attempt.stalled = true;
+        self.counters.replies_stalled += 1;
+        let Stall { may_be_copy, keep_last_attempt } = stall;
+        self.process_event(now, Event::ReplyStalled { id, attempt: n, may_be_copy, keep_last_attempt });
+    }
+}
--- a/proxy/src/proxy/request.rs
+++ b/proxy/src/proxy/request.rs
@@ -116,9 +116,13 @@
         give_up_at: Micros,
         /// The time from which the command must not be sent any more.
         begin_by: Micros,
+        /// Until when a reply that has begun may be awaited.
+        deadline: Micros,
         /// If set, the command may be sent only to the process that ran at this time: it drops a repeat of what it got then,
         /// and a new one at its address would not.
         process_of: Option<Micros>,
+        /// Whether the command must be sent on a connection that carried none before: an earlier reply may have been a copy.
+        on_unused_connection: bool,
     },
     /// Cancel an attempt by closing its connection. The driver need not report its end.
     Cancel(AttemptId),
--- a/proxy/src/state/metrics/counters.rs
+++ b/proxy/src/state/metrics/counters.rs
@@ -52,6 +52,8 @@
     pub values_resumed: u64,
     /// Further attempts whose value differed from the part that the client had.
     pub values_changed: u64,
+    /// Replies that paused, or were in doubt, so that another attempt might be sent beside theirs.
+    pub replies_stalled: u64,
     /// Requests rejected for lack of memory.
     pub rejected_no_room: u64,
     /// Large writes that were given up because their server did not take them in time.
@@ -128,6 +130,7 @@
             ("rejected_no_room".to_owned(), self.rejected_no_room),
             ("commands_evicted".to_owned(), self.commands_evicted),
             ("uploads_given_up".to_owned(), self.uploads_given_up),
+            ("replies_stalled".to_owned(), self.replies_stalled),
         ];
         let attempts =
             AttemptOutcome::ALL.map(|outcome| (outcome.name(), count(&self.attempt_outcomes, outcome)));
--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -5,6 +5,7 @@
 mod progress;
 mod reading;
 mod relaying;
+mod stall;
 mod writing;
 
 use super::connection::{checkout, Process, Wanted};
@@ -24,11 +25,12 @@
 use progress::{AttemptEnd, AttemptTimings, Progress};
 use reading::read;
 use relaying::RelayedValue;
+use stall::StallWatch;
 use std::rc::Rc;
 use std::time::Duration;
 use writing::Message;
 
-/// Maximum pause within a buffered reply. A stalled attempt ends early enough for a retry before the client's deadline.
+/// Pause within a reply that is kept until it is complete, after which another attempt may be sent beside it.
 const BUFFERED_STALL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum pause while a value is relayed in either direction. A relayed transfer cannot be retried.
 const RELAY_STALL_TIMEOUT: Duration = Duration::from_secs(3);
@@ -40,6 +42,8 @@
     pub give_up_at: Micros,
     /// Latest time to start writing the command.
     pub begin_by: Micros,
+    /// Until when a reply that has begun may be awaited.
+    pub answer_by: Micros,
 }
 
 /// One attempt of a request at one server.
@@ -56,6 +60,8 @@
     pub deadlines: AttemptDeadlines,
     /// If set, the attempt may reach only the process that ran at this time.
     pub process_of: Option<Micros>,
+    /// Whether the attempt needs a connection that carried no command before.
+    pub on_unused_connection: bool,
 }
 
 /// Runs one attempt and reports its outcome to the proxy.
@@ -119,7 +125,7 @@
     timings: &mut AttemptTimings,
 ) -> Reply {
     let (server, command) = (attempt.server, &*attempt.command);
-    let AttemptDeadlines { give_up_at, begin_by } = attempt.deadlines;
+    let AttemptDeadlines { give_up_at, begin_by, .. } = attempt.deadlines;
     let Some((process, is_origin)) = runtime
         .proxy
         .borrow()
@@ -142,6 +148,7 @@
     let endpoint = process.0;
     let is_read = command.value_len().is_none();
     let requirement = match (is_read, attempt.idempotent) {
+        _ if attempt.on_unused_connection => Requirement::Unused,
         (true, true) => Requirement::Any,
         (true, false) if !is_origin => Requirement::CertainOrder,
         _ => Requirement::Unused,
@@ -180,7 +187,8 @@
     drop(message);
     timings.written = runtime.clock.now();
     let mut value = RelayedValue::new(runtime, attempt, progress);
-    let reply = read(runtime, &connection, &mut decoder, &mut value, timings).await;
+    let mut stall = StallWatch::new(runtime, attempt.id);
+    let reply = read(runtime, &connection, &mut decoder, (&mut value, &mut stall), timings).await;
     let fingerprint = decoder.fingerprint();
     progress.replied.set(fingerprint.map(|_| reply.outcome));
     if timings.first > 0 {
@@ -189,7 +197,8 @@
     let asked = Asked { server, process, is_origin, idempotent: attempt.idempotent };
     let proof = runtime.prove_reply(&mut connection, &reply, fingerprint, asked).await;
     progress.proof.set(proof);
-    if requirement == Requirement::Unused && progress.replied.get().is_some() {
+    let needs_another = requirement == Requirement::Unused && !attempt.on_unused_connection;
+    if needs_another && progress.replied.get().is_some() {
         runtime.prepare_unused(server, process);
     }
     if proof.is_none() {
@@ -200,6 +209,10 @@
     }
     if reply.outcome == AttemptOutcome::Served {
         value.pass_on_held().await;
+        // The bytes are gone, and the attempt that answered instead has failed since.
+        if value.is_discarded() && runtime.proxy.borrow().reply_slot(attempt.id).is_some() {
+            return Reply::without_value(AttemptOutcome::Garbled);
+        }
     }
     match (negative_cache, lookup, reply.outcome) {
         (Some(negative_cache), Some(lookup), AttemptOutcome::Absent) => {
--- a/proxy/src/wire/driver/attempt/reading.rs
+++ b/proxy/src/wire/driver/attempt/reading.rs
@@ -3,8 +3,9 @@
 use super::decoder::Decoder;
 use super::progress::AttemptTimings;
 use super::relaying::{RelayedValue, ValueOrigin};
-use super::BUFFERED_STALL_TIMEOUT;
+use super::stall::StallWatch;
 use crate::outcome::AttemptOutcome;
+use crate::proxy::Stall;
 use crate::state::pool::ReplyOrder;
 use crate::wire::backend::{Reply, ReplyPart};
 use crate::wire::driver::connection::Connection;
@@ -42,12 +43,54 @@
     })
 }
 
+/// What ended a wait for more of a reply.
+enum Wake {
+    /// The socket has more, or has failed.
+    Readable(io::Result<()>),
+    /// The server has paused for as long as is allowed.
+    Paused,
+}
+
+/// Waits for more of a reply. Returns the outcome of the attempt if nothing more is awaited.
+async fn wait_for_more(
+    connection: &Connection,
+    has_partial_reply: bool,
+    (value, stall): (&RelayedValue<'_>, &mut StallWatch<'_>),
+    timings: &AttemptTimings,
+) -> Result<(), AttemptOutcome> {
+    let is_kept = value.is_kept() || !value.has_started() && (has_partial_reply || value.is_announced());
+    let pause = match is_kept {
+        true if stall.is_reported() => None,
+        true => Some(value.time_until_doubt()),
+        false if value.has_started() => Some(value.stall_timeout()),
+        false => None,
+    };
+    let paused = async {
+        match pause {
+            Some(pause) => Timer::after(pause).await,
+            None => future::pending().await,
+        };
+        Wake::Paused
+    };
+    let readable = async { Wake::Readable(connection.io.readable().await) };
+    match future::or(readable, paused).await {
+        Wake::Readable(result) => result.map_err(|_| AttemptOutcome::BrokenSent),
+        Wake::Paused if is_kept => {
+            let is_own = value.is_kept() && !value.may_be_copy();
+            let may_be_copy = !connection.history.is_empty() && !is_own;
+            stall.report(Stall { may_be_copy, keep_last_attempt: is_own }, timings.response_time());
+            Ok(())
+        }
+        Wake::Paused => Err(AttemptOutcome::Garbled),
+    }
+}
+
 /// Reads a reply to its end. Returns why it could not be read otherwise.
 pub(super) async fn read(
     runtime: &Rc<Runtime>,
     connection: &Connection,
     decoder: &mut Decoder,
-    value: &mut RelayedValue<'_>,
+    (value, stall): (&mut RelayedValue<'_>, &mut StallWatch<'_>),
     timings: &mut AttemptTimings,
 ) -> Reply {
     let (mut received, mut reservation) = (0, Reservation::new(&runtime.value_store));
@@ -88,18 +131,9 @@
             }
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                let stalled = async {
-                    match decoder.has_partial_reply() {
-                        _ if value.has_started() => Timer::after(value.stall_timeout()).await,
-                        true => Timer::after(BUFFERED_STALL_TIMEOUT).await,
-                        false if value.is_announced() => Timer::after(BUFFERED_STALL_TIMEOUT).await,
-                        false => future::pending().await,
-                    };
-                    Some(AttemptOutcome::Garbled)
-                };
-                let readable =
-                    async { connection.io.readable().await.err().map(|_| AttemptOutcome::BrokenSent) };
-                if let Some(outcome) = future::or(readable, stalled).await {
+                let has_partial_reply = decoder.has_partial_reply();
+                let waited = wait_for_more(connection, has_partial_reply, (value, stall), timings);
+                if let Err(outcome) = waited.await {
                     return Reply::without_value(outcome);
                 }
             }
--- a/proxy/src/wire/driver/attempt/relaying.rs
+++ b/proxy/src/wire/driver/attempt/relaying.rs
@@ -23,7 +23,7 @@
 use notchdoor::Micros;
 use std::hash::{DefaultHasher, Hasher};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Maximum pause until an attempt that continues a value has gone beyond the earlier one. The client has waited for
 /// [`RELAY_STALL_TIMEOUT`] already if that one fell silent.
@@ -51,7 +51,7 @@
     /// The bytes are passed on as they come.
     PassingOn(ReplySlot),
     /// The bytes are kept until the value is complete.
-    Holding { slot: ReplySlot, length: usize, origin: ValueOrigin, held: HeldValue },
+    Holding { slot: ReplySlot, length: usize, origin: ValueOrigin, since: Instant, held: HeldValue },
 }
 
 /// The large value in the reply to an attempt.
@@ -99,12 +99,36 @@
         data.into_iter().try_for_each(|piece| self.push(piece))
     }
 
-    /// Maximum pause within the value.
+    /// Whether the bytes of a value were not used.
+    pub(super) fn is_discarded(&self) -> bool {
+        matches!(self.stage, Stage::Discarding)
+    }
+
+    /// Whether the value has begun and is kept.
+    pub(super) fn is_kept(&self) -> bool {
+        matches!(self.stage, Stage::Holding { .. })
+    }
+
+    /// Whether the value is kept because it may be a copy.
+    pub(super) fn may_be_copy(&self) -> bool {
+        matches!(self.stage, Stage::Holding { origin: ValueOrigin::MayBeCopy, .. })
+    }
+
+    /// Time until another attempt may be sent beside this one, while the reply is kept and nothing more of it comes. For a value
+    /// that may be a copy it does not depend on what comes: a copy has no pauses either.
+    pub(super) fn time_until_doubt(&self) -> Duration {
+        match self.stage {
+            Stage::Holding { origin: ValueOrigin::MayBeCopy, since, .. } => {
+                BUFFERED_STALL_TIMEOUT.saturating_sub(since.elapsed())
+            }
+            _ => BUFFERED_STALL_TIMEOUT,
+        }
+    }
+
+    /// Maximum pause within a value that is passed on.
     pub(super) fn stall_timeout(&self) -> Duration {
         match self.stage {
             Stage::Resuming { .. } => RESUME_STALL_TIMEOUT,
-            // A copy that was cut off ends in silence.
-            Stage::Holding { origin: ValueOrigin::MayBeCopy, .. } => BUFFERED_STALL_TIMEOUT,
             _ => RELAY_STALL_TIMEOUT,
         }
     }
@@ -115,10 +139,7 @@
         origin: ValueOrigin,
         response_time: Option<Micros>,
     ) -> Result<(), AttemptOutcome> {
-        let attempt_id = self.attempt.id;
-        // From here on the time depends on the client and on the replies before this one.
-        self.progress.deadline_suspended.set(true);
-        let slot = self.runtime.drive(|proxy, now| proxy.start_streaming(now, attempt_id, response_time));
+        let slot = self.runtime.proxy.borrow().streamable_slot(self.attempt.id);
         self.stage = match slot {
             None => Stage::Discarding,
             Some(slot) => match self.runtime.relayed_prefix(slot) {
@@ -126,7 +147,10 @@
                 Some(prefix) => {
                     // It was admitted when it began.
                     self.place = Some(self.runtime.relay_budget.overdraw());
-                    self.resume(slot, prefix, length)?
+                    match self.claim(response_time) {
+                        true => self.resume(slot, prefix, length)?,
+                        false => Stage::Discarding,
+                    }
                 }
                 None => {
                     let place = self.runtime.relay_budget.take().ok_or(AttemptOutcome::NoCapacity)?;
@@ -134,13 +158,22 @@
                     if !self.runtime.can_relay_one_more() {
                         return Err(AttemptOutcome::NoCapacity);
                     }
-                    self.begin(slot, length, origin).await?
+                    self.begin(slot, length, origin, response_time).await?
                 }
             },
         };
         Ok(())
     }
 
+    /// Makes this the attempt whose reply answers the request. Its time depends on the client and on the replies before this
+    /// one from then on. Returns false if the request is answered, or by another attempt.
+    fn claim(&self, response_time: Option<Micros>) -> bool {
+        let attempt_id = self.attempt.id;
+        self.progress.deadline_suspended.set(true);
+        let slot = self.runtime.drive(|proxy, now| proxy.start_streaming(now, attempt_id, response_time));
+        slot.is_some()
+    }
+
     fn resume(&self, slot: ReplySlot, prefix: RelayedPrefix, length: usize) -> Result<Stage, AttemptOutcome> {
         if prefix.length != length {
             return Err(self.value_changed());
@@ -153,13 +186,17 @@
         slot: ReplySlot,
         length: usize,
         origin: ValueOrigin,
+        response_time: Option<Micros>,
     ) -> Result<Stage, AttemptOutcome> {
         loop {
             match self.runtime.relay_start(slot) {
                 RelayStart::ClientGone => return Ok(Stage::Discarding),
-                RelayStart::CommandsBehind => return self.hold(slot, length, origin).await,
+                RelayStart::CommandsBehind => return self.hold(slot, length, origin, response_time).await,
                 RelayStart::Ready | RelayStart::Waiting(_) if origin == ValueOrigin::MayBeCopy => {
-                    return self.hold(slot, length, origin).await;
+                    return self.hold(slot, length, origin, response_time).await;
+                }
+                RelayStart::Ready | RelayStart::Waiting(_) if !self.claim(response_time) => {
+                    return Ok(Stage::Discarding);
                 }
                 RelayStart::Ready => {
                     self.runtime.begin_relay(self.attempt.id, slot, length);
@@ -170,17 +207,24 @@
         }
     }
 
-    /// Waits for memory to keep the value in. The attempt has until its deadline for this and to receive the value.
+    /// Waits for memory to keep the value in. The attempt has until its deadline for this and to receive the value, and another
+    /// one may answer the request meanwhile.
     async fn hold(
         &self,
         slot: ReplySlot,
         length: usize,
         origin: ValueOrigin,
+        response_time: Option<Micros>,
     ) -> Result<Stage, AttemptOutcome> {
+        let attempt_id = self.attempt.id;
         if self.runtime.clock.now() >= self.attempt.deadlines.give_up_at {
             return Err(AttemptOutcome::TimedOutSent);
         }
         self.progress.deadline_suspended.set(false);
+        self.runtime.drive(|proxy, now| {
+            proxy.release_stream(now, attempt_id);
+            proxy.reply_begun(now, attempt_id, response_time);
+        });
         let bytes = bytes_to_reserve(length);
         if !self.runtime.value_store.can_hold(bytes) {
             return Err(AttemptOutcome::NoCapacity);
@@ -188,7 +232,8 @@
         let mut reservation = Reservation::new(&self.runtime.value_store);
         reservation.wait_for(bytes).await;
         self.runtime.proxy.borrow_mut().counters.values_held += 1;
-        Ok(Stage::Holding { slot, length, origin, held: HeldValue::new(length, reservation) })
+        let held = HeldValue::new(length, reservation);
+        Ok(Stage::Holding { slot, length, origin, since: Instant::now(), held })
     }
 
     /// Takes the next bytes of the value. Returns the outcome of the attempt if they show that it cannot be used.
@@ -238,9 +283,11 @@
 
     /// Passes on a value that was kept, after its reply was received completely and proven.
     pub(super) async fn pass_on_held(&mut self) {
+        if !self.is_kept() || !self.claim(None) {
+            return;
+        }
         let Stage::Holding { slot, length, held, .. } = &mut self.stage else { return };
         let slot = *slot;
-        self.progress.deadline_suspended.set(true);
         if !self.runtime.relay_ready(slot).await {
             return;
         }
--- a/proxy/src/wire/driver/mod.rs
+++ b/proxy/src/wire/driver/mod.rs
@@ -253,11 +253,20 @@
                 idempotent,
                 give_up_at,
                 begin_by,
+                deadline,
                 process_of,
+                on_unused_connection,
             } => {
-                let deadlines = AttemptDeadlines { give_up_at, begin_by };
-                let attempt =
-                    Attempt { id: attempt_id, server, command: call, idempotent, deadlines, process_of };
+                let deadlines = AttemptDeadlines { give_up_at, begin_by, answer_by: deadline };
+                let attempt = Attempt {
+                    id: attempt_id,
+                    server,
+                    command: call,
+                    idempotent,
+                    deadlines,
+                    process_of,
+                    on_unused_connection,
+                };
                 let run = attempt::run(Rc::clone(self), attempt);
                 let task = self.executor.spawn(run);
                 self.attempts_in_flight.borrow_mut().insert(attempt_id, task);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -240,6 +240,28 @@
         /// How long the server took to start the reply; `None` if unknown, as in [`Event::AttemptEnded`].
         took: Option<Micros>,
     },
+    /// The server has begun a reply that cannot be passed on yet. It was quick enough for its window, whatever the rest of the
+    /// reply takes, and other attempts may still answer the request.
+    ReplyBegun {
+        /// The request that the reply belongs to.
+        id: RequestId,
+        /// The attempt that replied.
+        attempt: u32,
+        /// How long the server took to begin the reply; `None` if unknown, as in [`Event::AttemptEnded`].
+        took: Option<Micros>,
+    },
+    /// A reply that has begun pauses, or cannot be told from a copy of an earlier one. That proves nothing: the attempt goes on,
+    /// and another one may be sent beside it.
+    ReplyStalled {
+        /// The request that the reply belongs to.
+        id: RequestId,
+        /// The attempt whose reply it is.
+        attempt: u32,
+        /// Whether the reply may be a copy of an earlier one, so that another one of the same server may differ.
+        may_be_copy: bool,
+        /// Whether the last attempt is kept, to continue the reply if it breaks off.
+        keep_last_attempt: bool,
+    },
     /// The reply that was being streamed ended before it was complete, and another attempt may continue it. Sent before
     /// the end of its attempt.
     ReplyInterrupted {
--- a/src/router.rs
+++ b/src/router.rs
@@ -45,7 +45,7 @@
 pub use snapshot::{InFlight, RouterSnapshot};
 
 use crate::interface::{Action, Endpoint, Event, Micros, Request, RequestId, Settings};
-use attempt_results::AttemptEnd;
+use attempt_results::{AttemptEnd, Stall};
 use backends::{Backends, ListUpdate};
 use congestion_window::{CongestionWindow, Target};
 use discovery_schedule::DiscoverySchedule;
@@ -113,6 +113,13 @@
             Event::DiscoveryError => self.handle_discovery_error(actions),
             Event::Arrived(request) => self.handle_arrival(now, request, actions),
             Event::ReplyStarted { id, attempt, took } => self.reply_started(now, id, attempt, took, actions),
+            Event::ReplyBegun { id, attempt, took } => {
+                self.reply_begun(now, id, attempt as usize, took, actions);
+            }
+            Event::ReplyStalled { id, attempt, may_be_copy, keep_last_attempt } => {
+                let stall = Stall { id, attempt: attempt as usize, may_be_copy, keep_last_attempt };
+                self.reply_stalled(now, stall, actions);
+            }
             Event::ReplyInterrupted { id, attempt, begun } => {
                 self.reply_interrupted(now, id, attempt, begun, actions);
             }
--- a/src/router/attempt_results.rs
+++ b/src/router/attempt_results.rs
@@ -18,6 +18,16 @@
     pub(super) request_done: bool,
 }
 
+/// A pause within a reply as reported by the host; see [`crate::Event::ReplyStalled`].
+#[derive(Clone, Copy)]
+pub(super) struct Stall {
+    pub(super) id: RequestId,
+    /// Counted from 0 in the order of sending.
+    pub(super) attempt: usize,
+    pub(super) may_be_copy: bool,
+    pub(super) keep_last_attempt: bool,
+}
+
 /// Returns whether the outcome can mean that the server is congested or down.
 fn is_server_failure(outcome: Outcome) -> bool {
     matches!(
@@ -49,11 +59,24 @@
                 actions.push(Action::Cancel { id, attempt: index as u32 });
             }
         }
-        let Some(attempt) = request.attempts.get_mut(attempt as usize) else { return };
-        if !attempt.is_outstanding() || attempt.streaming {
+        self.reply_begun(now, id, attempt as usize, took, actions);
+    }
+
+    /// Handles the first bytes of a reply that is streamed, or kept for longer than its server took to begin it.
+    pub(super) fn reply_begun(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        attempt: usize,
+        took: Option<Micros>,
+        actions: &mut Vec<Action>,
+    ) {
+        let request = self.in_flight.get_mut(&id);
+        let Some(attempt) = request.and_then(|request| request.attempts.get_mut(attempt)) else { return };
+        if !attempt.is_outstanding() || attempt.reply_begun {
             return;
         }
-        attempt.streaming = true;
+        attempt.reply_begun = true;
         let started = *attempt;
         attempt.coalesced_fetch = None;
         self.record_result(now, &started, Outcome::Ok, took);
@@ -62,6 +85,30 @@
         }
     }
 
+    /// Handles a pause within a reply: sends another attempt beside it, if the class and the limits allow one. A read of a cache
+    /// goes to the same cache once more, where its key is. Another call to the origin helps only if the reply may be a copy.
+    pub(super) fn reply_stalled(&mut self, now: Micros, stall: Stall, actions: &mut Vec<Action>) {
+        let max_attempts = self.settings.max_attempts;
+        let Some(request) = self.in_flight.get_mut(&stall.id).filter(|request| request.awaits_answer())
+        else {
+            return;
+        };
+        let is_upload = request.request.upload;
+        let is_last = request.attempts_left(max_attempts) <= 1;
+        let attempt = request.attempts.get_mut(stall.attempt).filter(|attempt| attempt.is_outstanding());
+        let Some(attempt) = attempt.filter(|_| !is_upload && !(is_last && stall.keep_last_attempt)) else {
+            return;
+        };
+        if attempt.is_origin_call() {
+            if stall.may_be_copy {
+                self.dispatch_origin_call(now, stall.id, actions);
+            }
+        } else {
+            attempt.retry_same_server = true;
+            self.dispatch_read(now, stall.id, false, actions);
+        }
+    }
+
     /// Handles the break of a streamed reply: the request waits for an answer again, so that another attempt
     /// can continue the value. If the client has part of it, that attempt has a deadline of its own.
     pub(super) fn reply_interrupted(
@@ -73,7 +120,7 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(request) = self.in_flight.get_mut(&id) else { return };
-        if !request.attempts.get(attempt as usize).is_some_and(|attempt| attempt.streaming) {
+        if !request.attempts.get(attempt as usize).is_some_and(|attempt| attempt.reply_begun) {
             return;
         }
         request.streaming = false;
@@ -142,7 +189,7 @@
         }
         let backend = &mut self.backends[ended.backend];
         backend.outstanding = backend.outstanding.saturating_sub(1);
-        if !ended.streaming {
+        if !ended.reply_begun {
             self.record_result(now, &ended, outcome, end.took);
         }
         if end.request_done && !was_done {
--- a/src/router/in_flight.rs
+++ b/src/router/in_flight.rs
@@ -36,8 +36,8 @@
     pub(super) rejected: bool,
     /// Whether the request may be sent to the same server again.
     pub(super) retry_same_server: bool,
-    /// Whether its reply is being streamed to the client.
-    pub(super) streaming: bool,
+    /// Whether its server has begun a reply whose rest does not count against the server.
+    pub(super) reply_begun: bool,
     /// The shared fetch that this attempt performs, if any.
     pub(super) coalesced_fetch: Option<FetchKey>,
 }
@@ -51,7 +51,7 @@
             kind,
             rejected: false,
             retry_same_server: false,
-            streaming: false,
+            reply_begun: false,
             coalesced_fetch: None,
         }
     }
