A reply that the origin has begun has its request's time, not four usual delays

Clients saw: -BUSY after 0.64 s of 2 s while the origin was giving the value. Cause: an attempt at the origin ends after four times its usual delay, so that a lost call does not keep its slot; the limit held for replies under way too. And a reply without a length kept its slot of the window while it came. Change: the limit ends attempts without a first byte; from then on the request's deadline does. A reply over 64 KiB without a length tells the router that it has begun, as one with a length does, so its slot is free. Cost: one descriptor and one attempt for each such reply until the deadline instead of 0.64 s. It moves the request onto its own deadline; the value store bounds what is kept.

--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -105,6 +105,10 @@
         }
         None => {
             Timer::at(runtime.clock.instant(give_up_at)).await;
+            // What a server is giving is not lost.
+            if progress.reply_begun.get() {
+                Timer::at(runtime.clock.instant(attempt.deadlines.answer_by)).await;
+            }
         }
     }
     if progress.deadline_suspended.get() {
--- a/proxy/src/wire/driver/attempt/reading.rs
+++ b/proxy/src/wire/driver/attempt/reading.rs
@@ -100,8 +100,12 @@
             Ok(Some((n, parts))) => {
                 if received == 0 {
                     timings.first = runtime.clock.now();
+                    value.reply_begins();
                 }
                 received += n;
+                if !value.has_started() && received > MAX_VALUE {
+                    stall.report_begun(timings.response_time());
+                }
                 // The first `MAX_VALUE` bytes are accounted for with the request.
                 if !value.has_started() && !reservation.resize(received.saturating_sub(MAX_VALUE)) {
                     return Reply::without_value(AttemptOutcome::NoCapacity);
--- a/proxy/src/wire/driver/attempt/relaying.rs
+++ b/proxy/src/wire/driver/attempt/relaying.rs
@@ -69,6 +69,11 @@
         RelayedValue { runtime, attempt, progress, stage: Stage::NotStarted, place: None }
     }
 
+    /// Records the first byte of the reply.
+    pub(super) fn reply_begins(&self) {
+        self.progress.reply_begun.set(true);
+    }
+
     /// Whether a value has begun, so that its length is known and its memory accounted for.
     pub(super) fn has_started(&self) -> bool {
         !matches!(self.stage, Stage::NotStarted | Stage::Announced { .. })
@@ -217,7 +222,7 @@
         response_time: Option<Micros>,
     ) -> Result<Stage, AttemptOutcome> {
         let attempt_id = self.attempt.id;
-        if self.runtime.clock.now() >= self.attempt.deadlines.give_up_at {
+        if self.runtime.clock.now() >= self.attempt.deadlines.answer_by {
             return Err(AttemptOutcome::TimedOutSent);
         }
         self.progress.deadline_suspended.set(false);
