A kept value that is under way near its request's deadline begins instead of being refused

Clients saw: -BUSY at 2 s of 2 s for a value with a command behind it, although its server had begun it. Cause: a value that is kept for the commands behind it had to be whole by the time of its first bytes. Change: 20 ms before the deadline what is kept is passed on, and the rest as it comes. A value of which nothing came for 0.5 s begins only if a further attempt could continue it; the last attempt is kept for that. One that may be a copy never begins before it is proven. Cost: if such a value breaks off and no further attempt continues it, the commands behind it are lost with the connection; the two conditions above make that take three broken attempts. No descriptor more. It moves the request onto the limits of a value under way (3 s of silence, then 2 s for another attempt).

--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -108,6 +108,8 @@
     names: DeploymentNames,
     /// Whether requests of a class may be repeated, by class.
     effects: Vec<Effect>,
+    /// The maximum number of attempts of a request.
+    max_attempts: usize,
     /// Retry-After of requests for which there is no memory.
     no_room_retry_after: Micros,
     /// The endpoint list from discovery.
@@ -148,6 +150,7 @@
         Proxy {
             effects: settings.classes.iter().map(|class| class.effect).collect(),
             used_ids: RequestIds::default(),
+            max_attempts: settings.max_attempts as usize,
             no_room_retry_after: arrivals::NO_ROOM_RETRY_AFTER.min(settings.max_retry_after),
             stack: Stack::new(settings, policy, seed, start.monotonic),
             start,
@@ -360,7 +363,7 @@
                 request.name(), last.attempt_id, last.outcome_name()
             );
         }
-        let idempotent = self.effects.get(request.class as usize) == Some(&Effect::Idempotent);
+        let idempotent = is_idempotent(&self.effects, request.class);
         let earlier = request.attempts.iter().find(|a| a.server == server && a.may_have_run());
         let process_of = earlier.filter(|_| !idempotent).map(|attempt| attempt.sent);
         let is_repeat = process_of.is_some();
@@ -464,5 +467,10 @@
     }
 }
 
+/// Whether requests of a class may be repeated at any time.
+fn is_idempotent(effects: &[Effect], class: u32) -> bool {
+    effects.get(class as usize) == Some(&Effect::Idempotent)
+}
+
 #[cfg(test)]
 mod tests;
--- a/proxy/src/proxy/begun_replies.rs
+++ b/proxy/src/proxy/begun_replies.rs
@@ -1,6 +1,6 @@
 //! Replies that have begun and are not complete: streamed to the client, kept, or paused.
 
-use super::{AttemptId, Proxy, ReplySlot};
+use super::{is_idempotent, AttemptId, Proxy, ReplySlot};
 use notchdoor::{Event, Micros};
 
 /// A pause within a reply, or another reason for a further attempt beside the one that gives it.
@@ -36,6 +36,14 @@
         Some(reply_slot)
     }
 
+    /// Whether another attempt could continue the value of this one if it broke off.
+    pub fn may_be_continued(&self, attempt_id: AttemptId) -> bool {
+        let request = self.outstanding.get(&attempt_id).and_then(|(id, _)| self.in_flight.get(id));
+        request.is_some_and(|request| {
+            is_idempotent(&self.effects, request.class) && request.attempts.len() < self.max_attempts
+        })
+    }
+
     /// Records that the client has been sent the first bytes of the value that this attempt streams.
     pub fn value_begun(&mut self, attempt_id: AttemptId) {
         let request = self.outstanding.get(&attempt_id).and_then(|(id, _)| self.in_flight.get_mut(id));
--- a/proxy/src/state/metrics/counters.rs
+++ b/proxy/src/state/metrics/counters.rs
@@ -48,6 +48,8 @@
     pub replies_unconfirmed: u64,
     /// Large values that were kept until they were complete, since commands stood behind them.
     pub values_held: u64,
+    /// Large values that were kept and begun before they were complete, since their time was nearly over.
+    pub values_begun_at_deadline: u64,
     /// Large values that a further attempt continued after a break.
     pub values_resumed: u64,
     /// Further attempts whose value differed from the part that the client had.
@@ -131,6 +133,7 @@
             ("commands_evicted".to_owned(), self.commands_evicted),
             ("uploads_given_up".to_owned(), self.uploads_given_up),
             ("replies_stalled".to_owned(), self.replies_stalled),
+            ("values_begun_at_deadline".to_owned(), self.values_begun_at_deadline),
         ];
         let attempts =
             AttemptOutcome::ALL.map(|outcome| (outcome.name(), count(&self.attempt_outcomes, outcome)));
--- a/proxy/src/wire/driver/attempt/reading.rs
+++ b/proxy/src/wire/driver/attempt/reading.rs
@@ -16,6 +16,7 @@
 use futures_lite::future;
 use std::io::{self, ErrorKind};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Reads what the socket has, up to the size of a read. Returns the number of bytes and the parts of the reply that they
 /// complete; `None` at the end of the connection.
@@ -49,13 +50,23 @@
     Readable(io::Result<()>),
     /// The server has paused for as long as is allowed.
     Paused,
+    /// A kept value has to begin.
+    BeginsEarly,
+}
+
+/// Waits for this time, or for ever.
+async fn wait(time: Option<Duration>) {
+    match time {
+        Some(time) => drop(Timer::after(time).await),
+        None => future::pending().await,
+    }
 }
 
 /// Waits for more of a reply. Returns the outcome of the attempt if nothing more is awaited.
 async fn wait_for_more(
     connection: &Connection,
     has_partial_reply: bool,
-    (value, stall): (&RelayedValue<'_>, &mut StallWatch<'_>),
+    (value, stall): (&mut RelayedValue<'_>, &mut StallWatch<'_>),
     timings: &AttemptTimings,
 ) -> Result<(), AttemptOutcome> {
     let is_kept = value.is_kept() || !value.has_started() && (has_partial_reply || value.is_announced());
@@ -65,16 +76,22 @@
         false if value.has_started() => Some(value.stall_timeout()),
         false => None,
     };
+    let early_begin = value.time_until_early_begin();
     let paused = async {
-        match pause {
-            Some(pause) => Timer::after(pause).await,
-            None => future::pending().await,
-        };
+        wait(pause).await;
         Wake::Paused
     };
+    let begins_early = async {
+        wait(early_begin).await;
+        Wake::BeginsEarly
+    };
     let readable = async { Wake::Readable(connection.io.readable().await) };
-    match future::or(readable, paused).await {
+    match future::or(readable, future::or(begins_early, paused)).await {
         Wake::Readable(result) => result.map_err(|_| AttemptOutcome::BrokenSent),
+        Wake::BeginsEarly => {
+            value.begin_early().await;
+            Ok(())
+        }
         Wake::Paused if is_kept => {
             let is_own = value.is_kept() && !value.may_be_copy();
             let may_be_copy = !connection.history.is_empty() && !is_own;
--- a/proxy/src/wire/driver/attempt/relaying.rs
+++ b/proxy/src/wire/driver/attempt/relaying.rs
@@ -6,6 +6,9 @@
 //! way: after a break, a further attempt of a class that allows one continues the value, if its own begins with the same
 //! bytes.
 //!
+//! A kept value that is still incomplete when its request's time is nearly over is begun then: the time of a large value is that
+//! of its first bytes.
+//!
 //! What was passed on cannot be taken back, so a value that may be a copy of an earlier one on its connection is kept as well,
 //! until its whole reply is proven.
 
@@ -19,6 +22,7 @@
 use crate::wire::driver::client::RelayStart;
 use crate::wire::driver::value_store::Reservation;
 use crate::wire::driver::Runtime;
+use async_io::Timer;
 use futures_lite::future;
 use notchdoor::Micros;
 use std::hash::{DefaultHasher, Hasher};
@@ -29,6 +33,12 @@
 /// [`RELAY_STALL_TIMEOUT`] already if that one fell silent.
 const RESUME_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time before the deadline of its request at which a kept value begins.
+const BEGIN_BEFORE_DEADLINE: Micros = 20_000;
+/// A kept value of which nothing came for this long begins only if another attempt could continue it: a break would cost the
+/// commands behind it their answers.
+const PROGRESS_TIME: Duration = Duration::from_millis(500);
+
 /// Whether a value was made for the request, as far as its first bytes tell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ValueOrigin {
@@ -62,11 +72,23 @@
     stage: Stage,
     /// Its place among the values that are relayed at the same time.
     place: Option<Ticket>,
+    /// When the last bytes came.
+    last_received: Instant,
+    /// Whether a kept value may begin before it is complete.
+    may_begin_early: bool,
 }
 
 impl<'a> RelayedValue<'a> {
     pub(super) fn new(runtime: &'a Rc<Runtime>, attempt: &'a Attempt, progress: &'a Progress) -> Self {
-        RelayedValue { runtime, attempt, progress, stage: Stage::NotStarted, place: None }
+        RelayedValue {
+            runtime,
+            attempt,
+            progress,
+            stage: Stage::NotStarted,
+            place: None,
+            last_received: Instant::now(),
+            may_begin_early: true,
+        }
     }
 
     /// Records the first byte of the reply.
@@ -235,14 +257,49 @@
             return Err(AttemptOutcome::NoCapacity);
         }
         let mut reservation = Reservation::new(&self.runtime.value_store);
-        reservation.wait_for(bytes).await;
+        let must_begin = async {
+            match origin {
+                ValueOrigin::Own => drop(Timer::after(self.time_until_deadline()).await),
+                ValueOrigin::MayBeCopy => future::pending().await,
+            }
+        };
+        future::or(reservation.wait_for(bytes), must_begin).await;
         self.runtime.proxy.borrow_mut().counters.values_held += 1;
         let held = HeldValue::new(length, reservation);
         Ok(Stage::Holding { slot, length, origin, since: Instant::now(), held })
     }
 
+    /// Time until a kept value has to begin.
+    fn time_until_deadline(&self) -> Duration {
+        let begin_at = self.attempt.deadlines.answer_by.saturating_sub(BEGIN_BEFORE_DEADLINE);
+        Duration::from_micros(begin_at.saturating_sub(self.runtime.clock.now()))
+    }
+
+    /// Time until a value that is kept for the commands behind it begins incomplete; `None` if it does not.
+    pub(super) fn time_until_early_begin(&self) -> Option<Duration> {
+        let is_sound = self.is_kept() && !self.may_be_copy();
+        (is_sound && self.may_begin_early).then(|| self.time_until_deadline())
+    }
+
+    /// Begins a kept value before it is complete, unless nothing comes of it and no other attempt could continue it.
+    pub(super) async fn begin_early(&mut self) {
+        let attempt_id = self.attempt.id;
+        let may_be_continued = self.runtime.proxy.borrow().may_be_continued(attempt_id);
+        if !may_be_continued && self.last_received.elapsed() >= PROGRESS_TIME {
+            self.may_begin_early = false;
+            return;
+        }
+        self.stage = match self.pass_on_parts().await {
+            Some(slot) => Stage::PassingOn(slot),
+            None => Stage::Discarding,
+        };
+        self.runtime.proxy.borrow_mut().counters.values_begun_at_deadline += 1;
+        log::debug!(attempt_id; "attempt {attempt_id}: its value is incomplete and begins, since its time is nearly over");
+    }
+
     /// Takes the next bytes of the value. Returns the outcome of the attempt if they show that it cannot be used.
     pub(super) fn push(&mut self, data: Vec<u8>) -> Result<(), AttemptOutcome> {
+        self.last_received = Instant::now();
         match &mut self.stage {
             Stage::NotStarted | Stage::Discarding => {}
             Stage::Announced { data: first, .. } => first.push(data),
@@ -288,22 +345,30 @@
 
     /// Passes on a value that was kept, after its reply was received completely and proven.
     pub(super) async fn pass_on_held(&mut self) {
-        if !self.is_kept() || !self.claim(None) {
-            return;
+        if self.is_kept() {
+            self.pass_on_parts().await;
         }
-        let Stage::Holding { slot, length, held, .. } = &mut self.stage else { return };
+    }
+
+    /// Passes on what is kept of a value. Returns the place of the reply, or `None` if nobody waits for it.
+    async fn pass_on_parts(&mut self) -> Option<ReplySlot> {
+        if !self.claim(None) {
+            return None;
+        }
+        let Stage::Holding { slot, length, held, .. } = &mut self.stage else { return None };
         let slot = *slot;
         if !self.runtime.relay_ready(slot).await {
-            return;
+            return None;
         }
         self.runtime.begin_relay(self.attempt.id, slot, *length);
         while let Some(part) = held.take_part() {
             self.runtime.relay(slot, &part);
             future::yield_now().await;
             if !self.runtime.relay_ready(slot).await {
-                return;
+                return None;
             }
         }
+        Some(slot)
     }
 
     /// The outcome of an attempt whose value differs from what an earlier one has passed on.
