A large value on a connection of doubtful order is kept until a fence proves it

Cause: such a value was dropped with its first byte, since what is passed on cannot be taken back. Change: it is kept as a value that may be a copy, which a fence proves at its end; another attempt may be sent beside it. Cost: a place in the value store and one descriptor more for such a value. Limits: as for values that may be copies.

--- a/proxy/src/wire/driver/attempt/reading.rs
+++ b/proxy/src/wire/driver/attempt/reading.rs
@@ -37,6 +37,10 @@
     if connection.history.is_empty() {
         return Some(ValueOrigin::Own);
     }
+    // What is relayed cannot be taken back, so the order must be certain before it.
+    if connection.order == ReplyOrder::Doubtful {
+        return Some(ValueOrigin::MayBeCopy);
+    }
     let start = decoder.value_start()?;
     Some(match connection.history.may_be_copy(&start) {
         true => ValueOrigin::MayBeCopy,
@@ -129,10 +133,6 @@
                 }
                 for part in parts {
                     let taken = match part {
-                        // What is relayed cannot be taken back, so the order must be certain before it.
-                        ReplyPart::ValueStart(_) if connection.order == ReplyOrder::Doubtful => {
-                            Err(AttemptOutcome::Garbled)
-                        }
                         ReplyPart::ValueStart(length) => {
                             value.announce(length);
                             Ok(())
