A slow reply to a fence starts another attempt and no longer discards the whole value

Clients saw: an error after 1 s of 2 s, though the whole value had been received. Cause: the reply to a fence was awaited for 1 s, then the value before it was not used. Change: after 1 s another attempt may be sent beside it, on an unused connection; the fence is awaited until the attempt's time. An attempt without a time limit still ends after 1 s. Also lands a failing test of a large write that its origin still reads. Cost: one descriptor and one attempt more from 1 s on. Limits: the request's own deadline and max_attempts.

--- a/cli/tests/slow_servers.rs
+++ b/cli/tests/slow_servers.rs
@@ -187,3 +187,23 @@
         );
     }
 }
+
+/// Guards against a large write that is given up a few usual delays after its last byte although its origin still reads it.
+#[test]
+fn large_write_is_served_while_its_origin_still_reads_it() {
+    const BYTES_PER_SECOND: usize = 2_600_000;
+    let cache = FakeServer::backend(Box::new(|words| hit_response(&words[2])));
+    let origin = SmallBufferOrigin::start(Reading::Paced(BYTES_PER_SECOND));
+    let list = [
+        endpoint_entry("w", &cache, "in_service", 0),
+        endpoint_entry_at("o", origin.endpoint, "in_service", 0),
+    ];
+    let proxy = Proxy::start(&FakeDiscovery::start(), &list);
+    let mut client = proxy.client();
+    for n in 0..20 {
+        let answer = client.request(&["OBJ.SET", "k", &format!("short-{n}"), "c=fix,t=acme,d=2000", "v"]);
+        assert_eq!(answer, bulk("ok"));
+    }
+    let (answer, _) = write_large(&proxy, "fix", 2000);
+    assert_eq!(answer, "$2\r\nok\r\n", "{}", proxy.log_and_status());
+}
--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -13,7 +13,7 @@
 use super::Runtime;
 use crate::negative_cache::KeyLookup;
 use crate::outcome::AttemptOutcome;
-use crate::proxy::{AttemptId, AttemptReply};
+use crate::proxy::{AttemptId, AttemptReply, Stall};
 use crate::state::pool::Requirement;
 use crate::wire::backend::{self, Reply};
 use crate::wire::command::BackendCommand;
@@ -199,7 +199,13 @@
         runtime.reachability.borrow_mut().reached(endpoint);
     }
     let asked = Asked { server, process, is_origin, idempotent: attempt.idempotent };
-    let proof = runtime.prove_reply(&mut connection, &reply, fingerprint, asked).await;
+    let on_slow_fence = || {
+        let stalled = Stall { may_be_copy: true, keep_last_attempt: false };
+        stall.report(stalled, timings.response_time());
+        // Only the attempt's deadline ends a longer wait.
+        !progress.deadline_suspended.get()
+    };
+    let proof = runtime.prove_reply(&mut connection, &reply, fingerprint, asked, on_slow_fence).await;
     progress.proof.set(proof);
     let needs_another = requirement == Requirement::Unused && !attempt.on_unused_connection;
     if needs_another && progress.replied.get().is_some() {
--- a/proxy/src/wire/driver/reply_proof.rs
+++ b/proxy/src/wire/driver/reply_proof.rs
@@ -16,7 +16,7 @@
 use notchdoor::ServerId;
 use std::time::Duration;
 
-/// Maximum time to wait for the reply to a fence, unless the attempt times out before.
+/// Time to wait for the reply to a fence before another attempt may be sent beside this one. Its own time limits the wait.
 const FENCE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Bytes that can be read while the reply to a fence is awaited; a reply that begins is enough to refute it.
 const FENCE_BUFFER: usize = 64;
@@ -80,13 +80,15 @@
 
 impl Runtime {
     /// Records a reply in the history of its connection and returns its proof; `None` if it has none and must not be
-    /// used. May send a fence.
+    /// used. May send a fence; `on_slow_fence` is called if its reply does not come soon, and
+    /// returns whether it is awaited further.
     pub(super) async fn prove_reply(
         &self,
         connection: &mut Connection,
         reply: &Reply,
         fingerprint: Option<Fingerprint>,
         asked: Asked,
+        on_slow_fence: impl FnOnce() -> bool,
     ) -> Option<ReplyProof> {
         let comparison = fingerprint.map(|fingerprint| connection.history.record(&fingerprint));
         if asked.is_origin && reply.outcome == AttemptOutcome::Absent {
@@ -113,22 +115,30 @@
             Conclusion::Value | Conclusion::NeverRan => {}
         }
         let fence_is_possible = !asked.is_origin && reply.reusable;
-        let confirmed = fence_is_possible && self.confirm_last_reply(connection, asked).await;
+        let confirmed = fence_is_possible && self.confirm_last_reply(connection, asked, on_slow_fence).await;
         confirmed.then_some(ReplyProof::Fence)
     }
 
     /// Whether a fence confirms that the last reply on a connection was the one to the last command. The connection is not
     /// used again: the reply to another fence could not be told from a copy of this one's.
-    async fn confirm_last_reply(&self, connection: &mut Connection, asked: Asked) -> bool {
+    async fn confirm_last_reply(
+        &self,
+        connection: &mut Connection,
+        asked: Asked,
+        on_slow_fence: impl FnOnce() -> bool,
+    ) -> bool {
         let server = asked.server;
         self.proxy.borrow_mut().counters.replies_checked += 1;
         connection.retired = Some("a fence was sent on it");
-        let timed_out = async {
+        let slow = async {
             Timer::after(FENCE_TIMEOUT).await;
+            if on_slow_fence() {
+                future::pending::<()>().await;
+            }
             false
         };
         let confirmed = self.is_serving(server, asked.process)
-            && future::or(connection.has_no_reply_outstanding(), timed_out).await;
+            && future::or(connection.has_no_reply_outstanding(), slow).await;
         if !confirmed {
             self.proxy.borrow_mut().counters.replies_unconfirmed += 1;
             log::debug!(
