A value under way is continued beside its silent server, which is not cut off first

Clients saw: a value cut off after 3 s of silence of its server, at once for a class that allows no other attempt. Cause: 3 s of silence ended the attempt, and only then another one could continue the value. Change: after 3 s the stream is released: another attempt may continue the value and compares it with what the client has, and the first one goes on if its server does so before. Both end 2 s later if neither does. ReplyStarted says whether the other attempts are still needed. Cost: one descriptor and one place for relayed values more, for 2 s; a class without another attempt is cut 2 s later. Limits: 2 s (the continuation deadline) and max_attempts.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -132,7 +132,8 @@
                 let started: wire::Started = message.parse()?;
                 self.deliver_event(message, &started.instance, reply, |instance| {
                     let id = instance.request_id(&started.request)?;
-                    Some(Event::ReplyStarted { id, attempt: started.attempt, took: None })
+                    let attempt = started.attempt;
+                    Some(Event::ReplyStarted { id, attempt, took: None, exclusive: true })
                 })
             }
             "timeoutFired" => {
--- a/limits/src/layer/mod.rs
+++ b/limits/src/layer/mod.rs
@@ -231,9 +231,9 @@
                 Some(token) => self.on_timer(now, token, actions),
                 None => self.forward_to_router(now, event, actions),
             },
-            Event::ReplyStarted { id, attempt, took } => {
+            Event::ReplyStarted { id, attempt, took, exclusive } => {
                 let attempt = self.router_number(id, attempt);
-                self.forward_to_router(now, Event::ReplyStarted { id, attempt, took }, actions);
+                self.forward_to_router(now, Event::ReplyStarted { id, attempt, took, exclusive }, actions);
             }
             Event::ReplyBegun { id, attempt, took } => {
                 let attempt = self.router_number(id, attempt);
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -55,11 +55,19 @@
     /// The request was answered or its client has left; it is kept only until its outstanding attempts end.
     finished: bool,
     /// The attempt whose reply is being streamed to the client, or is about to be.
-    streaming: Option<u32>,
+    streaming: Option<Streaming>,
     /// The client has part of a value, which only a reply with the same value can complete.
     value_begun: bool,
 }
 
+/// An attempt whose reply is being streamed.
+#[derive(Clone, Copy)]
+struct Streaming {
+    attempt: u32,
+    /// Its reply is only compared so far with the part that the client has.
+    is_comparing: bool,
+}
+
 impl Attempt {
     /// Whether it may have run.
     fn may_have_run(&self) -> bool {
@@ -215,7 +223,7 @@
                 attempt.outcome = Some(outcome);
                 waited = reply.waited.unwrap_or(now.saturating_sub(attempt.sent));
             }
-            let streamed = request.streaming == Some(n);
+            let streamed = request.streaming.is_some_and(|streaming| streaming.attempt == n);
             let answer = match router_outcome {
                 Outcome::Ok if outcome == AttemptOutcome::Absent => {
                     request.streaming.is_none().then_some(Answer::Absent)
--- a/proxy/src/proxy/begun_replies.rs
+++ b/proxy/src/proxy/begun_replies.rs
@@ -1,6 +1,6 @@
 //! Replies that have begun and are not complete: streamed to the client, kept, or paused.
 
-use super::{is_idempotent, AttemptId, Proxy, ReplySlot};
+use super::{is_idempotent, AttemptId, Proxy, ReplySlot, Streaming};
 use notchdoor::{Event, Micros};
 
 /// A pause within a reply, or another reason for a further attempt beside the one that gives it.
@@ -14,11 +14,12 @@
 
 impl<C> Proxy<C> {
     /// The reply slot of an attempt whose reply can be streamed; `None` if the request is already answered or another attempt
-    /// is being streamed.
+    /// is being streamed. One that is only compared with what the client has gives way.
     pub fn streamable_slot(&self, attempt_id: AttemptId) -> Option<ReplySlot> {
         let (id, attempt) = self.outstanding.get(&attempt_id)?;
         let request = self.in_flight.get(id).filter(|request| !request.finished)?;
-        request.streaming.is_none_or(|streaming| streaming == *attempt).then_some(request.reply_slot)
+        let is_free = |streaming: Streaming| streaming.is_comparing || streaming.attempt == *attempt;
+        request.streaming.is_none_or(is_free).then_some(request.reply_slot)
     }
 
     /// Starts streaming the reply of an attempt to the client. Returns the reply slot, or `None` if the request is already
@@ -28,11 +29,32 @@
         now: Micros,
         attempt_id: AttemptId,
         took: Option<Micros>,
+    ) -> Option<ReplySlot> {
+        self.stream(now, attempt_id, took, false)
+    }
+
+    /// Starts comparing the reply of an attempt with the part of a value that the client has. The attempt that gave that part
+    /// may still go on. Returns as [`Proxy::start_streaming`].
+    pub fn start_comparing(
+        &mut self,
+        now: Micros,
+        attempt_id: AttemptId,
+        took: Option<Micros>,
+    ) -> Option<ReplySlot> {
+        self.stream(now, attempt_id, took, true)
+    }
+
+    fn stream(
+        &mut self,
+        now: Micros,
+        attempt_id: AttemptId,
+        took: Option<Micros>,
+        is_comparing: bool,
     ) -> Option<ReplySlot> {
         let reply_slot = self.streamable_slot(attempt_id)?;
         let &(id, attempt) = self.outstanding.get(&attempt_id)?;
-        self.in_flight.get_mut(&id)?.streaming = Some(attempt);
-        self.process_event(now, Event::ReplyStarted { id, attempt, took });
+        self.in_flight.get_mut(&id)?.streaming = Some(Streaming { attempt, is_comparing });
+        self.process_event(now, Event::ReplyStarted { id, attempt, took, exclusive: !is_comparing });
         Some(reply_slot)
     }
 
@@ -56,7 +78,7 @@
     pub fn release_stream(&mut self, now: Micros, attempt_id: AttemptId) {
         let Some(&(id, attempt)) = self.outstanding.get(&attempt_id) else { return };
         let Some(request) = self.in_flight.get_mut(&id) else { return };
-        if request.streaming == Some(attempt) && !request.finished {
+        if request.streaming.is_some_and(|s| s.attempt == attempt) && !request.finished {
             let begun = request.interrupt(now);
             self.process_event(now, Event::ReplyInterrupted { id, attempt, begun });
         }
--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -32,7 +32,8 @@
 
 /// Pause within a reply that is kept until it is complete, after which another attempt may be sent beside it.
 const BUFFERED_STALL_TIMEOUT: Duration = Duration::from_millis(100);
-/// Maximum pause while a value is relayed in either direction. A relayed transfer cannot be retried.
+/// Pause while a value is relayed to its client, after which another attempt may continue it; and the least time that a server
+/// has to take more of a large write.
 const RELAY_STALL_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Deadlines of an attempt.
--- a/proxy/src/wire/driver/attempt/reading.rs
+++ b/proxy/src/wire/driver/attempt/reading.rs
@@ -102,6 +102,7 @@
             stall.report(Stall { may_be_copy, keep_last_attempt: is_own }, timings.response_time());
             Ok(())
         }
+        Wake::Paused if value.release() => Ok(()),
         Wake::Paused => Err(AttemptOutcome::Garbled),
     }
 }
--- a/proxy/src/wire/driver/attempt/relaying.rs
+++ b/proxy/src/wire/driver/attempt/relaying.rs
@@ -16,7 +16,7 @@
 use super::progress::Progress;
 use super::{Attempt, BUFFERED_STALL_TIMEOUT, RELAY_STALL_TIMEOUT};
 use crate::outcome::AttemptOutcome;
-use crate::proxy::ReplySlot;
+use crate::proxy::{ReplySlot, Stall};
 use crate::state::pool::Ticket;
 use crate::wire::client_session::RelayedPrefix;
 use crate::wire::driver::client::RelayStart;
@@ -29,8 +29,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Maximum pause until an attempt that continues a value has gone beyond the earlier one. The client has waited for
-/// [`RELAY_STALL_TIMEOUT`] already if that one fell silent.
+/// Maximum pause until an attempt that continues a value has gone beyond the earlier one, or the earlier one goes on. The client
+/// has waited for [`RELAY_STALL_TIMEOUT`] already if that one fell silent.
 const RESUME_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time before the deadline of its request at which a kept value begins.
@@ -76,6 +76,8 @@
     last_received: Instant,
     /// Whether a kept value may begin before it is complete.
     may_begin_early: bool,
+    /// Whether another attempt may continue the value, since its server has fallen silent.
+    is_released: bool,
 }
 
 impl<'a> RelayedValue<'a> {
@@ -88,6 +90,7 @@
             place: None,
             last_received: Instant::now(),
             may_begin_early: true,
+            is_released: false,
         }
     }
 
@@ -156,10 +159,28 @@
     pub(super) fn stall_timeout(&self) -> Duration {
         match self.stage {
             Stage::Resuming { .. } => RESUME_STALL_TIMEOUT,
+            _ if self.is_released => RESUME_STALL_TIMEOUT,
             _ => RELAY_STALL_TIMEOUT,
         }
     }
 
+    /// Lets another attempt continue a value whose server has fallen silent, once for each silence. This one goes on if its
+    /// server does so first. Returns whether it is awaited further.
+    pub(super) fn release(&mut self) -> bool {
+        let is_first = matches!(self.stage, Stage::PassingOn(_)) && !self.is_released;
+        if is_first {
+            self.is_released = true;
+            let attempt_id = self.attempt.id;
+            log::debug!(attempt_id; "attempt {attempt_id}: its server has fallen silent within a value");
+            let stall = Stall { may_be_copy: false, keep_last_attempt: false };
+            self.runtime.drive(|proxy, now| {
+                proxy.release_stream(now, attempt_id);
+                proxy.reply_stalled(now, attempt_id, stall);
+            });
+        }
+        is_first
+    }
+
     async fn start(
         &mut self,
         length: usize,
@@ -174,10 +195,10 @@
                 Some(prefix) => {
                     // It was admitted when it began.
                     self.place = Some(self.runtime.relay_budget.overdraw());
-                    match self.claim(response_time) {
-                        true => self.resume(slot, prefix, length)?,
-                        false => Stage::Discarding,
-                    }
+                    let attempt_id = self.attempt.id;
+                    self.progress.deadline_suspended.set(true);
+                    self.runtime.drive(|proxy, now| proxy.start_comparing(now, attempt_id, response_time));
+                    self.resume(slot, prefix, length)?
                 }
                 None => {
                     let place = self.runtime.relay_budget.take().ok_or(AttemptOutcome::NoCapacity)?;
@@ -300,31 +321,56 @@
     /// Takes the next bytes of the value. Returns the outcome of the attempt if they show that it cannot be used.
     pub(super) fn push(&mut self, data: Vec<u8>) -> Result<(), AttemptOutcome> {
         self.last_received = Instant::now();
+        if std::mem::take(&mut self.is_released) && !self.claim(None) {
+            self.stage = Stage::Discarding;
+        }
         match &mut self.stage {
             Stage::NotStarted | Stage::Discarding => {}
             Stage::Announced { data: first, .. } => first.push(data),
             Stage::PassingOn(slot) => self.runtime.relay(*slot, &data),
             Stage::Holding { held, .. } => held.push(data),
-            Stage::Resuming { slot, prefix, compared, hasher } => {
-                let missing = prefix.bytes.saturating_sub(*compared);
-                let (known, new) = data.split_at(missing.min(data.len()));
-                hasher.write(known);
-                *compared += known.len();
-                if *compared == prefix.bytes {
-                    if hasher.finish() != prefix.digest {
-                        return Err(self.value_changed());
-                    }
-                    if new.is_empty() && prefix.bytes < prefix.length {
-                        // Nothing was added yet to what the earlier attempt gave.
-                        return Ok(());
-                    }
-                    let slot = *slot;
-                    self.runtime.proxy.borrow_mut().counters.values_resumed += 1;
-                    self.runtime.relay(slot, new);
-                    self.stage = Stage::PassingOn(slot);
-                }
+            Stage::Resuming { .. } => return self.compare(&data),
+        }
+        Ok(())
+    }
+
+    /// Compares the next bytes of the value with what an earlier attempt has passed on, and continues it behind that. The earlier
+    /// attempt may go on meanwhile.
+    fn compare(&mut self, data: &[u8]) -> Result<(), AttemptOutcome> {
+        let Stage::Resuming { slot, prefix, compared, hasher } = &mut self.stage else { return Ok(()) };
+        let (slot, mut data) = (*slot, data);
+        loop {
+            let missing = prefix.bytes.saturating_sub(*compared);
+            let (known, new) = data.split_at(missing.min(data.len()));
+            hasher.write(known);
+            *compared += known.len();
+            if *compared < prefix.bytes {
+                return Ok(());
+            }
+            if hasher.finish() != prefix.digest {
+                return Err(self.value_changed());
+            }
+            let Some(current) = self.runtime.relayed_prefix(slot) else {
+                self.stage = Stage::Discarding;
+                return Ok(());
+            };
+            data = new;
+            if current.bytes == prefix.bytes {
+                break;
             }
+            *prefix = current;
+        }
+        if data.is_empty() && prefix.bytes < prefix.length {
+            // Nothing was added yet to what the earlier attempt gave.
+            return Ok(());
+        }
+        if !self.claim(None) {
+            self.stage = Stage::Discarding;
+            return Ok(());
         }
+        self.runtime.proxy.borrow_mut().counters.values_resumed += 1;
+        self.runtime.relay(slot, data);
+        self.stage = Stage::PassingOn(slot);
         Ok(())
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -231,7 +231,7 @@
     DiscoveryError,
     /// A request arrived. It gets exactly one final answer unless its client leaves first.
     Arrived(Request),
-    /// The proxy started to stream a reply to the client, so no other attempt can answer the request.
+    /// The proxy started to stream a reply to the client. The deadline of the request no longer applies.
     ReplyStarted {
         /// The request that the reply belongs to.
         id: RequestId,
@@ -239,6 +239,9 @@
         attempt: u32,
         /// How long the server took to start the reply; `None` if unknown, as in [`Event::AttemptEnded`].
         took: Option<Micros>,
+        /// Whether the other attempts are no longer needed: false while the reply is only compared with what an earlier attempt
+        /// has given, which may still go on.
+        exclusive: bool,
     },
     /// The server has begun a reply that cannot be passed on yet. It was quick enough for its window, whatever the rest of the
     /// reply takes, and other attempts may still answer the request.
--- a/src/router.rs
+++ b/src/router.rs
@@ -112,7 +112,9 @@
             }
             Event::DiscoveryError => self.handle_discovery_error(actions),
             Event::Arrived(request) => self.handle_arrival(now, request, actions),
-            Event::ReplyStarted { id, attempt, took } => self.reply_started(now, id, attempt, took, actions),
+            Event::ReplyStarted { id, attempt, took, exclusive } => {
+                self.reply_started(now, (id, attempt as usize), took, exclusive, actions);
+            }
             Event::ReplyBegun { id, attempt, took } => {
                 self.reply_begun(now, id, attempt as usize, took, actions);
             }
--- a/src/router/attempt_results.rs
+++ b/src/router/attempt_results.rs
@@ -47,19 +47,20 @@
     pub(super) fn reply_started(
         &mut self,
         now: Micros,
-        id: RequestId,
-        attempt: u32,
+        (id, attempt): (RequestId, usize),
         took: Option<Micros>,
+        exclusive: bool,
         actions: &mut Vec<Action>,
     ) {
         let Some(request) = self.in_flight.get_mut(&id) else { return };
         request.streaming = true;
         for (index, state) in request.attempts.iter().enumerate() {
-            if index as u32 != attempt && state.is_outstanding() && self.settings.may_cancel {
+            let is_surplus = exclusive && index != attempt && state.is_outstanding();
+            if is_surplus && self.settings.may_cancel {
                 actions.push(Action::Cancel { id, attempt: index as u32 });
             }
         }
-        self.reply_begun(now, id, attempt as usize, took, actions);
+        self.reply_begun(now, id, attempt, took, actions);
     }
 
     /// Handles the first bytes of a reply that is streamed, or kept for longer than its server took to begin it.
@@ -86,7 +87,8 @@
     }
 
     /// Handles a pause within a reply: sends another attempt beside it, if the class and the limits allow one. A read of a cache
-    /// goes to the same cache once more, where its key is. Another call to the origin helps only if the reply may be a copy.
+    /// goes to the same cache once more, where its key is. Another call to the origin helps only if the reply may be a copy; a
+    /// value that the client has in part is read from the cache that missed it, which may store it by now.
     pub(super) fn reply_stalled(&mut self, now: Micros, stall: Stall, actions: &mut Vec<Action>) {
         let max_attempts = self.settings.max_attempts;
         let Some(request) = self.in_flight.get_mut(&stall.id).filter(|request| request.awaits_answer())
@@ -95,6 +97,7 @@
         };
         let is_upload = request.request.upload;
         let is_last = request.attempts_left(max_attempts) <= 1;
+        let stored_at = request.missed_at.filter(|_| request.continued_until.is_some());
         let attempt = request.attempts.get_mut(stall.attempt).filter(|attempt| attempt.is_outstanding());
         let Some(attempt) = attempt.filter(|_| !is_upload && !(is_last && stall.keep_last_attempt)) else {
             return;
@@ -102,6 +105,8 @@
         if attempt.is_origin_call() {
             if stall.may_be_copy {
                 self.dispatch_origin_call(now, stall.id, actions);
+            } else if let Some(cache) = stored_at {
+                self.start_attempt(now, stall.id, cache, AttemptKind::CacheRead, actions);
             }
         } else {
             attempt.retry_same_server = true;
--- a/tests/request_coalescing.rs
+++ b/tests/request_coalescing.rs
@@ -64,7 +64,11 @@
     }
     assert_eq!(router.snapshot().in_flight_attempts, 1, "one fetch for both");
     let now = START + 50 * MS;
-    let started = handle(&mut router, now, Event::ReplyStarted { id: 1, attempt: 1, took: Some(49 * MS) });
+    let started = handle(
+        &mut router,
+        now,
+        Event::ReplyStarted { id: 1, attempt: 1, took: Some(49 * MS), exclusive: true },
+    );
     assert_eq!(send_targets(&started), cache, "the waiting read goes to the cache");
     let count_admitted_writes = |router: &mut Router, id: RequestId| {
         let admitted = (id..).take_while(|&id| {
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -185,7 +185,11 @@
         let mut router = new_router(settings(), &endpoints(6));
         let request = Request { class: Some(class), ..read_request(1, 1, START) };
         assert_eq!(send_targets(&arrive(&mut router, START, request)).len(), 1);
-        handle(&mut router, START + MS, Event::ReplyStarted { id: 1, attempt: 0, took: Some(MS) });
+        handle(
+            &mut router,
+            START + MS,
+            Event::ReplyStarted { id: 1, attempt: 0, took: Some(MS), exclusive: true },
+        );
         assert!(handle(
             &mut router,
             START + 2 * MS,
@@ -214,7 +218,11 @@
         let request = read_request(1, 1, START);
         let late = request.deadline + S;
         assert_eq!(send_targets(&arrive(&mut router, START, request)).len(), 1);
-        handle(&mut router, START + MS, Event::ReplyStarted { id: 1, attempt: 0, took: Some(MS) });
+        handle(
+            &mut router,
+            START + MS,
+            Event::ReplyStarted { id: 1, attempt: 0, took: Some(MS), exclusive: true },
+        );
         let mut actions = handle(&mut router, late, Event::ReplyInterrupted { id: 1, attempt: 0, begun });
         let end = |attempt| Event::AttemptEnded {
             id: 1,
