A server has the whole time of a large write to take more of it, not 3 s

Clients saw: -BUSY after 3 s of 6 s while the origin had not begun to read the value. Cause: a server that took nothing for 3 s counted as gone. Cost: one descriptor until that time. Measured: slow_servers, large_write_has_its_whole_time_while_its_server_reads_nothing (4 s of 6 s): refused before, served now.

--- a/proxy/src/wire/driver/attempt/writing.rs
+++ b/proxy/src/wire/driver/attempt/writing.rs
@@ -58,14 +58,16 @@
         sent: &Cell<bool>,
     ) -> Result<(), AttemptOutcome> {
         let unfinished = Cell::new(false);
-        write_or_stall(connection, &self.head, &unfinished).await?;
+        // The client waits as long for its answer, and what it cannot send meanwhile counts against its request.
+        let limit = RELAY_STALL_TIMEOUT.max(Duration::from_micros(streamed.time_limit()));
+        write_or_stall(connection, &self.head, &unfinished, limit).await?;
         loop {
             let changed = streamed.changed();
             match streamed.next() {
-                NextChunk::Bytes(bytes) => write_or_stall(connection, &bytes, &unfinished).await?,
+                NextChunk::Bytes(bytes) => write_or_stall(connection, &bytes, &unfinished, limit).await?,
                 NextChunk::Last(mut bytes) => {
                     bytes.extend_from_slice(self.value_end);
-                    return write_or_stall(connection, &bytes, sent).await;
+                    return write_or_stall(connection, &bytes, sent, limit).await;
                 }
                 NextChunk::Wait => changed.await,
                 NextChunk::Aborted => return Err(AttemptOutcome::NotSent),
@@ -74,16 +76,17 @@
     }
 }
 
-/// Like [`write`], but fails if the server takes nothing for `RELAY_STALL_TIMEOUT`.
+/// Like [`write`], but fails if the server takes nothing for `limit`.
 async fn write_or_stall(
     connection: &Connection,
     bytes: &[u8],
     sent: &Cell<bool>,
+    limit: Duration,
 ) -> Result<(), AttemptOutcome> {
     let last_progress = Cell::new(Instant::now());
     let stalled = async {
-        while last_progress.get().elapsed() < RELAY_STALL_TIMEOUT {
-            Timer::at(last_progress.get() + RELAY_STALL_TIMEOUT).await;
+        while last_progress.get().elapsed() < limit {
+            Timer::after(limit.saturating_sub(last_progress.get().elapsed())).await;
         }
         Err(AttemptOutcome::BrokenUnsent)
     };
--- a/proxy/src/wire/streamed_value.rs
+++ b/proxy/src/wire/streamed_value.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// For how long the value and its answer may be held up in all.
+    pub fn time_limit(&self) -> Micros {
+        self.time_limit.get()
+    }
+
     /// For how long the value and its answer may still be held up.
     pub fn time_left(&self) -> Micros {
         self.time_limit.get().saturating_sub(self.held_up.get())
