A large write that its server is still reading has its request's time

Clients saw: -BUSY a few usual delays after the last byte of a large write, of 2 s, although the origin was reading it. Cause: four usual delays were counted from the client's last byte; the buffers of the systems hold megabytes by then. Change: they are counted from when the server's system has taken everything. That is looked at from 0.25 s after the last byte on, which makes the send buffer small, so such a connection is not used again. A reply that has begun has the request's time. Cost: the attempt's descriptor and its place in the upload half of the origin's window until the deadline instead of four usual delays; one connection more for the next call. Limits: time_left of the value.

--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -28,7 +28,7 @@
 use stall::StallWatch;
 use std::rc::Rc;
 use std::time::Duration;
-use writing::Message;
+use writing::{wait_until_taken, Message};
 
 /// Pause within a reply that is kept until it is complete, after which another attempt may be sent beside it.
 const BUFFERED_STALL_TIMEOUT: Duration = Duration::from_millis(100);
@@ -36,6 +36,9 @@
 /// has to take more of a large write.
 const RELAY_STALL_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Interval at which the end of a streamed write looks whether its server has taken it.
+const TAKEN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Deadlines of an attempt.
 #[derive(Clone, Copy)]
 pub struct AttemptDeadlines {
@@ -101,8 +104,13 @@
         // The deadline of a streamed write starts when its last byte was received, or when it was first held up before that.
         Some(streamed) => {
             streamed.wait_complete().await;
-            let wait = give_up_at.saturating_sub(started_at).min(streamed.time_left());
-            Timer::after(Duration::from_micros(wait)).await;
+            let deadline = Timer::after(Duration::from_micros(streamed.time_left()));
+            let usual_time = Duration::from_micros(give_up_at.saturating_sub(started_at));
+            let lost = wait_until_lost(progress, usual_time);
+            let timed_out = async {
+                deadline.await;
+            };
+            future::or(timed_out, lost).await;
         }
         None => {
             Timer::at(runtime.clock.instant(give_up_at)).await;
@@ -122,6 +130,18 @@
     })
 }
 
+/// Waits until a streamed write has had no reply for this long after its server has taken it. Until then the server may still be
+/// reading it.
+async fn wait_until_lost(progress: &Progress, usual_time: Duration) {
+    while !progress.taken.get() {
+        Timer::after(TAKEN_POLL_INTERVAL).await;
+    }
+    Timer::after(usual_time).await;
+    if progress.reply_begun.get() {
+        future::pending::<()>().await;
+    }
+}
+
 /// Sends an attempt's command and reads the reply.
 async fn exchange(
     runtime: &Rc<Runtime>,
@@ -191,6 +211,10 @@
     runtime.proxy.borrow_mut().counters.attempts += 1;
     drop(message);
     timings.written = runtime.clock.now();
+    if command.streamed.is_some() {
+        wait_until_taken(&mut connection).await;
+        progress.taken.set(true);
+    }
     let mut value = RelayedValue::new(runtime, attempt, progress);
     let mut stall = StallWatch::new(runtime, attempt.id);
     let reply = read(runtime, &connection, &mut decoder, (&mut value, &mut stall), timings).await;
--- a/proxy/src/wire/driver/attempt/progress.rs
+++ b/proxy/src/wire/driver/attempt/progress.rs
@@ -27,6 +27,8 @@
 pub(super) struct Progress {
     /// Set once the last byte of the command was written; the server may have executed it from then on.
     pub(super) sent: Cell<bool>,
+    /// Set once the server has taken the whole command of a streamed write, as far as its system tells.
+    pub(super) taken: Cell<bool>,
     /// Set once the first byte of the reply was received.
     pub(super) reply_begun: Cell<bool>,
     /// Set while the attempt does not time out, because a large value is passed on or waits for the replies before it.
--- a/proxy/src/wire/driver/attempt/writing.rs
+++ b/proxy/src/wire/driver/attempt/writing.rs
@@ -76,6 +76,39 @@
     }
 }
 
+/// Time after a large write before an attempt looks whether its server has taken it: most replies come before.
+const DELIVERY_CHECK_DELAY: Duration = Duration::from_millis(250);
+/// Interval at which it looks again.
+const DELIVERY_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Waits until the server's system has taken everything that was written, or a reply begins.
+pub(super) async fn wait_until_taken(connection: &mut Connection) {
+    if connection.is_readable_within(DELIVERY_CHECK_DELAY).await {
+        return;
+    }
+    connection.retired = Some("its send buffer was made small");
+    while connection.io.has_undelivered_output() {
+        if connection.is_readable_within(DELIVERY_POLL_INTERVAL).await {
+            return;
+        }
+    }
+}
+
+impl Connection {
+    /// Whether there is something to read, or the connection has ended, within this time.
+    async fn is_readable_within(&self, time: Duration) -> bool {
+        let readable = async {
+            let _ = self.io.readable().await;
+            true
+        };
+        let timed_out = async {
+            Timer::after(time).await;
+            false
+        };
+        future::or(readable, timed_out).await
+    }
+}
+
 /// Like [`write`], but fails if the server takes nothing for `limit`.
 async fn write_or_stall(
     connection: &Connection,
