At the stop and without room, a reply that another attempt is giving is not given up

Cause: at the stop every request without a stream gets its final answer at once, also one whose silent stream was released; and an attempt that found no room answered the request although another one beside it had room. Change: AnswerNow leaves a value that its client has in part until its continuation deadline, while an attempt is outstanding; no room answers only if no other attempt is outstanding. Limits: the continuation deadline.

--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -217,12 +217,13 @@
         self.counters.attempt_ended(outcome);
         let router_outcome = outcome.outcome();
         let (mut waited, mut request_done) = (0, true);
-        let (mut interrupted, mut begun) = (false, false);
+        let (mut interrupted, mut begun, mut is_only) = (false, false, true);
         if let Some(request) = self.in_flight.get_mut(&id) {
             if let Some(attempt) = request.attempts.get_mut(n as usize) {
                 attempt.outcome = Some(outcome);
                 waited = reply.waited.unwrap_or(now.saturating_sub(attempt.sent));
             }
+            is_only = request.attempts.iter().all(|attempt| attempt.outcome.is_some());
             let streamed = request.streaming.is_some_and(|streaming| streaming.attempt == n);
             let answer = match router_outcome {
                 Outcome::Ok if outcome == AttemptOutcome::Absent => {
@@ -255,7 +256,7 @@
         if interrupted {
             self.process_event(now, Event::ReplyInterrupted { id, attempt: n, begun });
         }
-        if outcome == AttemptOutcome::NoCapacity && !request_done {
+        if outcome == AttemptOutcome::NoCapacity && !request_done && is_only {
             // Another attempt would find no room either.
             self.process_event(now, Event::AnswerNow(id));
             request_done = true;
--- a/src/router.rs
+++ b/src/router.rs
@@ -134,7 +134,7 @@
                 self.release_if_done(id);
             }
             Event::HedgeGranted(id) => self.handle_slow_read(now, id, true, actions),
-            Event::AnswerNow(id) => self.send_final_answer(now, id, actions),
+            Event::AnswerNow(id) => self.answer_now(now, id, actions),
             Event::Timer(token) => self.handle_timer(now, token, actions),
         }
     }
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -155,6 +155,17 @@
         self.release_if_done(id);
     }
 
+    /// Gives the final answer to a request that the host cannot wait for, unless its client has part of a reply that an attempt
+    /// may still complete.
+    pub(super) fn answer_now(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
+        let is_under_way = self.in_flight.get(&id).is_some_and(|request| {
+            request.continued_until.is_some_and(|until| until > now) && request.has_outstanding()
+        });
+        if !is_under_way {
+            self.send_final_answer(now, id, actions);
+        }
+    }
+
     /// Rejects an arriving request that is beyond its tenant's quota. No attempt was sent, so a rejection is
     /// valid for every class. Retry-After is at least the time until the next token.
     pub(super) fn reject_for_quota(
