--- a/cli/tests/paced_answers.rs
+++ b/cli/tests/paced_answers.rs
@@ -140,3 +140,10 @@
         Row::of(From::Origin, short_1),
     ]);
 }
+
+/// A value of a class that allows no further attempt, of which nothing comes near its deadline, with a command behind it.
+#[test]
+fn large_value_that_no_other_attempt_could_continue_is_begun_before_others() {
+    let row = Row::of(From::Caches, large(IN_THE_MIDDLE_OVER_DEADLINE)).with_commands_behind();
+    assert_all_served(&[Row { class: "close", clients: 2, ..row }]);
+}
--- a/cli/tests/soak.rs
+++ b/cli/tests/soak.rs
@@ -50,6 +50,7 @@
             ],
             pipelines: [vec![1], vec![1], vec![1, 2, 4, 8], vec![6]][random.below(4)].clone(),
             pieces: [0.0, 0.2, 0.5][random.below(3)],
+            longest_piece_pause_ms: 8.0,
             little_time: [0.0, 0.2][random.below(2)],
             leave: [0.0, 0.1, 0.3][random.below(3)],
             repeat: 0.0,
--- a/cli/tests/soak_crowds.rs
+++ b/cli/tests/soak_crowds.rs
@@ -78,6 +78,7 @@
             ],
             pipelines: vec![1],
             pieces: 0.0,
+            longest_piece_pause_ms: 8.0,
             little_time: 0.0,
             leave: 0.1,
             repeat: 0.5,
--- a/cli/tests/soak_values.rs
+++ b/cli/tests/soak_values.rs
@@ -53,6 +53,7 @@
             ],
             pipelines: vec![1, 3, 3, 6],
             pieces: 0.1,
+            longest_piece_pause_ms: 8.0,
             little_time: 0.0,
             leave: [0.0, 0.1][random.below(2)],
             repeat: 0.0,
