The log says why a reply was given up, and counters tell paused and given-up replies

Counters replies_stalled, replies_given_up and values_begun_at_deadline come last. Final answers, the sending of commands and the pieces of the soaks' replies have modules and functions of their own.

--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -25,6 +25,7 @@
 pub mod recorded_sender;
 pub mod recording_servers;
 pub mod records;
+pub mod reply_pieces;
 pub mod small_buffer;
 pub mod small_buffer_origin;
 pub mod soak;
@@ -287,6 +288,9 @@
 /// Marker file in a proxy's folder: the process survives writes beyond its file size limit, which simulates a full disk.
 pub const DISK_LIMIT_MARKER: &str = "may-fill";
 
+/// File in a proxy's folder with its log level.
+pub const LOG_LEVEL_FILE: &str = "log-level";
+
 impl Proxy {
     /// Starts a proxy with this endpoint list and waits until it answers PING.
     pub fn start(discovery: &FakeDiscovery, endpoints: &[String]) -> Proxy {
@@ -415,6 +419,10 @@
         if coord.exists() {
             command.env("NOTCHDOOR_COORD", &coord);
         }
+        let log_level = folder.0.join(LOG_LEVEL_FILE);
+        if log_level.exists() {
+            command.env("NOTCHDOOR_LOG", std::fs::read_to_string(log_level).unwrap());
+        }
         let breakpoints = folder.0.join(breakpoints::FILE);
         if breakpoints.exists() {
             command.env(breakpoints::VARIABLE, std::fs::read_to_string(breakpoints).unwrap());
--- a/cli/tests/common/random_faults.rs
+++ b/cli/tests/common/random_faults.rs
@@ -4,7 +4,8 @@
 use super::connection_server::wait_for_next_command;
 use super::in_progress::{read_message, InProgress};
 use super::random::Random;
-use super::records::{AttemptRecord, Giving, SharedRecords};
+use super::records::{AttemptRecord, SharedRecords};
+use super::reply_pieces::{draw_pauses, draw_pieces, giving, holds_value};
 use super::Handler;
 use notchdoor_proxy::wire::resp::{Reader, Value};
 use notchdoor_testbed::wire::frames::{Frames, Protocol};
@@ -33,7 +34,7 @@
     pub pieces: f64,
     /// The server pauses within the reply, at any byte.
     pub pauses: f64,
-    /// The longest such pause in milliseconds; see [`PAUSE_LIMITS_MS`].
+    /// The longest such pause in milliseconds; see [`reply_pieces`](super::reply_pieces).
     pub longest_pause_ms: f64,
     /// The connection is reset within the reply.
     pub reset: f64,
@@ -94,12 +95,6 @@
 const MAX_LATE_MS: f64 = 700.0;
 /// How late a copy comes at most.
 const MAX_COPY_DELAY_MS: f64 = 40.0;
-/// The longest pause between two pieces of a reply.
-const MAX_PIECE_PAUSE_MS: f64 = 5.0;
-/// The time limits of the program within a reply. Pauses are drawn below and above each: from half of it to half as much again.
-const PAUSE_LIMITS_MS: [f64; 6] = [100.0, 250.0, 500.0, 1000.0, 2000.0, 3000.0];
-/// The most pauses within one reply.
-const MAX_PAUSES: usize = 6;
 /// After what idle time a server closes a connection.
 const MIN_IDLE_MS: usize = 20;
 const MAX_IDLE_MS: usize = 1500;
@@ -324,35 +319,6 @@
     }
 }
 
-/// Bytes of a reply with which a value begins that can be told from a copy: those that are compared, and the head.
-const BEGIN_BYTES: usize = 300;
-
-/// When a reply that is written in these pieces from now on begins, and when it is whole.
-fn giving(pieces: &[(Duration, &[u8])], has_length: bool) -> Giving {
-    let (mut at, mut bytes) = (Instant::now(), 0);
-    let (mut first_byte_at, mut began_at) = (None, None);
-    for (pause, piece) in pieces {
-        at += *pause;
-        bytes += piece.len();
-        if bytes > 0 {
-            first_byte_at.get_or_insert(at);
-        }
-        if bytes >= BEGIN_BYTES {
-            began_at.get_or_insert(at);
-        }
-    }
-    let began_at = began_at.unwrap_or(at);
-    Giving { first_byte_at: first_byte_at.unwrap_or(at), began_at, whole_at: at, has_length }
-}
-
-/// Whether a reply holds the value or receipt that was asked for.
-fn holds_value(protocol: Protocol, reply: &[u8]) -> bool {
-    match protocol {
-        Protocol::Resp => reply.starts_with(b"*3\r\n$") && !reply.starts_with(b"*3\r\n$-1"),
-        Protocol::Http => reply.starts_with(b"HTTP/1.1 200"),
-    }
-}
-
 impl Connection {
     fn new(stream: Arc<TcpStream>, random: Random, shared: Shared) -> Self {
         let _ = stream.set_nodelay(true);
@@ -459,8 +425,8 @@
     /// Writes a reply, in pieces or with pauses if it is drawn. `sound` is the command whose sound answer this is.
     fn write(&mut self, reply: &[u8], sound: Option<usize>, has_length: bool) -> Option<()> {
         let pieces = match self.random.chance(self.shared.faults.pauses) {
-            true => self.draw_pauses(reply),
-            false => self.draw_pieces(reply),
+            true => draw_pauses(&mut self.random, reply, self.shared.faults.longest_pause_ms),
+            false => draw_pieces(&mut self.random, reply, self.shared.faults.pieces),
         };
         let writer = self.writer.clone();
         // A copy between two pieces would make another value of the same length.
@@ -476,50 +442,6 @@
         Some(())
     }
 
-    /// Cuts a reply into pieces with short pauses, if it is drawn.
-    fn draw_pieces<'a>(&mut self, reply: &'a [u8]) -> Vec<(Duration, &'a [u8])> {
-        let length = match self.random.chance(self.shared.faults.pieces) {
-            true => 1 + self.random.below(reply.len().max(2) / 2),
-            false => reply.len().max(1),
-        };
-        let length = length.max(reply.len() / 8 + 1);
-        let mut most_ms = 0.0;
-        let pieces = reply.chunks(length).map(|piece| {
-            let pause = most_ms * self.random.below(1000) as f64 / 1000.0;
-            most_ms = MAX_PIECE_PAUSE_MS;
-            (Duration::from_secs_f64(pause / 1000.0), piece)
-        });
-        pieces.collect()
-    }
-
-    /// Cuts a reply at any bytes, with pauses between that cross the time limits of the program.
-    fn draw_pauses<'a>(&mut self, reply: &'a [u8]) -> Vec<(Duration, &'a [u8])> {
-        let count = [1, 1, 1, 2, MAX_PAUSES][self.random.below(5)];
-        let longest = self.shared.faults.longest_pause_ms;
-        let limits: Vec<f64> = PAUSE_LIMITS_MS.into_iter().filter(|limit| *limit <= longest).collect();
-        let mut places: Vec<usize> = (0..count).map(|_| self.draw_place(reply.len())).collect();
-        places.sort_unstable();
-        let (mut pieces, mut from, mut pause) = (Vec::new(), 0, Duration::ZERO);
-        for at in places {
-            pieces.push((pause, &reply[from..at]));
-            let limit = limits[self.random.below(limits.len())] / count as f64;
-            let factor = 0.5 + self.random.below(1000) as f64 / 1000.0;
-            (from, pause) = (at, Duration::from_secs_f64(limit * factor / 1000.0));
-        }
-        pieces.push((pause, &reply[from..]));
-        pieces
-    }
-
-    /// A place within a reply, more often near its begin and its end.
-    fn draw_place(&mut self, length: usize) -> usize {
-        let near = self.random.below(length.min(320));
-        match self.random.below(4) {
-            0 => near,
-            1 => length - near,
-            _ => self.random.below(length),
-        }
-    }
-
     /// Sends part of a reply and ends the connection.
     fn end_within(&mut self, reply: &[u8]) -> Option<()> {
         let length = self.random.below(reply.len());
--- a/proxy/src/proxy.rs
+++ b/proxy/src/proxy.rs
@@ -21,6 +21,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+mod answers;
 mod arrivals;
 mod begun_replies;
 mod inspect;
@@ -37,6 +38,8 @@
     sent: Micros,
     /// It repeats an earlier one that may have run at the same server, whose process has to be the same.
     is_repeat: bool,
+    /// Its reply has begun.
+    reply_begun: bool,
     /// Its reply has begun and paused.
     stalled: bool,
     /// How it ended; `None` while it is outstanding.
@@ -74,6 +77,12 @@
         self.outcome.is_none_or(|outcome| !outcome.outcome().never_ran())
     }
 
+    /// Whether its reply had begun and was not used, for lack of time or for another attempt's sake.
+    fn reply_is_given_up(&self) -> bool {
+        let ends = [None, Some(AttemptOutcome::TimedOutSent), Some(AttemptOutcome::Cancelled)];
+        self.reply_begun && ends.contains(&self.outcome)
+    }
+
     /// Whether its reply may have been a copy of an earlier one on its connection.
     fn is_doubtful(&self) -> bool {
         self.stalled || self.outcome == Some(AttemptOutcome::Garbled)
@@ -378,8 +387,15 @@
         let is_repeat = process_of.is_some();
         // A connection without an earlier reply has none that could be copied once more.
         let on_unused_connection = idempotent && request.attempts.iter().any(Attempt::is_doubtful);
-        let attempt = Attempt { attempt_id, server, sent: now, is_repeat, stalled: false, outcome: None };
-        request.attempts.push(attempt);
+        request.attempts.push(Attempt {
+            attempt_id,
+            server,
+            sent: now,
+            is_repeat,
+            reply_begun: false,
+            stalled: false,
+            outcome: None,
+        });
         let (call, deadline) = (Rc::clone(&request.call), request.deadline);
         self.commands.push(Command::StartAttempt {
             attempt_id,
@@ -409,41 +425,6 @@
         self.pending_events.push_back(event);
     }
 
-    fn finish(&mut self, id: RequestId, answer: Answer) {
-        self.answer(id, answer);
-        self.remove_if_done(id);
-    }
-
-    /// Sends the final answer of a request unless it has one already, and counts it by class.
-    fn answer(&mut self, id: RequestId, answer: Answer) {
-        let Some(request) = self.in_flight.get_mut(&id).filter(|request| !request.finished) else { return };
-        request.finished = true;
-        // An answer of another form cannot follow the first bytes of a value.
-        let answer = match answer {
-            Answer::Streamed => Answer::Streamed,
-            _ if request.value_begun => Answer::Truncated,
-            // A rejection invites a retry, which the server's process may not know for one.
-            Answer::Rejected { .. } if request.has_lost_process() => Answer::Failed,
-            answer => answer,
-        };
-        let (attempts, last) = (request.attempts.len(), request.attempts.last());
-        let last = last.map_or("none", Attempt::outcome_name);
-        log::debug!(
-            attempts, last, answer = answer.name();
-            "request {}: answered {} after {attempts} attempts, the last one: {last}",
-            request.name(), answer.name()
-        );
-        self.reply_slots.remove(&request.reply_slot);
-        if let Some(class) = self.counters.classes.get_mut(request.class as usize) {
-            match answer {
-                Answer::Served(_) | Answer::Streamed => class.served += 1,
-                Answer::Rejected { .. } => class.refused += 1,
-                Answer::Failed | Answer::Absent | Answer::Truncated => class.failed += 1,
-            }
-        }
-        self.commands.push(Command::Answer(request.reply_slot, answer));
-    }
-
     fn set_timer(&mut self, due: Micros, token: u64) {
         let request = self.stack.timer_request(token);
         // The request has ended.
--- a/proxy/src/proxy/begun_replies.rs
+++ b/proxy/src/proxy/begun_replies.rs
@@ -1,7 +1,7 @@
 //! Replies that have begun and are not complete: streamed to the client, kept, or paused.
 
 use super::{is_idempotent, AttemptId, Proxy, ReplySlot, Streaming};
-use notchdoor::{Event, Micros};
+use notchdoor::{Event, Micros, RequestId};
 
 /// A pause within a reply, or another reason for a further attempt beside the one that gives it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,6 +54,7 @@
         let reply_slot = self.streamable_slot(attempt_id)?;
         let &(id, attempt) = self.outstanding.get(&attempt_id)?;
         self.in_flight.get_mut(&id)?.streaming = Some(Streaming { attempt, is_comparing });
+        self.mark_begun(id, attempt);
         self.process_event(now, Event::ReplyStarted { id, attempt, took, exclusive: !is_comparing });
         Some(reply_slot)
     }
@@ -86,8 +87,15 @@
 
     /// Records that a server has begun a reply that is kept for now. `took` is as in [`super::AttemptReply::took`].
     pub fn reply_begun(&mut self, now: Micros, attempt_id: AttemptId, took: Option<Micros>) {
-        if let Some(&(id, attempt)) = self.outstanding.get(&attempt_id) {
-            self.process_event(now, Event::ReplyBegun { id, attempt, took });
+        let Some(&(id, attempt)) = self.outstanding.get(&attempt_id) else { return };
+        self.mark_begun(id, attempt);
+        self.process_event(now, Event::ReplyBegun { id, attempt, took });
+    }
+
+    fn mark_begun(&mut self, id: RequestId, attempt: u32) {
+        let request = self.in_flight.get_mut(&id);
+        if let Some(attempt) = request.and_then(|request| request.attempts.get_mut(attempt as usize)) {
+            attempt.reply_begun = true;
         }
     }
 
--- a/proxy/src/state/metrics/counters.rs
+++ b/proxy/src/state/metrics/counters.rs
@@ -56,6 +56,8 @@
     pub values_changed: u64,
     /// Replies that paused, or were in doubt, so that another attempt might be sent beside theirs.
     pub replies_stalled: u64,
+    /// Requests that were refused, failed or cut off although a server had begun a reply, for lack of time.
+    pub replies_given_up: u64,
     /// Requests rejected for lack of memory.
     pub rejected_no_room: u64,
     /// Large writes that were given up because their server did not take them in time.
@@ -133,6 +135,7 @@
             ("commands_evicted".to_owned(), self.commands_evicted),
             ("uploads_given_up".to_owned(), self.uploads_given_up),
             ("replies_stalled".to_owned(), self.replies_stalled),
+            ("replies_given_up".to_owned(), self.replies_given_up),
             ("values_begun_at_deadline".to_owned(), self.values_begun_at_deadline),
         ];
         let attempts =
--- a/proxy/src/wire/driver/attempt.rs
+++ b/proxy/src/wire/driver/attempt.rs
@@ -8,7 +8,7 @@
 mod stall;
 mod writing;
 
-use super::connection::{checkout, Process, Wanted};
+use super::connection::{checkout, Connection, Process, Wanted};
 use super::reply_proof::Asked;
 use super::Runtime;
 use crate::negative_cache::KeyLookup;
@@ -26,6 +26,7 @@
 use reading::read;
 use relaying::RelayedValue;
 use stall::StallWatch;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use writing::{wait_until_taken, Message};
@@ -123,6 +124,10 @@
     if progress.deadline_suspended.get() {
         future::pending::<()>().await;
     }
+    progress.end_reason.set(Some(match progress.reply_begun.get() {
+        true => "the request's time was over within the reply",
+        false => "no byte of a reply came in time",
+    }));
     Reply::without_value(if progress.sent.get() {
         AttemptOutcome::TimedOutSent
     } else {
@@ -171,13 +176,7 @@
     };
     let generation = runtime.pools.borrow_mut().generation(server);
     let endpoint = process.0;
-    let is_read = command.value_len().is_none();
-    let requirement = match (is_read, attempt.idempotent) {
-        _ if attempt.on_unused_connection => Requirement::Unused,
-        (true, true) => Requirement::Any,
-        (true, false) if !is_origin => Requirement::CertainOrder,
-        _ => Requirement::Unused,
-    };
+    let requirement = connection_requirement(attempt, is_origin);
     let wanted = Wanted { requirement, process_of: attempt.process_of };
     let mut connection = match checkout(runtime, (server, process), wanted, &mut timings.new).await {
         Ok(connection) => connection,
@@ -190,26 +189,12 @@
     }
     // `give_up_at` of a streamed write includes the time to receive the value, so `command.wait` bounds it.
     let wait = give_up_at.saturating_sub(timings.connected).min(command.wait);
-    let (head, value_end, mut decoder) = if is_origin {
-        let head = origin::encode(command, wait, &endpoint.to_string());
-        (head, &b""[..], Decoder::Origin(origin::Decoder::default()))
-    } else {
-        (backend::encode(command, wait), backend::VALUE_END, Decoder::Backend(backend::Decoder::default()))
-    };
-    let message = Message { head, value_end };
-    let written = match (&command.streamed, &command.value) {
-        (None, value) => message.write(&connection, value.as_deref(), &progress.sent).await,
-        (Some(streamed), _) if streamed.is_unsent() => {
-            message.write_streamed(&connection, streamed, &progress.sent).await
-        }
-        // The value was already sent in part or discarded.
-        (Some(_), _) => Err(AttemptOutcome::NotSent),
+    let host = is_origin.then(|| endpoint.to_string());
+    let mut decoder = match send_command(&connection, command, wait, host.as_deref(), &progress.sent).await {
+        Ok(decoder) => decoder,
+        Err(outcome) => return Reply::without_value(outcome),
     };
-    if let Err(outcome) = written {
-        return Reply::without_value(outcome);
-    }
     runtime.proxy.borrow_mut().counters.attempts += 1;
-    drop(message);
     timings.written = runtime.clock.now();
     if command.streamed.is_some() {
         wait_until_taken(&mut connection).await;
@@ -237,6 +222,7 @@
         runtime.prepare_unused(server, process);
     }
     if proof.is_none() {
+        progress.end_reason.set(Some("its reply may belong to another command"));
         return Reply::without_value(AttemptOutcome::Garbled);
     }
     if reply.reusable {
@@ -269,6 +255,47 @@
     reply
 }
 
+/// Which connection an attempt requires.
+fn connection_requirement(attempt: &Attempt, is_origin: bool) -> Requirement {
+    let is_read = attempt.command.value_len().is_none();
+    match (is_read, attempt.idempotent) {
+        _ if attempt.on_unused_connection => Requirement::Unused,
+        (true, true) => Requirement::Any,
+        (true, false) if !is_origin => Requirement::CertainOrder,
+        _ => Requirement::Unused,
+    }
+}
+
+/// Sends a command to a cache, or to the origin if `host` is set. Returns the decoder of its reply.
+async fn send_command(
+    connection: &Connection,
+    command: &BackendCommand,
+    wait: Micros,
+    host: Option<&str>,
+    sent: &Cell<bool>,
+) -> Result<Decoder, AttemptOutcome> {
+    let (head, value_end, decoder) = match host {
+        Some(host) => {
+            let head = origin::encode(command, wait, host);
+            (head, &b""[..], Decoder::Origin(origin::Decoder::default()))
+        }
+        None => {
+            let head = backend::encode(command, wait);
+            (head, backend::VALUE_END, Decoder::Backend(backend::Decoder::default()))
+        }
+    };
+    let message = Message { head, value_end };
+    match (&command.streamed, &command.value) {
+        (None, value) => message.write(connection, value.as_deref(), sent).await?,
+        (Some(streamed), _) if streamed.is_unsent() => {
+            message.write_streamed(connection, streamed, sent).await?;
+        }
+        // The value was already sent in part or discarded.
+        (Some(_), _) => return Err(AttemptOutcome::NotSent),
+    }
+    Ok(decoder)
+}
+
 impl Runtime {
     /// Checks again whether the command may be written, since getting a connection took time. Returns the outcome of
     /// the attempt if the client has left, the request is answered, the server was drained or restarted, or
--- a/proxy/src/wire/driver/attempt/progress.rs
+++ b/proxy/src/wire/driver/attempt/progress.rs
@@ -31,6 +31,10 @@
     pub(super) taken: Cell<bool>,
     /// Set once the first byte of the reply was received.
     pub(super) reply_begun: Cell<bool>,
+    /// Bytes of the reply that were received.
+    pub(super) received: Cell<usize>,
+    /// Why the attempt ended without a reply that could be used, where its outcome does not say it.
+    pub(super) end_reason: Cell<Option<&'static str>>,
     /// Set while the attempt does not time out, because a large value is passed on or waits for the replies before it.
     pub(super) deadline_suspended: Cell<bool>,
     /// The number of the connection, 0 until there is one.
@@ -58,15 +62,18 @@
         let connection = self.progress.connection.get();
         let replied = self.progress.replied.get().map_or("none", AttemptOutcome::name);
         let proof = self.progress.proof.get().map_or("none", ReplyProof::name);
-        let sent = self.progress.sent.get();
+        let (sent, received) = (self.progress.sent.get(), self.progress.received.get());
+        let reason = self.progress.end_reason.get().unwrap_or("none");
         let value = match &self.attempt.command.streamed {
             Some(streamed) => format!(", value={} of {}", streamed.received(), streamed.length),
             None => String::new(),
         };
         log::debug!(
-            attempt_id, server, ending = self.outcome.name(), request:% = request, connection, replied, proof, sent;
+            attempt_id, server, ending = self.outcome.name(), request:% = request, connection, replied, proof, sent,
+            received, reason;
             "attempt {attempt_id} to {server}: {}, {} us in total, {} us to connect, {} us to the first byte, new={}, \
-             request={request}, connection={connection}, reply={replied}, proof={proof}, sent={sent}{value}",
+             request={request}, connection={connection}, reply={replied}, proof={proof}, sent={sent}, \
+             received={received}, reason={reason}{value}",
             self.outcome.name(),
             now - self.started_at,
             timings.connected.saturating_sub(self.started_at),
--- a/proxy/src/wire/driver/attempt/reading.rs
+++ b/proxy/src/wire/driver/attempt/reading.rs
@@ -103,7 +103,7 @@
             Ok(())
         }
         Wake::Paused if value.release() => Ok(()),
-        Wake::Paused => Err(AttemptOutcome::Garbled),
+        Wake::Paused => Err(value.unusable("its server was silent within a value for too long")),
     }
 }
 
@@ -122,9 +122,9 @@
             Ok(Some((n, parts))) => {
                 if received == 0 {
                     timings.first = runtime.clock.now();
-                    value.reply_begins();
                 }
                 received += n;
+                value.record_received(received);
                 if !value.has_started() && received > MAX_VALUE {
                     stall.report_begun(timings.response_time());
                 }
--- a/proxy/src/wire/driver/attempt/relaying.rs
+++ b/proxy/src/wire/driver/attempt/relaying.rs
@@ -94,9 +94,16 @@
         }
     }
 
-    /// Records the first byte of the reply.
-    pub(super) fn reply_begins(&self) {
+    /// Records how many bytes of the reply were received.
+    pub(super) fn record_received(&self, bytes: usize) {
         self.progress.reply_begun.set(true);
+        self.progress.received.set(bytes);
+    }
+
+    /// The outcome of an attempt whose reply cannot be used for this reason.
+    pub(super) fn unusable(&self, reason: &'static str) -> AttemptOutcome {
+        self.progress.end_reason.set(Some(reason));
+        AttemptOutcome::Garbled
     }
 
     /// Whether a value has begun, so that its length is known and its memory accounted for.
@@ -191,7 +198,9 @@
         self.stage = match slot {
             None => Stage::Discarding,
             Some(slot) => match self.runtime.relayed_prefix(slot) {
-                Some(_) if origin == ValueOrigin::MayBeCopy => return Err(AttemptOutcome::Garbled),
+                Some(_) if origin == ValueOrigin::MayBeCopy => {
+                    return Err(self.unusable("a value that may be a copy cannot continue another"));
+                }
                 Some(prefix) => {
                     // It was admitted when it began.
                     self.place = Some(self.runtime.relay_budget.overdraw());
@@ -420,7 +429,7 @@
     /// The outcome of an attempt whose value differs from what an earlier one has passed on.
     fn value_changed(&self) -> AttemptOutcome {
         self.runtime.proxy.borrow_mut().counters.values_changed += 1;
-        AttemptOutcome::Garbled
+        self.unusable("its value differs from the part that the client has")
     }
 }
 
--- a/proxy/tests/counter_names.rs
+++ b/proxy/tests/counter_names.rs
@@ -9,7 +9,7 @@
     ending_client_stalled ending_client_malformed ending_answer_cut ending_client_silent ending_closed_idle \
     ending_registry_broken ending_registry_silent replies_checked replies_unconfirmed \
     values_held values_resumed values_changed rejected_no_room commands_evicted uploads_given_up \
-    replies_stalled values_begun_at_deadline";
+    replies_stalled replies_given_up values_begun_at_deadline";
 
 #[test]
 fn counter_names_and_order_are_unchanged() {
--- a/src/router/attempt_results.rs
+++ b/src/router/attempt_results.rs
@@ -95,13 +95,13 @@
         else {
             return;
         };
-        let is_upload = request.request.upload;
-        let is_last = request.attempts_left(max_attempts) <= 1;
-        let stored_at = request.missed_at.filter(|_| request.continued_until.is_some());
-        let attempt = request.attempts.get_mut(stall.attempt).filter(|attempt| attempt.is_outstanding());
-        let Some(attempt) = attempt.filter(|_| !is_upload && !(is_last && stall.keep_last_attempt)) else {
+        let is_kept = stall.keep_last_attempt && request.attempts_left(max_attempts) <= 1;
+        if is_kept || request.request.upload {
             return;
-        };
+        }
+        let stored_at = request.missed_at.filter(|_| request.continued_until.is_some());
+        let attempt = request.attempts.get_mut(stall.attempt);
+        let Some(attempt) = attempt.filter(|attempt| attempt.is_outstanding()) else { return };
         if attempt.is_origin_call() {
             if stall.may_be_copy {
                 self.dispatch_origin_call(now, stall.id, actions);
