Where no second attempt is allowed beside another, a stalled reply gives way half way

Clients saw: nothing yet; a deployment without secondCopies would have waited for a copy that ended in silence until its deadline. Cause: the further attempt beside a stalled one is forbidden there. Change: a stalled attempt whose reply may be a copy is cancelled once half of the time left is over, and the read is repeated on an unused connection; one that is no copy goes on. Cost: no descriptor more. It moves the request onto half of its time; a sound server that pauses for longer there is cut, and asked again.

--- a/src/router.rs
+++ b/src/router.rs
@@ -143,6 +143,7 @@
         match RouterTimer::from_token(token) {
             Some(RouterTimer::SlowRead(id)) => self.handle_slow_read(now, id, false, actions),
             Some(RouterTimer::Deadline(id)) => self.handle_deadline(now, id, actions),
+            Some(RouterTimer::Stalled(id)) => self.replace_stalled_attempt(now, id, actions),
             Some(RouterTimer::Discovery) => actions.push(Action::Watch),
             None => {}
         }
--- a/src/router/attempt_results.rs
+++ b/src/router/attempt_results.rs
@@ -100,8 +100,17 @@
             return;
         }
         let stored_at = request.missed_at.filter(|_| request.continued_until.is_some());
+        let deadline = request.request.deadline;
         let attempt = request.attempts.get_mut(stall.attempt);
         let Some(attempt) = attempt.filter(|attempt| attempt.is_outstanding()) else { return };
+        if !self.settings.hedging {
+            if stall.may_be_copy && self.settings.may_cancel {
+                attempt.awaits_replacement = true;
+                let after = deadline.saturating_sub(now) / 2;
+                actions.push(Action::Timer { after, token: RouterTimer::Stalled(stall.id).token() });
+            }
+            return;
+        }
         if attempt.is_origin_call() {
             if stall.may_be_copy {
                 self.dispatch_origin_call(now, stall.id, actions);
@@ -178,6 +187,20 @@
         }
     }
 
+    /// Ends a stalled attempt whose reply may be a copy, where two attempts must not be outstanding at once, so that another one
+    /// has the other half of the time that was left.
+    pub(super) fn replace_stalled_attempt(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.in_flight.get(&id).filter(|request| request.awaits_answer()) else { return };
+        let is_stalled = |attempt: &Attempt| attempt.awaits_replacement && attempt.is_outstanding();
+        let Some(index) = request.attempts.iter().position(is_stalled) else { return };
+        let effect =
+            self.settings.class_of(&request.request).map_or(Effect::AtMostOnce, |class| class.effect);
+        let has_attempts = request.attempts_left(self.settings.max_attempts) > 0;
+        if effect != Effect::AtMostOnce && has_attempts && now < request.request.deadline {
+            actions.push(Action::Cancel { id, attempt: index as u32 });
+        }
+    }
+
     /// Handles the end of an attempt: records its result, continues the request, and resumes reads that
     /// waited for it.
     pub(super) fn attempt_ended(&mut self, now: Micros, end: AttemptEnd, actions: &mut Vec<Action>) {
@@ -185,6 +208,9 @@
         let Some(request) = self.in_flight.get_mut(&id) else { return };
         let attempt = request.attempts.get_mut(end.attempt);
         let Some(attempt) = attempt.filter(|attempt| attempt.is_outstanding()) else { return };
+        // As if its reply were malformed, which it may be.
+        let is_replaced = attempt.awaits_replacement && outcome == Outcome::Cancelled;
+        let outcome = if is_replaced { Outcome::MalformedReply } else { outcome };
         attempt.end(outcome);
         let ended = *attempt;
         let was_done = request.done;
--- a/src/router/in_flight.rs
+++ b/src/router/in_flight.rs
@@ -38,6 +38,8 @@
     pub(super) retry_same_server: bool,
     /// Whether its server has begun a reply whose rest does not count against the server.
     pub(super) reply_begun: bool,
+    /// Whether its reply pauses and may be a copy, where no other attempt can be sent beside it.
+    pub(super) awaits_replacement: bool,
     /// The shared fetch that this attempt performs, if any.
     pub(super) coalesced_fetch: Option<FetchKey>,
 }
@@ -52,6 +54,7 @@
             rejected: false,
             retry_same_server: false,
             reply_begun: false,
+            awaits_replacement: false,
             coalesced_fetch: None,
         }
     }
--- a/src/router/timer_token.rs
+++ b/src/router/timer_token.rs
@@ -7,6 +7,7 @@
 const SLOW_READ: u64 = 0;
 const DEADLINE: u64 = 1;
 const DISCOVERY: u64 = 2;
+const STALLED: u64 = 3;
 
 /// A timer set by the router.
 #[derive(Clone, Copy)]
@@ -17,6 +18,8 @@
     Deadline(RequestId),
     /// Calls discovery again.
     Discovery,
+    /// Ends the stalled attempt of this request in favour of another one.
+    Stalled(RequestId),
 }
 
 impl RouterTimer {
@@ -25,6 +28,7 @@
             RouterTimer::SlowRead(id) => id << KIND_BITS | SLOW_READ,
             RouterTimer::Deadline(id) => id << KIND_BITS | DEADLINE,
             RouterTimer::Discovery => DISCOVERY,
+            RouterTimer::Stalled(id) => id << KIND_BITS | STALLED,
         }
     }
 
@@ -34,6 +38,7 @@
             SLOW_READ => Some(RouterTimer::SlowRead(token >> KIND_BITS)),
             DEADLINE => Some(RouterTimer::Deadline(token >> KIND_BITS)),
             DISCOVERY => Some(RouterTimer::Discovery),
+            STALLED => Some(RouterTimer::Stalled(token >> KIND_BITS)),
             _ => None,
         }
     }
