A fence that is not answered in 100 ms starts another attempt, which needs none

Cause: the value needed a fence, whose reply came later; another attempt was sent after 1 s only. slow_servers, short_deadline_is_met_although_a_fence_is_answered_slowly, forces it: refused before, served now. Change: the attempt beside it begins after 100 ms, on an unused connection. Cost: one descriptor and attempt 0.9 s earlier. Limits: max_attempts and the request's deadline.

--- a/cli/tests/common/fleet_plan.rs
+++ b/cli/tests/common/fleet_plan.rs
@@ -1,6 +1,7 @@
 //! What a run of the fleet has, and what it showed.
 
 use super::crowd::Habit;
+use super::judge::Terms;
 use super::random_faults::Faults;
 use super::recorded_client::Habits;
 use super::records::{Class, Effect};
@@ -107,6 +108,12 @@
         self.habits.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
     }
 
+    /// What the rules depend on. An eighth of the memory holds large values, of which each client reads one of 1 MiB at a time.
+    pub(super) fn terms(&self) -> Terms {
+        let holds_all_values = self.limits.1 as usize / 8 >= self.clients;
+        Terms { holds_all_values, ..Terms::default() }
+    }
+
     /// The time from SIGTERM to SIGKILL.
     pub(super) fn stop_time(&self) -> Duration {
         if let Stop::EndsWithin(limit) = self.stop {
--- a/cli/tests/common/random_faults.rs
+++ b/cli/tests/common/random_faults.rs
@@ -120,6 +120,7 @@
     /// Once set, all connections fall silent with their next reply.
     pub silent: Arc<AtomicBool>,
     state: Arc<ServerState>,
+    records: SharedRecords,
 }
 
 /// What the process of the server does.
@@ -164,6 +165,7 @@
             in_progress: InProgress::default(),
             silent: Arc::default(),
             state: Arc::default(),
+            records: records.clone(),
         };
         let shared = Shared {
             name: server.name.clone(),
@@ -226,6 +228,7 @@
     /// Ends the process of the server: its connections are reset, and so are new ones.
     pub fn kill(&self) {
         self.state.is_dead.store(true, Ordering::SeqCst);
+        self.records.server_died(&self.name);
         self.state.connections.lock().unwrap().drain().for_each(|(_, stream)| reset(&stream));
     }
 }
--- a/cli/tests/slow_servers.rs
+++ b/cli/tests/slow_servers.rs
@@ -70,6 +70,22 @@
     }
 }
 
+/// Guards against a read that is refused because its deadline comes before the reply to a fence, although its cache has given
+/// the value: another attempt needs no fence.
+#[test]
+fn short_deadline_is_met_although_a_fence_is_answered_slowly() {
+    let cache = start_server(serve_with_slow_fence);
+    let origin = FakeServer::origin(Box::new(|_| None));
+    let list =
+        [endpoint_entry_at("w", cache, "in_service", 0), endpoint_entry("o", &origin, "in_service", 0)];
+    let proxy = Proxy::start(&FakeDiscovery::start(), &list);
+    let mut client = proxy.client();
+    for id in ["first", "second"] {
+        assert_eq!(client.get("k", id, 400), bulk("same"), "{id}: {}", proxy.log_and_status());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// Guards against a value under way that is cut off after 3 s of silence although its class allows no other attempt.
 #[test]
 fn value_under_way_is_not_cut_off_by_a_pause_of_its_server() {
--- a/proxy/src/wire/driver/reply_proof.rs
+++ b/proxy/src/wire/driver/reply_proof.rs
@@ -16,7 +16,9 @@
 use notchdoor::ServerId;
 use std::time::Duration;
 
-/// Time to wait for the reply to a fence before another attempt may be sent beside this one. Its own time limits the wait.
+/// Time to wait for the reply to a fence before another attempt may be sent beside this one, whose own time limits the wait.
+const SLOW_FENCE_TIME: Duration = Duration::from_millis(100);
+/// Maximum time to wait for it in an attempt that does not time out.
 const FENCE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Bytes that can be read while the reply to a fence is awaited; a reply that begins is enough to refute it.
 const FENCE_BUFFER: usize = 64;
@@ -131,10 +133,11 @@
         self.proxy.borrow_mut().counters.replies_checked += 1;
         connection.retired = Some("a fence was sent on it");
         let slow = async {
-            Timer::after(FENCE_TIMEOUT).await;
+            Timer::after(SLOW_FENCE_TIME).await;
             if on_slow_fence() {
                 future::pending::<()>().await;
             }
+            Timer::after(FENCE_TIMEOUT.saturating_sub(SLOW_FENCE_TIME)).await;
             false
         };
         let confirmed = self.is_serving(server, asked.process)
