Tests: one setup for slow fences, no second list of faults, no value chosen twice

Cause: two tests of slow fences had the same setup, Faults::NONE said what Default says, and a row's value was chosen in two arms that were the same.

--- a/cli/tests/common/paced_reads.rs
+++ b/cli/tests/common/paced_reads.rs
@@ -136,16 +136,16 @@
 
 /// Plays a row. Returns what was not served, with the proxy's log.
 pub fn play(row: Row) -> (Unserved, String) {
-    let (cache_role, origin_giving) = match row.from {
-        From::Caches => (Role::Cache, row.giving),
-        From::Origin => (Role::EmptyCache, row.giving),
+    let cache_role = match row.from {
+        From::Caches => Role::Cache,
+        From::Origin => Role::EmptyCache,
     };
     let mut list: Vec<String> = (0..CACHES)
         .map(|n| {
             endpoint_entry_at(&format!("w{n}"), paced_server::start(cache_role, row.giving), "in_service", 0)
         })
         .collect();
-    list.push(endpoint_entry_at("o", paced_server::start(Role::Origin, origin_giving), "in_service", 0));
+    list.push(endpoint_entry_at("o", paced_server::start(Role::Origin, row.giving), "in_service", 0));
     let discovery = FakeDiscovery::start();
     let settings = settings().replace(r#""quotaPerS":100.0"#, r#""quotaPerS":5000.0"#);
     let proxy = Proxy::with_files(&discovery, &list, (1024, 192), &[("settings.json", &settings)]);
--- a/cli/tests/common/random_faults.rs
+++ b/cli/tests/common/random_faults.rs
@@ -51,23 +51,6 @@
 }
 
 impl Faults {
-    /// None of them.
-    pub const NONE: Faults = Faults {
-        copy: 0.0,
-        part: 0.0,
-        delay: 0.0,
-        late: 0.0,
-        pieces: 0.0,
-        pauses: 0.0,
-        longest_pause_ms: 0.0,
-        reset: 0.0,
-        cut: 0.0,
-        silence: 0.0,
-        idle_close: 0.0,
-        unframed: 0.0,
-        chunked: 0.0,
-    };
-
     /// Draws how likely each fault of small replies is.
     pub fn draw(random: &mut Random) -> Faults {
         let mut likely = |most: f64| most * random.below(1000) as f64 / 1000.0;
--- a/cli/tests/judge.rs
+++ b/cli/tests/judge.rs
@@ -124,13 +124,16 @@
 }
 
 /// Servers that pause within each of their answers, for up to 375 ms at a time.
-const PAUSING: Faults = Faults { pauses: 1.0, longest_pause_ms: 250.0, ..Faults::NONE };
+fn pausing() -> Faults {
+    Faults { pauses: 1.0, longest_pause_ms: 250.0, ..Faults::default() }
+}
+
 /// When the stand-in refuses what a server has begun to give.
 const REFUSED_AFTER: Duration = Duration::from_millis(52);
 
 /// Reads values of servers that pause, through a stand-in that refuses each read this long after it was sent.
 fn violations_of_pausing_servers(refused_after: Duration) -> (usize, Vec<Violation>) {
-    let setup = Setup::with_faults(PAUSING);
+    let setup = Setup::with_faults(pausing());
     let proxy = setup.proxy();
     let target = proxy.listen;
     let front = start(Protocol::Resp, move |command| {
--- a/cli/tests/slow_servers.rs
+++ b/cli/tests/slow_servers.rs
@@ -53,14 +53,19 @@
     }
 }
 
-/// Guards against a whole value that is not used because the reply to the fence behind it comes late.
-#[test]
-fn value_is_served_although_its_fence_is_answered_slowly() {
+/// A proxy with one cache, whose replies to fences come late.
+fn start_with_slow_fence() -> Proxy {
     let cache = start_server(serve_with_slow_fence);
     let origin = FakeServer::origin(Box::new(|_| None));
     let list =
         [endpoint_entry_at("w", cache, "in_service", 0), endpoint_entry("o", &origin, "in_service", 0)];
-    let proxy = Proxy::start(&FakeDiscovery::start(), &list);
+    Proxy::start(&FakeDiscovery::start(), &list)
+}
+
+/// Guards against a whole value that is not used because the reply to the fence behind it comes late.
+#[test]
+fn value_is_served_although_its_fence_is_answered_slowly() {
+    let proxy = start_with_slow_fence();
     let mut client = proxy.client();
     for id in ["first", "second"] {
         let answer = client.request(&["OBJ.GET", "k", id, "c=close,t=acme,d=2000"]);
@@ -74,11 +79,7 @@
 /// the value: another attempt needs no fence.
 #[test]
 fn short_deadline_is_met_although_a_fence_is_answered_slowly() {
-    let cache = start_server(serve_with_slow_fence);
-    let origin = FakeServer::origin(Box::new(|_| None));
-    let list =
-        [endpoint_entry_at("w", cache, "in_service", 0), endpoint_entry("o", &origin, "in_service", 0)];
-    let proxy = Proxy::start(&FakeDiscovery::start(), &list);
+    let proxy = start_with_slow_fence();
     let mut client = proxy.client();
     for id in ["first", "second"] {
         assert_eq!(client.get("k", id, 400), bulk("same"), "{id}: {}", proxy.log_and_status());
